feat(kernel): add the micro-kernel, the core types and the fleet services

Cause: the repository was empty; every later part needs the folders, the kernel and the types that decisions, encodings and drivers share. Change: workspace, kernel (named services, one event stream, typed effects), core enums and messages, configuration, suspects and links services. Conclusion: roles can now be put together from services found by name.

--- /dev/null
+++ b/packages/core/src/event.ts
@@ -0,0 +1,161 @@
+/** @module Events: every input of a process, as data. */
+import type { Configuration } from './configuration.js';
+import type { Message } from './message.js';
+import type { TimerKind } from './timer.js';
+
+/** Kind of an event. */
+export enum EventKind {
+  CallerRequest = 'caller-request',
+  CallerFlushed = 'caller-flushed',
+  CallerGone = 'caller-gone',
+  LinkOpened = 'link-opened',
+  LinkMessage = 'link-message',
+  LinkClosed = 'link-closed',
+  Timer = 'timer',
+  ConfigurationRead = 'configuration-read',
+  ConfigurationUnavailable = 'configuration-unavailable',
+  TargetHead = 'target-head',
+  TargetChunk = 'target-chunk',
+  TargetEnd = 'target-end',
+  TargetError = 'target-error',
+  TargetHealth = 'target-health',
+}
+
+/** What a caller wants. */
+export enum CallerIntent {
+  /** Run a request on a target. */
+  Run = 'run',
+  /** Obtain an idempotency key. */
+  MintKey = 'mint-key',
+}
+
+/** How far a failed call to a target got. */
+export enum TargetErrorStage {
+  /** No byte of the request was written. */
+  BeforeWrite = 'before-write',
+  /** The target may have received the request. */
+  AfterWrite = 'after-write',
+}
+
+/** A caller's request, decoded by the front end. */
+export interface CallerRequestEvent {
+  readonly kind: EventKind.CallerRequest;
+  readonly exchangeId: string;
+  readonly intent: CallerIntent;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: string;
+  readonly credential: string;
+  readonly idempotencyKey?: string;
+  readonly deadlineMs?: number;
+  /** 0 (lowest) to 9 (highest). */
+  readonly priority: number;
+}
+
+/** Chunks were taken over by the caller's connection. */
+export interface CallerFlushedEvent {
+  readonly kind: EventKind.CallerFlushed;
+  readonly exchangeId: string;
+  readonly chunkCount: number;
+}
+
+/** The caller closed its connection before the answer ended. */
+export interface CallerGoneEvent {
+  readonly kind: EventKind.CallerGone;
+  readonly exchangeId: string;
+}
+
+/** A link to another process came up. */
+export interface LinkOpenedEvent {
+  readonly kind: EventKind.LinkOpened;
+  readonly linkId: string;
+  readonly isInbound: boolean;
+}
+
+/** A message arrived on a link. */
+export interface LinkMessageEvent {
+  readonly kind: EventKind.LinkMessage;
+  readonly linkId: string;
+  readonly message: Message;
+}
+
+/** A link closed, or could not be opened. */
+export interface LinkClosedEvent {
+  readonly kind: EventKind.LinkClosed;
+  readonly linkId: string;
+}
+
+/** A timer ran out. */
+export interface TimerEvent {
+  readonly kind: EventKind.Timer;
+  readonly timer: TimerKind;
+  /** Which timer of that kind. */
+  readonly key: string;
+}
+
+/** The configuration service answered a read. */
+export interface ConfigurationReadEvent {
+  readonly kind: EventKind.ConfigurationRead;
+  readonly configuration: Configuration;
+}
+
+/** The configuration service did not answer, or its value failed the check. */
+export interface ConfigurationUnavailableEvent {
+  readonly kind: EventKind.ConfigurationUnavailable;
+  readonly detail: string;
+}
+
+/** The target answered with a status line. */
+export interface TargetHeadEvent {
+  readonly kind: EventKind.TargetHead;
+  readonly callId: string;
+  readonly status: number;
+  readonly contentType: string;
+}
+
+/** One chunk of a target's answer. */
+export interface TargetChunkEvent {
+  readonly kind: EventKind.TargetChunk;
+  readonly callId: string;
+  readonly data: string;
+}
+
+/** The target's answer ended whole. */
+export interface TargetEndEvent {
+  readonly kind: EventKind.TargetEnd;
+  readonly callId: string;
+}
+
+/** The call to the target failed before the answer ended. */
+export interface TargetErrorEvent {
+  readonly kind: EventKind.TargetError;
+  readonly callId: string;
+  readonly stage: TargetErrorStage;
+  readonly detail: string;
+}
+
+/** The target's own report of its condition; lags behind. */
+export interface TargetHealthEvent {
+  readonly kind: EventKind.TargetHealth;
+  readonly isUp: boolean;
+  readonly isCold: boolean;
+}
+
+/** Any input of a process. */
+export type Event =
+  | CallerRequestEvent
+  | CallerFlushedEvent
+  | CallerGoneEvent
+  | LinkOpenedEvent
+  | LinkMessageEvent
+  | LinkClosedEvent
+  | TimerEvent
+  | ConfigurationReadEvent
+  | ConfigurationUnavailableEvent
+  | TargetHeadEvent
+  | TargetChunkEvent
+  | TargetEndEvent
+  | TargetErrorEvent
+  | TargetHealthEvent;
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,9 @@
+/** @module Public interface of the core types. */
+export * from './configuration.js';
+export * from './directory.js';
+export * from './effect.js';
+export * from './event.js';
+export * from './message.js';
+export * from './outcome.js';
+export * from './runtime.js';
+export * from './timer.js';
--- /dev/null
+++ b/packages/core/src/timer.ts
@@ -0,0 +1,14 @@
+/** @module Kinds of timers. */
+
+/** What a timer is for. */
+export enum TimerKind {
+  ConfigurationRead = 'configuration-read',
+  LinkReopen = 'link-reopen',
+  LinkCheck = 'link-check',
+  RequestDeadline = 'request-deadline',
+  RetryDelay = 'retry-delay',
+  QueueTimeout = 'queue-timeout',
+  RunDeadline = 'run-deadline',
+  TargetHealth = 'target-health',
+  Hedge = 'hedge',
+}
--- /dev/null
+++ b/packages/fleet/src/configuration-service.ts
@@ -0,0 +1,189 @@
+/** @module Holds the accepted configuration; accepts only higher revisions, from any source. */
+import { createHash, timingSafeEqual } from 'node:crypto';
+import {
+  EffectKind,
+  EventKind,
+  LogLevel,
+  LogTopic,
+  MessageKind,
+  ServiceName,
+  TimerKind,
+  ZoneState,
+  type Configuration,
+  type ConfigurationApi,
+  type Effect,
+  type Event,
+  type LinkMessageEvent,
+  type OrganisationConfiguration,
+  type Registration,
+  type Runtime,
+  type TargetConfiguration,
+} from '@ebonysill/core';
+import { createInstance } from '@ebonysill/kernel';
+import { send, setTimer } from './effects.js';
+import { log } from './log.js';
+
+/** Delay before the configuration service is asked again after a failure. */
+const RETRY_READ_MS = 1_000;
+
+/** A link is asked for a configuration at most once in this time. */
+const REQUEST_INTERVAL_MS = 1_000;
+
+const TIMER_KEY = 'watch';
+
+/** How the configuration is learnt. */
+export interface ConfigurationOptions {
+  readonly runtime: Runtime;
+  /** Whether this process reads the configuration service itself. */
+  readonly isReader: boolean;
+}
+
+const digestOf = (credential: string): Buffer => createHash('sha256').update(credential).digest();
+
+/** Keeps the highest accepted configuration. */
+class ConfigurationService {
+  #current: Configuration | undefined;
+
+  #targetsById: ReadonlyMap<string, TargetConfiguration> = new Map();
+
+  #organisationsByDigest: ReadonlyMap<string, OrganisationConfiguration> = new Map();
+
+  readonly #requestedMs = new Map<string, number>();
+
+  private constructor(private readonly options: ConfigurationOptions) {}
+
+  static create(options: ConfigurationOptions): ConfigurationService {
+    return new ConfigurationService(options);
+  }
+
+  readonly api: ConfigurationApi = {
+    revision: () => this.#revision(),
+    current: () => this.#current,
+    service: (name) => this.#current?.services.find((service) => service.name === name),
+    target: (targetId) => this.#targetsById.get(targetId),
+    targets: (service) =>
+      (this.#current?.targets ?? []).filter((target) => target.service === service),
+    organisation: (credential) => this.#organisation(credential),
+    isInService: (availabilityZone) => this.#isInService(availabilityZone),
+  };
+
+  start(): readonly Effect[] {
+    return this.options.isReader ? [this.#read()] : [];
+  }
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.ConfigurationRead:
+        return [...this.#accept(event.configuration), this.#read()];
+      case EventKind.ConfigurationUnavailable:
+        return [
+          log(LogLevel.Warn, LogTopic.ConfigurationUnavailable, { detail: event.detail }),
+          setTimer(TimerKind.ConfigurationRead, TIMER_KEY, RETRY_READ_MS),
+        ];
+      case EventKind.Timer:
+        return event.timer === TimerKind.ConfigurationRead ? [this.#read()] : [];
+      case EventKind.LinkMessage:
+        return this.#onMessage(event);
+      case EventKind.LinkClosed:
+        this.#requestedMs.delete(event.linkId);
+        return [];
+      default:
+        return [];
+    }
+  }
+
+  #onMessage({ linkId, message }: LinkMessageEvent): readonly Effect[] {
+    switch (message.kind) {
+      case MessageKind.Hello:
+      case MessageKind.Heartbeat:
+      case MessageKind.HeartbeatAck:
+        return this.#compare(linkId, message.revision);
+      case MessageKind.ConfigurationRequest:
+        return this.#current === undefined
+          ? []
+          : [
+              send(linkId, {
+                kind: MessageKind.ConfigurationValue,
+                configuration: this.#current,
+              }),
+            ];
+      case MessageKind.ConfigurationValue:
+        return this.#accept(message.configuration);
+      default:
+        return [];
+    }
+  }
+
+  #compare(linkId: string, theirRevision: number): readonly Effect[] {
+    if (theirRevision <= this.#revision()) {
+      return [];
+    }
+    const nowMs = this.options.runtime.nowMs();
+    const requestedMs = this.#requestedMs.get(linkId);
+    if (requestedMs !== undefined && nowMs - requestedMs < REQUEST_INTERVAL_MS) {
+      return [];
+    }
+    this.#requestedMs.set(linkId, nowMs);
+    return [send(linkId, { kind: MessageKind.ConfigurationRequest })];
+  }
+
+  #accept(configuration: Configuration): readonly Effect[] {
+    if (configuration.revision <= this.#revision()) {
+      return [];
+    }
+    this.#current = configuration;
+    this.#targetsById = new Map(configuration.targets.map((target) => [target.targetId, target]));
+    this.#organisationsByDigest = new Map(
+      configuration.organisations.map((organisation) => [
+        organisation.credentialSha256,
+        organisation,
+      ]),
+    );
+    return [
+      log(LogLevel.Info, LogTopic.ConfigurationAccepted, { revision: configuration.revision }),
+    ];
+  }
+
+  #organisation(credential: string): OrganisationConfiguration | undefined {
+    const digest = digestOf(credential);
+    const found = this.#organisationsByDigest.get(digest.toString('hex'));
+    if (found === undefined) {
+      return undefined;
+    }
+    return timingSafeEqual(digest, Buffer.from(found.credentialSha256, 'hex')) ? found : undefined;
+  }
+
+  #isInService(availabilityZone: string): boolean {
+    return (this.#current?.availabilityZones ?? []).some(
+      (zone) => zone.name === availabilityZone && zone.state === ZoneState.InService,
+    );
+  }
+
+  #revision(): number {
+    return this.#current?.revision ?? 0;
+  }
+
+  #read(): Effect {
+    return { kind: EffectKind.ReadConfiguration, aboveRevision: this.#revision() };
+  }
+}
+
+/**
+ * Registers the configuration service.
+ *
+ * @example
+ * configurationRegistration({ runtime, isReader: true });
+ */
+export const configurationRegistration = (
+  options: ConfigurationOptions,
+): Registration<ServiceName.Configuration> => ({
+  name: ServiceName.Configuration,
+  requires: [],
+  create: () => {
+    const service = ConfigurationService.create(options);
+    return createInstance(service.api, {
+      start: () => service.start(),
+      handle: (event) => service.handle(event),
+    });
+  },
+});
--- /dev/null
+++ b/packages/fleet/src/links-service.ts
@@ -0,0 +1,336 @@
+/** @module Opens, greets, checks and replaces links to other processes. */
+import {
+  EffectKind,
+  EventKind,
+  LogLevel,
+  LogTopic,
+  MessageKind,
+  ServiceName,
+  TimerKind,
+  type ConfigurationApi,
+  type CrashSuspicion,
+  type Effect,
+  type Event,
+  type HeartbeatAckMessage,
+  type HeartbeatMessage,
+  type LinkMessageEvent,
+  type LinksApi,
+  type LoadReport,
+  type Message,
+  type ProcessRole,
+  type Registration,
+  type Runtime,
+  type SuspectsApi,
+} from '@ebonysill/core';
+import { createInstance } from '@ebonysill/kernel';
+import { clearTimer, send, setTimer } from './effects.js';
+import { LinkState, LinkTable, type Link } from './link-table.js';
+import {
+  BUSY_CHECK_MS,
+  IDLE_CHECK_MS,
+  IDLE_SILENCE_LIMIT_MS,
+  REOPEN_BASE_MS,
+  REOPEN_MAX_MS,
+  SILENCE_LIMIT_MS,
+} from './link-timing.js';
+import { log } from './log.js';
+
+/** A check that comes this late shows that this process itself was paused. */
+const OWN_PAUSE_MS = 1_000;
+
+/** Address of a sidecar that is known before any configuration is. */
+export interface SeedSidecar {
+  readonly targetId: string;
+  /** IP number. */
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What the links service is created from. */
+export interface LinksOptions {
+  readonly runtime: Runtime;
+  readonly processId: string;
+  readonly incarnation: string;
+  readonly role: ProcessRole;
+  readonly availabilityZone: string;
+  readonly seeds: readonly SeedSidecar[];
+  /** Load of this process's target; undefined where there is none. */
+  readonly readLoad: () => LoadReport | undefined;
+}
+
+const loadIn = (message: Message): LoadReport | undefined => {
+  switch (message.kind) {
+    case MessageKind.Heartbeat:
+    case MessageKind.HeartbeatAck:
+    case MessageKind.RunEnd:
+    case MessageKind.RunFailed:
+      return message.load;
+    default:
+      return undefined;
+  }
+};
+
+interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Keeps the links of one process. */
+class LinksService {
+  readonly #table = LinkTable.create();
+
+  readonly #reopenCounts = new Map<string, number>();
+
+  readonly #reopening = new Set<string>();
+
+  #linkCount = 0;
+
+  private constructor(
+    private readonly options: LinksOptions,
+    private readonly configuration: ConfigurationApi,
+    private readonly suspects: SuspectsApi,
+  ) {}
+
+  static create(
+    options: LinksOptions,
+    configuration: ConfigurationApi,
+    suspects: SuspectsApi,
+  ): LinksService {
+    return new LinksService(options, configuration, suspects);
+  }
+
+  readonly api: LinksApi = {
+    peer: (processId) => this.#table.peer(processId),
+    peerOfLink: (linkId) => this.#table.peerOfLink(linkId),
+    peers: () => this.#table.peers(),
+    ensure: (targetId) => this.#ensure(targetId),
+    retain: (linkId) => this.#retain(linkId),
+    release: (linkId) => this.#release(linkId),
+  };
+
+  start(): readonly Effect[] {
+    return this.options.seeds.flatMap((seed) => this.#ensure(seed.targetId));
+  }
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.LinkOpened:
+        return this.#onOpened(event.linkId, event.isInbound);
+      case EventKind.LinkMessage:
+        return this.#onMessage(event);
+      case EventKind.LinkClosed:
+        return this.#onClosed(event.linkId);
+      case EventKind.Timer:
+        if (event.timer === TimerKind.LinkCheck) {
+          return this.#check(event.key);
+        }
+        if (event.timer === TimerKind.LinkReopen) {
+          this.#reopening.delete(event.key);
+          return this.#ensure(event.key);
+        }
+        return [];
+      default:
+        return [];
+    }
+  }
+
+  #ensure(targetId: string): readonly Effect[] {
+    if (this.#reopening.has(targetId) || this.#table.isDialled(targetId)) {
+      return [];
+    }
+    const address = this.#addressOf(targetId);
+    if (address === undefined) {
+      return [];
+    }
+    this.#linkCount += 1;
+    const linkId = `${this.options.processId}>${targetId}#${this.#linkCount}`;
+    const link = this.#table.add(linkId, targetId, LinkState.Opening, this.#nowMs());
+    return [{ kind: EffectKind.OpenLink, linkId, ...address }, this.#scheduleCheck(link)];
+  }
+
+  #addressOf(targetId: string): Address | undefined {
+    const target = this.configuration.target(targetId);
+    if (target !== undefined) {
+      return { host: target.sidecarHost, port: target.sidecarPort };
+    }
+    const seed = this.options.seeds.find((candidate) => candidate.targetId === targetId);
+    return seed === undefined ? undefined : { host: seed.host, port: seed.port };
+  }
+
+  #onOpened(linkId: string, isInbound: boolean): readonly Effect[] {
+    const link = isInbound
+      ? this.#table.add(linkId, undefined, LinkState.Greeting, this.#nowMs())
+      : this.#table.get(linkId);
+    if (link === undefined) {
+      return [{ kind: EffectKind.CloseLink, linkId }];
+    }
+    link.state = LinkState.Greeting;
+    const { processId, incarnation, role, availabilityZone } = this.options;
+    return [
+      send(linkId, {
+        kind: MessageKind.Hello,
+        processId,
+        incarnation,
+        role,
+        availabilityZone,
+        revision: this.configuration.revision(),
+      }),
+      this.#scheduleCheck(link),
+    ];
+  }
+
+  #onMessage({ linkId, message }: LinkMessageEvent): readonly Effect[] {
+    const link = this.#table.get(linkId);
+    if (link === undefined) {
+      return [];
+    }
+    link.lastHeardMs = this.#nowMs();
+    const load = loadIn(message);
+    if (load !== undefined) {
+      link.load = load;
+      link.loadHeardMs = link.lastHeardMs;
+    }
+    switch (message.kind) {
+      case MessageKind.Hello:
+        return this.#onHello(link, message);
+      case MessageKind.Heartbeat:
+        return [send(linkId, this.#report(MessageKind.HeartbeatAck))];
+      default:
+        return [];
+    }
+  }
+
+  #onHello(link: Link, hello: Message & { kind: MessageKind.Hello }): readonly Effect[] {
+    if (link.dialledId !== undefined && link.dialledId !== hello.processId) {
+      return [{ kind: EffectKind.CloseLink, linkId: link.linkId }];
+    }
+    this.#table.greet(link, hello);
+    this.#reopenCounts.delete(hello.processId);
+    return [
+      log(LogLevel.Info, LogTopic.LinkUp, { linkId: link.linkId, peerId: hello.processId }),
+      ...(link.dialledId === undefined
+        ? []
+        : [send(link.linkId, this.#report(MessageKind.Heartbeat))]),
+    ];
+  }
+
+  #report(kind: MessageKind.Heartbeat): HeartbeatMessage;
+
+  #report(kind: MessageKind.HeartbeatAck): HeartbeatAckMessage;
+
+  #report(
+    kind: MessageKind.Heartbeat | MessageKind.HeartbeatAck,
+  ): HeartbeatMessage | HeartbeatAckMessage {
+    const load = this.options.readLoad();
+    const suspicions: readonly CrashSuspicion[] = load === undefined ? [] : this.suspects.all();
+    return {
+      kind,
+      revision: this.configuration.revision(),
+      ...(load === undefined ? {} : { load }),
+      ...(suspicions.length === 0 ? {} : { suspicions }),
+    };
+  }
+
+  #onClosed(linkId: string): readonly Effect[] {
+    const link = this.#table.get(linkId);
+    if (link === undefined) {
+      return [];
+    }
+    this.#table.remove(link);
+    const lost = [
+      clearTimer(TimerKind.LinkCheck, linkId),
+      log(LogLevel.Info, LogTopic.LinkLost, { linkId }),
+    ];
+    return link.dialledId === undefined ? lost : [...lost, this.#scheduleReopen(link.dialledId)];
+  }
+
+  #scheduleReopen(targetId: string): Effect {
+    const count = this.#reopenCounts.get(targetId) ?? 0;
+    this.#reopenCounts.set(targetId, count + 1);
+    this.#reopening.add(targetId);
+    const longestMs = Math.min(REOPEN_BASE_MS * 2 ** count, REOPEN_MAX_MS);
+    const delayMs = longestMs * (0.5 + this.options.runtime.random() / 2);
+    return setTimer(TimerKind.LinkReopen, targetId, delayMs);
+  }
+
+  #check(linkId: string): readonly Effect[] {
+    const link = this.#table.get(linkId);
+    if (link === undefined) {
+      return [];
+    }
+    const nowMs = this.#nowMs();
+    if (nowMs - link.checkDueMs > OWN_PAUSE_MS) {
+      link.lastHeardMs = nowMs;
+    }
+    const silentMs = nowMs - link.lastHeardMs;
+    const limitMs = LinksService.#isIdle(link) ? IDLE_SILENCE_LIMIT_MS : SILENCE_LIMIT_MS;
+    if (silentMs >= limitMs) {
+      return [{ kind: EffectKind.CloseLink, linkId }];
+    }
+    const isQuiet = link.state === LinkState.Up && silentMs >= LinksService.#intervalMs(link) / 2;
+    return [
+      ...(isQuiet ? [send(linkId, this.#report(MessageKind.Heartbeat))] : []),
+      this.#scheduleCheck(link),
+    ];
+  }
+
+  static #isIdle(link: Link): boolean {
+    return link.state === LinkState.Up && link.retainCount === 0;
+  }
+
+  static #intervalMs(link: Link): number {
+    return LinksService.#isIdle(link) ? IDLE_CHECK_MS : BUSY_CHECK_MS;
+  }
+
+  #scheduleCheck(link: Link): Effect {
+    const delayMs = LinksService.#intervalMs(link);
+    link.checkDueMs = this.#nowMs() + delayMs;
+    return setTimer(TimerKind.LinkCheck, link.linkId, delayMs);
+  }
+
+  #retain(linkId: string): readonly Effect[] {
+    const link = this.#table.get(linkId);
+    if (link === undefined) {
+      return [];
+    }
+    link.retainCount += 1;
+    if (link.retainCount > 1) {
+      return [];
+    }
+    link.lastHeardMs = Math.max(link.lastHeardMs, this.#nowMs() - BUSY_CHECK_MS);
+    return [this.#scheduleCheck(link)];
+  }
+
+  #release(linkId: string): void {
+    const link = this.#table.get(linkId);
+    if (link !== undefined && link.retainCount > 0) {
+      link.retainCount -= 1;
+    }
+  }
+
+  #nowMs(): number {
+    return this.options.runtime.nowMs();
+  }
+}
+
+/**
+ * Registers the links service.
+ *
+ * @example
+ * linksRegistration({ runtime, processId, incarnation, role, availabilityZone, seeds, readLoad });
+ */
+export const linksRegistration = (options: LinksOptions): Registration<ServiceName.Links> => ({
+  name: ServiceName.Links,
+  requires: [ServiceName.Configuration, ServiceName.Suspects],
+  create: (find) => {
+    const service = LinksService.create(
+      options,
+      find(ServiceName.Configuration),
+      find(ServiceName.Suspects),
+    );
+    return createInstance(service.api, {
+      start: () => service.start(),
+      handle: (event) => service.handle(event),
+    });
+  },
+});
--- /dev/null
+++ b/packages/fleet/src/log.ts
@@ -0,0 +1,18 @@
+/** @module Builds log effects. */
+import { EffectKind, type LogEffect, type LogFields, type LogLevel, type LogTopic } from '@ebonysill/core';
+
+/** Builds the effect that writes one log line. */
+type BuildLog = (level: LogLevel, topic: LogTopic, fields: LogFields) => LogEffect;
+
+/**
+ * Builds the effect that writes one log line.
+ *
+ * @example
+ * log(LogLevel.Info, LogTopic.LinkUp, { peerId: 'target-1' });
+ */
+export const log: BuildLog = (level, topic, fields) => ({
+  kind: EffectKind.Log,
+  level,
+  topic,
+  fields,
+});
--- /dev/null
+++ b/packages/fleet/src/suspects-service.ts
@@ -0,0 +1,137 @@
+/** @module Remembers requests that were in progress when targets crashed. */
+import {
+  EventKind,
+  MessageKind,
+  ServiceName,
+  type CrashSuspicion,
+  type Event,
+  type Message,
+  type Registration,
+  type Runtime,
+  type SuspectsApi,
+} from '@ebonysill/core';
+import { createInstance } from '@ebonysill/kernel';
+
+/** A request is refused after it was in progress at this many crashes. */
+export const REFUSED_CRASH_COUNT = 2;
+
+/** A suspicion is forgotten after this time without a further crash. */
+const SUSPICION_TTL_MS = 600_000;
+
+/** Suspicions kept; the oldest makes room for a new one. */
+const MAX_SUSPICIONS = 1_024;
+
+/** Suspicions told in one message. */
+const MAX_TOLD = 16;
+
+/** What the suspects service is created from. */
+export interface SuspectsOptions {
+  readonly runtime: Runtime;
+}
+
+interface Suspicion {
+  readonly crashCount: number;
+  readonly sinceMs: number;
+}
+
+const suspicionsIn = (message: Message): readonly CrashSuspicion[] => {
+  switch (message.kind) {
+    case MessageKind.Heartbeat:
+    case MessageKind.HeartbeatAck:
+    case MessageKind.RunFailed:
+      return message.suspicions ?? [];
+    case MessageKind.Run:
+      return message.crashCount > 0 ? [message] : [];
+    default:
+      return [];
+  }
+};
+
+/** Counts crashes by request fingerprint. */
+class SuspectsService {
+  readonly #suspicions = new Map<string, Suspicion>();
+
+  private constructor(private readonly runtime: Runtime) {}
+
+  static create(options: SuspectsOptions): SuspectsService {
+    return new SuspectsService(options.runtime);
+  }
+
+  readonly api: SuspectsApi = {
+    crashCount: (fingerprint) => this.#crashCount(fingerprint),
+    isRefused: (fingerprint) => this.#crashCount(fingerprint) >= REFUSED_CRASH_COUNT,
+    recordCrash: (fingerprints) => this.#recordCrash(fingerprints),
+    clear: (fingerprint) => {
+      this.#suspicions.delete(fingerprint);
+    },
+    all: () => this.#all(),
+  };
+
+  handle(event: Event): readonly [] {
+    if (event.kind === EventKind.LinkMessage) {
+      suspicionsIn(event.message).forEach((told) => this.#learn(told));
+    }
+    return [];
+  }
+
+  #crashCount(fingerprint: string): number {
+    const suspicion = this.#suspicions.get(fingerprint);
+    if (suspicion === undefined) {
+      return 0;
+    }
+    if (this.runtime.nowMs() - suspicion.sinceMs > SUSPICION_TTL_MS) {
+      this.#suspicions.delete(fingerprint);
+      return 0;
+    }
+    return suspicion.crashCount;
+  }
+
+  /** Blames earlier suspects alone when there are any, so that bystanders go free. */
+  #recordCrash(fingerprints: readonly string[]): readonly CrashSuspicion[] {
+    const known = fingerprints.filter((fingerprint) => this.#crashCount(fingerprint) > 0);
+    const blamed = known.length > 0 ? known : fingerprints;
+    return [...new Set(blamed)].map((fingerprint) => {
+      const crashCount = this.#crashCount(fingerprint) + 1;
+      this.#store(fingerprint, crashCount);
+      return { fingerprint, crashCount };
+    });
+  }
+
+  #learn({ fingerprint, crashCount }: CrashSuspicion): void {
+    if (crashCount > this.#crashCount(fingerprint)) {
+      this.#store(fingerprint, crashCount);
+    }
+  }
+
+  #store(fingerprint: string, crashCount: number): void {
+    this.#suspicions.delete(fingerprint);
+    this.#suspicions.set(fingerprint, { crashCount, sinceMs: this.runtime.nowMs() });
+    if (this.#suspicions.size > MAX_SUSPICIONS) {
+      const [oldest] = this.#suspicions.keys();
+      this.#suspicions.delete(oldest as string);
+    }
+  }
+
+  #all(): readonly CrashSuspicion[] {
+    return [...this.#suspicions]
+      .slice(-MAX_TOLD)
+      .map(([fingerprint, { crashCount }]) => ({ fingerprint, crashCount }));
+  }
+}
+
+/**
+ * Registers the suspects service.
+ *
+ * @example
+ * suspectsRegistration({ runtime });
+ */
+export const suspectsRegistration = (
+  options: SuspectsOptions,
+): Registration<ServiceName.Suspects> => ({
+  name: ServiceName.Suspects,
+  requires: [],
+  create: () => {
+    const service = SuspectsService.create(options);
+    return createInstance(service.api, { handle: (event) => service.handle(event) });
+  },
+});
--- /dev/null
+++ b/packages/kernel/src/kernel.ts
@@ -0,0 +1,146 @@
+/** @module The micro-kernel: starts services, feeds them events, hands on their effects. */
+import { Inbox } from './inbox.js';
+import InvariantError from './InvariantError.js';
+import type { Find, ServiceInstance, ServiceRegistration } from './service.js';
+import { startOrder } from './start-order.js';
+
+/** What a kernel is created from. */
+export interface KernelOptions<TDirectory, TEvent, TEffect> {
+  /** Services of the process, in any order. */
+  readonly services: readonly ServiceRegistration<TDirectory, TEvent, TEffect>[];
+  /** Time of the process in milliseconds; real or virtual. */
+  readonly nowMs: () => number;
+  /** Performs one effect on the ports. */
+  readonly perform: (effect: TEffect) => void;
+  /** Called once, when every service has drained. */
+  readonly onDrained: () => void;
+  /** Called when an invariant broke; the process must stop. */
+  readonly onBroken: (error: unknown) => void;
+}
+
+interface Running<TDirectory, TEvent, TEffect> {
+  readonly name: keyof TDirectory;
+  readonly instance: ServiceInstance<unknown, TEvent, TEffect>;
+}
+
+enum Phase {
+  Created,
+  Running,
+  Draining,
+  Drained,
+}
+
+/** Runs the services of one process on one loop. */
+export class Kernel<TDirectory, TEvent, TEffect> {
+  readonly #running: readonly Running<TDirectory, TEvent, TEffect>[];
+
+  readonly #inbox: Inbox<TEvent>;
+
+  #phase = Phase.Created;
+
+  #drainedCount = 0;
+
+  #drainStartedCount = 0;
+
+  private constructor(private readonly options: KernelOptions<TDirectory, TEvent, TEffect>) {
+    this.#inbox = Inbox.create<TEvent>(options.nowMs);
+    this.#running = Kernel.#createServices(options.services);
+  }
+
+  /**
+   * Creates a kernel with its services found and ordered, not yet started.
+   *
+   * @example
+   * const kernel = Kernel.create({ services, nowMs, perform, onDrained, onBroken });
+   * kernel.start();
+   */
+  static create<TDirectory, TEvent, TEffect>(
+    options: KernelOptions<TDirectory, TEvent, TEffect>,
+  ): Kernel<TDirectory, TEvent, TEffect> {
+    return new Kernel(options);
+  }
+
+  /** Starts the services in dependency order and begins to answer events. */
+  start(): void {
+    this.#phase = Phase.Running;
+    this.#inbox.stream
+      .map((event) => this.#answer(event))
+      .observe((effects) => this.#settle(effects))
+      .catch((error: unknown) => {
+        this.#inbox.close();
+        this.options.onBroken(error);
+      });
+    this.#running.forEach(({ instance }) => this.#performAll(instance.start()));
+  }
+
+  /** Posts an event; it is answered before this returns unless another is being answered. */
+  post(event: TEvent): void {
+    this.#inbox.post(event);
+  }
+
+  /** Begins the drain phase: dependants drain before the services that they require. */
+  drain(): void {
+    if (this.#phase === Phase.Running) {
+      this.#phase = Phase.Draining;
+      this.#advanceDrain();
+    }
+  }
+
+  /** Stops answering events at once, as a crash does. */
+  kill(): void {
+    this.#inbox.close();
+    this.#phase = Phase.Drained;
+  }
+
+  static #createServices<TDirectory, TEvent, TEffect>(
+    registrations: readonly ServiceRegistration<TDirectory, TEvent, TEffect>[],
+  ): readonly Running<TDirectory, TEvent, TEffect>[] {
+    const apis = new Map<keyof TDirectory, TDirectory[keyof TDirectory]>();
+    return startOrder<keyof TDirectory, ServiceRegistration<TDirectory, TEvent, TEffect>>(
+      registrations,
+    ).map(({ name, requires, create }) => {
+      const find: Find<TDirectory> = (wanted) => {
+        if (!requires.includes(wanted) || !apis.has(wanted)) {
+          throw new InvariantError(`"${String(name)}" does not require "${String(wanted)}"`);
+        }
+        return apis.get(wanted) as TDirectory[typeof wanted];
+      };
+      const instance = create(find);
+      apis.set(name, instance.api);
+      return { name, instance };
+    });
+  }
+
+  #answer(event: TEvent): readonly TEffect[] {
+    return this.#running.flatMap(({ instance }) => instance.handle(event));
+  }
+
+  #settle(effects: readonly TEffect[]): void {
+    this.#performAll(effects);
+    if (this.#phase === Phase.Draining) {
+      this.#advanceDrain();
+    }
+  }
+
+  #advanceDrain(): void {
+    const reversed = [...this.#running].reverse();
+    const next = reversed[this.#drainedCount];
+    if (next === undefined) {
+      this.#phase = Phase.Drained;
+      this.options.onDrained();
+      return;
+    }
+    if (this.#drainStartedCount === this.#drainedCount) {
+      this.#drainStartedCount += 1;
+      this.#performAll(next.instance.drain());
+    }
+    if (next.instance.isDrained()) {
+      this.#drainedCount += 1;
+      this.#advanceDrain();
+    }
+  }
+
+  #performAll(effects: readonly TEffect[]): void {
+    effects.forEach(this.options.perform);
+  }
+}
