feat(entry): add the services of the entry process and of the sidecar

Cause: the path needs its decisions before it needs sockets. Keys are minted by one sidecar incarnation and only that incarnation may run them.

--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -61,6 +61,8 @@
   /** Counts work in progress on a link; busy links are checked often. */
   readonly retain: (linkId: string) => readonly Effect[];
   readonly release: (linkId: string) => void;
+  /** Names the function that tells the load of this process's target to peers. */
+  readonly provideLoad: (readLoad: () => LoadReport) => void;
 }
 
 /** Requests suspected of crashing targets. */
@@ -118,8 +120,6 @@
   readonly pick: (query: RoutingQuery) => Peer | undefined;
   readonly started: (targetId: string) => void;
   readonly ended: (targetId: string) => void;
-  /** Opens links to the targets that this process routes to. */
-  readonly connect: () => readonly Effect[];
 }
 
 /** A checked request, ready to be served. */
--- a/packages/core/src/message.ts
+++ b/packages/core/src/message.ts
@@ -1,5 +1,5 @@
 /** @module Messages between the processes of the system, apart from their encoding. */
-import type { Configuration } from './configuration.js';
+import type { Configuration, Continuation } from './configuration.js';
 import type { Problem } from './outcome.js';
 
 /** Role of a process. */
@@ -140,6 +140,8 @@
   readonly crashCount: number;
   /** Chunks already delivered to the caller. */
   readonly deliveredCount: number;
+  /** How the engine goes on after those chunks. */
+  readonly continuation: Continuation;
   /** Text already delivered, for engines that resume. */
   readonly deliveredText?: string;
 }
--- /dev/null
+++ b/packages/entry/src/create-entry-services.ts
@@ -0,0 +1,51 @@
+/** @module The services that make up an entry process. */
+import { ProcessRole, drawId, type AnyRegistration, type Runtime } from '@ebonysill/core';
+import {
+  configurationRegistration,
+  linksRegistration,
+  suspectsRegistration,
+  type SeedSidecar,
+} from '@ebonysill/fleet';
+import { admissionRegistration } from './admission-service.js';
+import { idempotentCallsRegistration } from './idempotent-calls-service.js';
+import { intakeRegistration } from './intake-service.js';
+import { keyedCallsRegistration } from './keyed-calls-service.js';
+import { routingRegistration } from './routing-service.js';
+
+/** What an entry process is created from. */
+export interface EntryOptions {
+  readonly runtime: Runtime;
+  readonly processId: string;
+  readonly availabilityZone: string;
+  /** Requests in progress in this process; more are queued. */
+  readonly maxInProgress: number;
+  /** Sidecars to learn the configuration from while the configuration service is down. */
+  readonly seeds: readonly SeedSidecar[];
+}
+
+/**
+ * Lists the registrations of an entry process's services.
+ *
+ * @example
+ * Kernel.create({ services: createEntryServices(options), nowMs, perform, onDrained, onBroken });
+ */
+export const createEntryServices = (options: EntryOptions): readonly AnyRegistration[] => {
+  const { runtime, processId, availabilityZone, maxInProgress, seeds } = options;
+  return [
+    configurationRegistration({ runtime, isReader: true }),
+    suspectsRegistration({ runtime }),
+    linksRegistration({
+      runtime,
+      processId,
+      incarnation: drawId(runtime.random),
+      role: ProcessRole.Entry,
+      availabilityZone,
+      seeds,
+    }),
+    admissionRegistration({ runtime, maxInProgress }),
+    routingRegistration({ runtime, processId, availabilityZone }),
+    idempotentCallsRegistration({ runtime }),
+    keyedCallsRegistration({ runtime }),
+    intakeRegistration({ runtime }),
+  ];
+};
--- /dev/null
+++ b/packages/entry/src/idempotent-calls-service.ts
@@ -0,0 +1,502 @@
+/** @module Serves idempotent calls: attempts, retries, hedges, continued streams. */
+import {
+  Admission,
+  Continuation,
+  EffectKind,
+  EventKind,
+  LogLevel,
+  LogTopic,
+  MessageKind,
+  Outcome,
+  Reason,
+  ServiceName,
+  TimerKind,
+  drawId,
+  notRun,
+  unknown,
+  type Call,
+  type CallsApi,
+  type Effect,
+  type Event,
+  type FindService,
+  type LinkMessageEvent,
+  type Peer,
+  type Problem,
+  type Registration,
+  type RunChunkMessage,
+  type RunHeadMessage,
+  type Runtime,
+} from '@ebonysill/core';
+import { clearTimer, log, send, setTimer } from '@ebonysill/fleet';
+import { createInstance } from '@ebonysill/kernel';
+import { answerEnd, answerProblem, endLog } from './answers.js';
+import { buildRun } from './run-message.js';
+
+/** First delay before targets are tried again when none can take the request. */
+const RETRY_BASE_MS = 25;
+
+/** Longest such delay. */
+const RETRY_MAX_MS = 800;
+
+/** A second attempt is started when no answer has begun after this time. */
+const HEDGE_DELAY_MS = 300;
+
+/** Flushed chunks that are granted as credit in one message. */
+const CREDIT_BATCH = 16;
+
+/** Delivered text that is kept for a continued stream. */
+const MAX_DELIVERED_CHARS = 1_048_576;
+
+/** What the idempotent calls service is created from. */
+export interface IdempotentCallsOptions {
+  readonly runtime: Runtime;
+}
+
+interface Attempt {
+  readonly runId: string;
+  readonly peer: Peer;
+}
+
+interface Exchange {
+  readonly call: Call;
+  attempts: readonly Attempt[];
+  attemptCount: number;
+  /** Times that no target could take the request. */
+  waitCount: number;
+  /** Targets not to try again before the next delay. */
+  excluded: readonly string[];
+  isHeadSent: boolean;
+  deliveredCount: number;
+  deliveredText: string;
+  flushedCount: number;
+  /** Whether some attempt may have run at least in part. */
+  mayHaveRun: boolean;
+  lastProblem: Problem | undefined;
+}
+
+const createExchange = (call: Call): Exchange => ({
+  call,
+  attempts: [],
+  attemptCount: 0,
+  waitCount: 0,
+  excluded: [],
+  isHeadSent: false,
+  deliveredCount: 0,
+  deliveredText: '',
+  flushedCount: 0,
+  mayHaveRun: false,
+  lastProblem: undefined,
+});
+
+const NO_TARGET = notRun(Reason.NoTarget, 'no target could take the request in time');
+
+const QUEUE_TIMEOUT = notRun(Reason.QueueTimeout, 'the request waited too long for its turn');
+
+const LINK_LOST = unknown(Reason.LinkLost, 'the link to the target was lost');
+
+const SEQUENCE_GAP = unknown(Reason.StreamCut, 'part of the answer was lost');
+
+/** Serves idempotent calls. */
+class IdempotentCallsService {
+  readonly #exchanges = new Map<string, Exchange>();
+
+  readonly #exchangeIdByRun = new Map<string, string>();
+
+  readonly #admission;
+
+  readonly #routing;
+
+  readonly #links;
+
+  readonly #suspects;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    find: FindService,
+  ) {
+    this.#admission = find(ServiceName.Admission);
+    this.#routing = find(ServiceName.Routing);
+    this.#links = find(ServiceName.Links);
+    this.#suspects = find(ServiceName.Suspects);
+  }
+
+  static create(options: IdempotentCallsOptions, find: FindService): IdempotentCallsService {
+    return new IdempotentCallsService(options.runtime, find);
+  }
+
+  readonly api: CallsApi = { begin: (call) => this.#begin(call) };
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.LinkMessage:
+        return this.#onMessage(event);
+      case EventKind.LinkClosed:
+        return this.#onLinkClosed(event.linkId);
+      case EventKind.CallerFlushed:
+        return this.#onFlushed(event.exchangeId, event.chunkCount);
+      case EventKind.CallerGone:
+        return this.#onCallerGone(event.exchangeId);
+      case EventKind.Timer:
+        return this.#onTimer(event.timer, event.key);
+      default:
+        return [];
+    }
+  }
+
+  isDrained(): boolean {
+    return this.#exchanges.size === 0;
+  }
+
+  #begin(call: Call): readonly Effect[] {
+    const { exchangeId, organisation, event } = call;
+    const exchange = createExchange(call);
+    const decision = this.#admission.admit({
+      exchangeId,
+      organisation,
+      priority: event.priority,
+      timeLeftMs: call.deadlineMs - this.runtime.nowMs(),
+    });
+    switch (decision.kind) {
+      case Admission.Admitted:
+        this.#exchanges.set(exchangeId, exchange);
+        return [this.#deadlineTimer(call), ...this.#attempt(exchange)];
+      case Admission.Queued:
+        this.#exchanges.set(exchangeId, exchange);
+        return [
+          this.#deadlineTimer(call),
+          setTimer(TimerKind.QueueTimeout, exchangeId, decision.maxWaitMs),
+        ];
+      case Admission.Refused:
+        return answerProblem(call, decision.problem, this.runtime.nowMs());
+      default:
+        return decision satisfies never;
+    }
+  }
+
+  #deadlineTimer(call: Call): Effect {
+    const delayMs = call.deadlineMs - this.runtime.nowMs();
+    return setTimer(TimerKind.RequestDeadline, call.exchangeId, delayMs);
+  }
+
+  #onTimer(timer: TimerKind, exchangeId: string): readonly Effect[] {
+    const exchange = this.#exchanges.get(exchangeId);
+    if (exchange === undefined) {
+      return [];
+    }
+    switch (timer) {
+      case TimerKind.QueueTimeout:
+        return this.#finish(exchange, QUEUE_TIMEOUT);
+      case TimerKind.RetryDelay:
+        exchange.excluded = [];
+        return this.#attempt(exchange);
+      case TimerKind.Hedge:
+        return this.#hedge(exchange);
+      case TimerKind.RequestDeadline:
+        return this.#onDeadline(exchange);
+      default:
+        return [];
+    }
+  }
+
+  /** Starts one more attempt, or waits until a target can take it. */
+  #attempt(exchange: Exchange): readonly Effect[] {
+    const { call } = exchange;
+    if (this.#suspects.isRefused(call.fingerprint)) {
+      const detail = 'targets crashed while they ran this request';
+      return this.#finish(exchange, notRun(Reason.CrashSuspect, detail));
+    }
+    const peer = this.#pick(exchange);
+    if (peer === undefined) {
+      return [this.#waitForTarget(exchange)];
+    }
+    const isFirst = exchange.attemptCount === 0;
+    return [
+      ...this.#startAttempt(exchange, peer),
+      ...(isFirst ? [setTimer(TimerKind.Hedge, call.exchangeId, HEDGE_DELAY_MS)] : []),
+    ];
+  }
+
+  #waitForTarget(exchange: Exchange): Effect {
+    const longestMs = Math.min(RETRY_BASE_MS * 2 ** exchange.waitCount, RETRY_MAX_MS);
+    exchange.waitCount += 1;
+    const delayMs = longestMs * (0.5 + this.runtime.random() / 2);
+    return setTimer(TimerKind.RetryDelay, exchange.call.exchangeId, delayMs);
+  }
+
+  #pick(exchange: Exchange): Peer | undefined {
+    const inUse = exchange.attempts.map(({ peer }) => peer.processId);
+    return this.#routing.pick({
+      service: exchange.call.service.name,
+      excluded: [...exchange.excluded, ...inUse],
+      fingerprint: exchange.call.fingerprint,
+    });
+  }
+
+  #startAttempt(exchange: Exchange, peer: Peer): readonly Effect[] {
+    const { call, deliveredCount, deliveredText } = exchange;
+    const runId = drawId(this.runtime.random);
+    exchange.attempts = [...exchange.attempts, { runId, peer }];
+    exchange.attemptCount += 1;
+    exchange.flushedCount = 0;
+    this.#exchangeIdByRun.set(runId, call.exchangeId);
+    this.#routing.started(peer.processId);
+    const message = buildRun(call, {
+      runId,
+      nowMs: this.runtime.nowMs(),
+      crashCount: this.#suspects.crashCount(call.fingerprint),
+      deliveredCount,
+      ...(deliveredText === '' ? {} : { deliveredText }),
+    });
+    return [
+      log(LogLevel.Info, LogTopic.AttemptStarted, {
+        requestId: call.requestId,
+        runId,
+        targetId: peer.processId,
+      }),
+      send(peer.linkId, message),
+      ...this.#links.retain(peer.linkId),
+    ];
+  }
+
+  #hedge(exchange: Exchange): readonly Effect[] {
+    const { call, isHeadSent, attempts } = exchange;
+    if (isHeadSent || attempts.length !== 1) {
+      return [];
+    }
+    const peer = this.#pick(exchange);
+    if (peer === undefined || !this.#admission.takeRetry(call.organisation.organisationId)) {
+      return [];
+    }
+    return this.#startAttempt(exchange, peer);
+  }
+
+  #onMessage({ message }: LinkMessageEvent): readonly Effect[] {
+    if (!('runId' in message)) {
+      return [];
+    }
+    const exchange = this.#exchanges.get(this.#exchangeIdByRun.get(message.runId) ?? '');
+    const attempt = exchange?.attempts.find(({ runId }) => runId === message.runId);
+    if (exchange === undefined || attempt === undefined) {
+      return [];
+    }
+    switch (message.kind) {
+      case MessageKind.RunHead:
+        return this.#onHead(exchange, attempt, message);
+      case MessageKind.RunChunk:
+        return this.#onChunk(exchange, attempt, message);
+      case MessageKind.RunEnd:
+        return message.chunkCount === exchange.deliveredCount
+          ? this.#onEnd(exchange)
+          : this.#onFailed(exchange, attempt, SEQUENCE_GAP);
+      case MessageKind.RunFailed:
+        return this.#onFailed(exchange, attempt, message.problem);
+      default:
+        return [];
+    }
+  }
+
+  /** The first attempt whose answer begins serves the request; others are cancelled. */
+  #onHead(exchange: Exchange, attempt: Attempt, head: RunHeadMessage): readonly Effect[] {
+    const others = exchange.attempts.filter((other) => other !== attempt);
+    const cancels = others.flatMap((other) => this.#cancel(exchange, other));
+    if (exchange.isHeadSent) {
+      return cancels;
+    }
+    exchange.isHeadSent = true;
+    const { exchangeId, requestId } = exchange.call;
+    const { status, contentType } = head;
+    return [
+      ...cancels,
+      { kind: EffectKind.AnswerHead, exchangeId, requestId, status, contentType },
+    ];
+  }
+
+  #onChunk(exchange: Exchange, attempt: Attempt, chunk: RunChunkMessage): readonly Effect[] {
+    if (chunk.sequence < exchange.deliveredCount) {
+      return [];
+    }
+    if (chunk.sequence > exchange.deliveredCount || !exchange.isHeadSent) {
+      return [
+        ...this.#sendCancel(attempt),
+        ...this.#onFailed(exchange, attempt, SEQUENCE_GAP),
+      ];
+    }
+    exchange.deliveredCount += 1;
+    if (exchange.call.service.continuation === Continuation.Resume) {
+      exchange.deliveredText += chunk.data;
+    }
+    const { exchangeId } = exchange.call;
+    return [{ kind: EffectKind.AnswerChunk, exchangeId, data: chunk.data }];
+  }
+
+  #onEnd(exchange: Exchange): readonly Effect[] {
+    this.#suspects.clear(exchange.call.fingerprint);
+    return [...answerEnd(exchange.call, this.runtime.nowMs()), ...this.#forget(exchange)];
+  }
+
+  #onFailed(exchange: Exchange, attempt: Attempt, problem: Problem): readonly Effect[] {
+    this.#endAttempt(exchange, attempt);
+    exchange.excluded = [...exchange.excluded, attempt.peer.processId];
+    exchange.lastProblem = problem;
+    const hasRun = problem.outcome !== Outcome.RefusedNotRun;
+    exchange.mayHaveRun ||= hasRun;
+    const failed = log(LogLevel.Info, LogTopic.AttemptFailed, {
+      requestId: exchange.call.requestId,
+      runId: attempt.runId,
+      targetId: attempt.peer.processId,
+      outcome: problem.outcome,
+      reason: problem.reason,
+    });
+    if (exchange.attempts.length > 0) {
+      return [failed];
+    }
+    return [failed, ...this.#goOn(exchange, problem, hasRun)];
+  }
+
+  /** Decides whether a request without attempts is tried again. */
+  #goOn(exchange: Exchange, problem: Problem, hasRun: boolean): readonly Effect[] {
+    const { call } = exchange;
+    if (exchange.isHeadSent && !this.#canContinue(exchange)) {
+      const detail = 'the answer was cut and cannot be continued';
+      return this.#finish(exchange, unknown(Reason.StreamCut, detail));
+    }
+    if (hasRun && !this.#admission.takeRetry(call.organisation.organisationId)) {
+      return this.#finish(exchange, problem);
+    }
+    return this.#attempt(exchange);
+  }
+
+  #canContinue({ call, deliveredCount, deliveredText }: Exchange): boolean {
+    switch (call.service.continuation) {
+      case Continuation.Resume:
+        return deliveredText.length <= MAX_DELIVERED_CHARS;
+      case Continuation.DeterministicRestart:
+        return true;
+      case Continuation.None:
+        return deliveredCount === 0;
+      default:
+        return call.service.continuation satisfies never;
+    }
+  }
+
+  #onLinkClosed(linkId: string): readonly Effect[] {
+    return [...this.#exchanges.values()].flatMap((exchange) =>
+      exchange.attempts
+        .filter(({ peer }) => peer.linkId === linkId)
+        .flatMap((attempt) => this.#onFailed(exchange, attempt, LINK_LOST)),
+    );
+  }
+
+  #onFlushed(exchangeId: string, chunkCount: number): readonly Effect[] {
+    const exchange = this.#exchanges.get(exchangeId);
+    const attempt = exchange?.attempts[0];
+    if (exchange === undefined || attempt === undefined) {
+      return [];
+    }
+    exchange.flushedCount += chunkCount;
+    if (exchange.flushedCount < CREDIT_BATCH) {
+      return [];
+    }
+    const credit = exchange.flushedCount;
+    exchange.flushedCount = 0;
+    const { runId, peer } = attempt;
+    return [send(peer.linkId, { kind: MessageKind.Credit, runId, chunkCount: credit })];
+  }
+
+  #onCallerGone(exchangeId: string): readonly Effect[] {
+    const exchange = this.#exchanges.get(exchangeId);
+    if (exchange === undefined) {
+      return [];
+    }
+    const nowMs = this.runtime.nowMs();
+    return [
+      ...this.#cancelAll(exchange),
+      endLog(exchange.call, Outcome.Cancelled, nowMs, Reason.CallerCancelled),
+      ...this.#forget(exchange),
+    ];
+  }
+
+  #onDeadline(exchange: Exchange): readonly Effect[] {
+    const wasSent = exchange.attempts.length > 0;
+    exchange.mayHaveRun ||= wasSent;
+    const last = exchange.lastProblem ?? NO_TARGET;
+    const reason = wasSent ? Reason.DeadlinePassed : last.reason;
+    return this.#finish(exchange, notRun(reason, `the deadline passed: ${last.detail}`));
+  }
+
+  /** Ends a request without a whole answer; "not run" is told only if no attempt may have run. */
+  #finish(exchange: Exchange, problem: Problem): readonly Effect[] {
+    const told = exchange.mayHaveRun ? { ...problem, outcome: Outcome.Unknown } : problem;
+    return [
+      ...this.#cancelAll(exchange),
+      ...answerProblem(exchange.call, told, this.runtime.nowMs()),
+      ...this.#forget(exchange),
+    ];
+  }
+
+  #cancelAll(exchange: Exchange): readonly Effect[] {
+    return exchange.attempts.flatMap((attempt) => this.#cancel(exchange, attempt));
+  }
+
+  #cancel(exchange: Exchange, attempt: Attempt): readonly Effect[] {
+    this.#endAttempt(exchange, attempt);
+    return this.#sendCancel(attempt);
+  }
+
+  #sendCancel({ runId, peer }: Attempt): readonly Effect[] {
+    return this.#links.peerOfLink(peer.linkId) === undefined
+      ? []
+      : [send(peer.linkId, { kind: MessageKind.Cancel, runId })];
+  }
+
+  #endAttempt(exchange: Exchange, attempt: Attempt): void {
+    exchange.attempts = exchange.attempts.filter((other) => other !== attempt);
+    this.#exchangeIdByRun.delete(attempt.runId);
+    this.#routing.ended(attempt.peer.processId);
+    this.#links.release(attempt.peer.linkId);
+  }
+
+  #forget(exchange: Exchange): readonly Effect[] {
+    const { exchangeId } = exchange.call;
+    exchange.attempts.forEach((attempt) => this.#endAttempt(exchange, attempt));
+    this.#exchanges.delete(exchangeId);
+    const admitted = this.#admission
+      .release(exchangeId)
+      .flatMap((nextId) => this.#exchanges.get(nextId) ?? []);
+    return [
+      clearTimer(TimerKind.RequestDeadline, exchangeId),
+      clearTimer(TimerKind.QueueTimeout, exchangeId),
+      clearTimer(TimerKind.RetryDelay, exchangeId),
+      clearTimer(TimerKind.Hedge, exchangeId),
+      ...admitted.flatMap((next) => [
+        clearTimer(TimerKind.QueueTimeout, next.call.exchangeId),
+        ...this.#attempt(next),
+      ]),
+    ];
+  }
+}
+
+/**
+ * Registers the service for idempotent calls.
+ *
+ * @example
+ * idempotentCallsRegistration({ runtime });
+ */
+export const idempotentCallsRegistration = (
+  options: IdempotentCallsOptions,
+): Registration<ServiceName.IdempotentCalls> => ({
+  name: ServiceName.IdempotentCalls,
+  requires: [
+    ServiceName.Admission,
+    ServiceName.Routing,
+    ServiceName.Links,
+    ServiceName.Suspects,
+  ],
+  create: (find) => {
+    const service = IdempotentCallsService.create(options, find);
+    return createInstance(service.api, {
+      handle: (event) => service.handle(event),
+      isDrained: () => service.isDrained(),
+    });
+  },
+});
--- /dev/null
+++ b/packages/entry/src/routing-service.ts
@@ -0,0 +1,185 @@
+/** @module Chooses targets: two random candidates, reported load corrected by what was sent since. */
+import { createHash } from 'node:crypto';
+import {
+  EventKind,
+  ServiceName,
+  TargetState,
+  type ConfigurationApi,
+  type Effect,
+  type Event,
+  type LinksApi,
+  type Peer,
+  type Registration,
+  type RoutingApi,
+  type RoutingQuery,
+  type Runtime,
+  type TargetConfiguration,
+} from '@ebonysill/core';
+import { sample } from '@ebonysill/fleet';
+import { createInstance } from '@ebonysill/kernel';
+
+/** Targets of one service that an entry process keeps links to. */
+const SUBSET_SIZE = 16;
+
+/** Candidates that are compared for each request. */
+const CHOICE_COUNT = 2;
+
+/** Added to the utilisation of targets in other zones. */
+const OTHER_ZONE_PENALTY = 0.25;
+
+/** A target is full when this multiple of its limit is running or waiting. */
+const FULL_RATIO = 3;
+
+/** What the routing service is created from. */
+export interface RoutingOptions {
+  readonly runtime: Runtime;
+  readonly processId: string;
+  readonly availabilityZone: string;
+}
+
+/** Requests of this process on one target. */
+interface OwnLoad {
+  inProgressCount: number;
+  /** Requests in progress when the last load report came. */
+  atReportCount: number;
+  reportMs: number;
+}
+
+const scoreOf = (processId: string, targetId: string): number =>
+  createHash('sha256').update(`${processId}\n${targetId}`).digest().readUInt32BE();
+
+/** Chooses targets for one entry process. */
+class RoutingService {
+  readonly #own = new Map<string, OwnLoad>();
+
+  #connectedRevision = 0;
+
+  private constructor(
+    private readonly options: RoutingOptions,
+    private readonly configuration: ConfigurationApi,
+    private readonly links: LinksApi,
+  ) {}
+
+  static create(
+    options: RoutingOptions,
+    configuration: ConfigurationApi,
+    links: LinksApi,
+  ): RoutingService {
+    return new RoutingService(options, configuration, links);
+  }
+
+  readonly api: RoutingApi = {
+    pick: (query) => this.#pick(query),
+    started: (targetId) => {
+      this.#ownLoad(targetId).inProgressCount += 1;
+    },
+    ended: (targetId) => {
+      this.#ownLoad(targetId).inProgressCount -= 1;
+    },
+  };
+
+  handle(event: Event): readonly Effect[] {
+    if (event.kind === EventKind.LinkMessage) {
+      this.#noteReport(this.links.peerOfLink(event.linkId));
+    }
+    if (this.configuration.revision() === this.#connectedRevision) {
+      return [];
+    }
+    this.#connectedRevision = this.configuration.revision();
+    return this.#connect();
+  }
+
+  #noteReport(peer: Peer | undefined): void {
+    if (peer?.load === undefined) {
+      return;
+    }
+    const own = this.#ownLoad(peer.processId);
+    if (own.reportMs !== peer.loadHeardMs) {
+      own.reportMs = peer.loadHeardMs;
+      own.atReportCount = own.inProgressCount;
+    }
+  }
+
+  /** Opens links to a fixed subset of each service's targets, spread by hash. */
+  #connect(): readonly Effect[] {
+    const services = this.configuration.current()?.services ?? [];
+    return services
+      .flatMap(({ name }) => this.#subset(name))
+      .flatMap(({ targetId }) => this.links.ensure(targetId));
+  }
+
+  #subset(service: string): readonly TargetConfiguration[] {
+    const { processId } = this.options;
+    return this.configuration
+      .targets(service)
+      .map((target) => ({ target, score: scoreOf(processId, target.targetId) }))
+      .sort((left, right) => right.score - left.score)
+      .slice(0, SUBSET_SIZE)
+      .map(({ target }) => target);
+  }
+
+  #pick({ service, excluded }: RoutingQuery): Peer | undefined {
+    const candidates = this.configuration
+      .targets(service)
+      .filter(({ targetId, availabilityZone }) => {
+        const isOpen = this.configuration.isInService(availabilityZone);
+        return isOpen && !excluded.includes(targetId);
+      })
+      .flatMap(({ targetId }) => this.links.peer(targetId) ?? [])
+      .filter((peer) => this.#mayTake(peer));
+    return sample(candidates, CHOICE_COUNT, this.options.runtime.random).reduce<Peer | undefined>(
+      (best, peer) =>
+        best === undefined || this.#cost(peer) < this.#cost(best) ? peer : best,
+      undefined,
+    );
+  }
+
+  #mayTake(peer: Peer): boolean {
+    const { load } = peer;
+    if (load === undefined || load.limit === 0 || load.state === TargetState.Draining) {
+      return false;
+    }
+    return this.#inProgressCount(peer) < load.limit * FULL_RATIO;
+  }
+
+  #cost(peer: Peer): number {
+    const limit = peer.load?.limit ?? 1;
+    const isLocal = peer.availabilityZone === this.options.availabilityZone;
+    return this.#inProgressCount(peer) / limit + (isLocal ? 0 : OTHER_ZONE_PENALTY);
+  }
+
+  /** Reported load without this process's part, plus this process's part of now. */
+  #inProgressCount(peer: Peer): number {
+    const { load } = peer;
+    const own = this.#ownLoad(peer.processId);
+    const reportedCount = load === undefined ? 0 : load.runningCount + load.waitingCount;
+    return Math.max(reportedCount - own.atReportCount, 0) + own.inProgressCount;
+  }
+
+  #ownLoad(targetId: string): OwnLoad {
+    const own = this.#own.get(targetId) ?? { inProgressCount: 0, atReportCount: 0, reportMs: -1 };
+    this.#own.set(targetId, own);
+    return own;
+  }
+}
+
+/**
+ * Registers the routing service.
+ *
+ * @example
+ * routingRegistration({ runtime, processId: 'entry-1', availabilityZone: 'kochi' });
+ */
+export const routingRegistration = (
+  options: RoutingOptions,
+): Registration<ServiceName.Routing> => ({
+  name: ServiceName.Routing,
+  requires: [ServiceName.Configuration, ServiceName.Links],
+  create: (find) => {
+    const service = RoutingService.create(
+      options,
+      find(ServiceName.Configuration),
+      find(ServiceName.Links),
+    );
+    return createInstance(service.api, { handle: (event) => service.handle(event) });
+  },
+});
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,3 +5,4 @@
 export { suspectsRegistration, type SuspectsOptions, REFUSED_CRASH_COUNT } from './suspects-service.js';
 export { log } from './log.js';
 export { send, setTimer, clearTimer } from './effects.js';
+export { sample } from './sample.js';
--- a/packages/fleet/src/link-timing.ts
+++ b/packages/fleet/src/link-timing.ts
@@ -18,5 +18,5 @@
 /** Longest delay before a lost link is opened again. */
 export const REOPEN_MAX_MS = 2_000;
 
-/** Loads on a link are told at most this often while they change. */
-export const LOAD_REPORT_MS = 500;
+/** Peers that are told of a new configuration revision at once. */
+export const SPREAD_COUNT = 16;
--- a/packages/fleet/src/links-service.ts
+++ b/packages/fleet/src/links-service.ts
@@ -32,8 +32,10 @@
   REOPEN_BASE_MS,
   REOPEN_MAX_MS,
   SILENCE_LIMIT_MS,
+  SPREAD_COUNT,
 } from './link-timing.js';
 import { log } from './log.js';
+import { sample } from './sample.js';
 
 /** A check that comes this late shows that this process itself was paused. */
 const OWN_PAUSE_MS = 1_000;
@@ -54,8 +56,6 @@
   readonly role: ProcessRole;
   readonly availabilityZone: string;
   readonly seeds: readonly SeedSidecar[];
-  /** Load of this process's target; undefined where there is none. */
-  readonly readLoad: () => LoadReport | undefined;
 }
 
 const loadIn = (message: Message): LoadReport | undefined => {
@@ -85,6 +85,10 @@
 
   #linkCount = 0;
 
+  #toldRevision = 0;
+
+  #readLoad: () => LoadReport | undefined = () => undefined;
+
   private constructor(
     private readonly options: LinksOptions,
     private readonly configuration: ConfigurationApi,
@@ -106,6 +110,9 @@
     ensure: (targetId) => this.#ensure(targetId),
     retain: (linkId) => this.#retain(linkId),
     release: (linkId) => this.#release(linkId),
+    provideLoad: (readLoad) => {
+      this.#readLoad = readLoad;
+    },
   };
 
   start(): readonly Effect[] {
@@ -113,6 +120,10 @@
   }
 
   handle(event: Event): readonly Effect[] {
+    return [...this.#answer(event), ...this.#spreadRevision()];
+  }
+
+  #answer(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.LinkOpened:
         return this.#onOpened(event.linkId, event.isInbound);
@@ -134,6 +145,18 @@
     }
   }
 
+  /** Tells a few peers of a new revision; they ask for the configuration if they lack it. */
+  #spreadRevision(): readonly Effect[] {
+    const revision = this.configuration.revision();
+    if (revision === this.#toldRevision) {
+      return [];
+    }
+    this.#toldRevision = revision;
+    return sample(this.#table.peers(), SPREAD_COUNT, this.options.runtime.random).map(
+      ({ linkId }) => send(linkId, this.#report(MessageKind.Heartbeat)),
+    );
+  }
+
   #ensure(targetId: string): readonly Effect[] {
     if (this.#reopening.has(targetId) || this.#table.isDialled(targetId)) {
       return [];
@@ -221,7 +244,7 @@
   #report(
     kind: MessageKind.Heartbeat | MessageKind.HeartbeatAck,
   ): HeartbeatMessage | HeartbeatAckMessage {
-    const load = this.options.readLoad();
+    const load = this.#readLoad();
     const suspicions: readonly CrashSuspicion[] = load === undefined ? [] : this.suspects.all();
     return {
       kind,
@@ -317,7 +340,7 @@
  * Registers the links service.
  *
  * @example
- * linksRegistration({ runtime, processId, incarnation, role, availabilityZone, seeds, readLoad });
+ * linksRegistration({ runtime, processId, incarnation, role, availabilityZone, seeds });
  */
 export const linksRegistration = (options: LinksOptions): Registration<ServiceName.Links> => ({
   name: ServiceName.Links,
--- /dev/null
+++ b/packages/fleet/src/sample.ts
@@ -0,0 +1,25 @@
+/** @module Random choices from given random numbers. */
+
+/** Chooses up to a number of distinct items. */
+type Sample = <TItem>(
+  items: readonly TItem[],
+  count: number,
+  random: () => number,
+) => readonly TItem[];
+
+/**
+ * Chooses up to `count` distinct items at random.
+ *
+ * @example
+ * sample(['a', 'b', 'c'], 2, runtime.random); // for instance c, a
+ */
+export const sample: Sample = (items, count, random) => {
+  if (items.length <= count) {
+    return items;
+  }
+  const pool = [...items];
+  return Array.from({ length: count }, () => {
+    const [chosen] = pool.splice(Math.floor(random() * pool.length), 1);
+    return chosen as (typeof items)[number];
+  });
+};
--- /dev/null
+++ b/packages/sidecar/src/key-ledger-service.ts
@@ -0,0 +1,192 @@
+/**
+ * @module Records of the idempotency keys that this incarnation minted.
+ *
+ * A key runs at most once because only the incarnation that minted it may run it, and that
+ * incarnation marks the key before anything is written to the target. The records are bounded:
+ * an answer is dropped first, then the record; a key without a record below the floor is unknown.
+ */
+import {
+  KeyState,
+  KeyVerdict,
+  Reason,
+  ServiceName,
+  notRun,
+  unknown,
+  type KeyDecision,
+  type KeyLedgerApi,
+  type KeyRecord,
+  type MintDecision,
+  type Problem,
+  type Registration,
+} from '@ebonysill/core';
+import { createInstance } from '@ebonysill/kernel';
+import { KeyOrigin, checkKey, issueKey, type KeyIssuer } from './key-codec.js';
+
+/** Bounds of the ledger's memory. */
+export interface KeyLedgerLimits {
+  /** Keys between the oldest that is still honoured and the newest. */
+  readonly maxKeyCount: number;
+  /** Bytes of recorded answers. */
+  readonly maxAnswerBytes: number;
+}
+
+/** Bounds used unless others are given. */
+export const DEFAULT_KEY_LEDGER_LIMITS: KeyLedgerLimits = {
+  maxKeyCount: 65_536,
+  maxAnswerBytes: 8 * 1_024 * 1_024,
+};
+
+/** What the key ledger is created from. */
+export interface KeyLedgerOptions {
+  readonly issuer: KeyIssuer;
+  readonly limits: KeyLedgerLimits;
+}
+
+const REFUSALS: Readonly<Record<Exclude<KeyOrigin, KeyOrigin.Ours>, Problem>> = {
+  [KeyOrigin.OtherIncarnation]: unknown(
+    Reason.KeyFromLostProcess,
+    'the process that minted this key is gone, and its records with it',
+  ),
+  [KeyOrigin.Forged]: notRun(Reason.KeyForged, 'this key was not minted for this organisation'),
+  [KeyOrigin.Malformed]: notRun(Reason.KeyMalformed, 'this is not an idempotency key'),
+};
+
+const DROPPED = unknown(Reason.RecordDropped, 'the record of this key was dropped');
+
+const OTHER_CONTENT = notRun(Reason.KeySpent, 'this key was used for another request');
+
+const sizeOf = (record: KeyRecord): number =>
+  (record.answer?.chunks ?? []).reduce((sizeBytes, chunk) => sizeBytes + chunk.length, 0);
+
+/** Keeps the records. */
+class KeyLedgerService {
+  readonly #records = new Map<number, KeyRecord>();
+
+  /** Records that hold an answer, oldest first. */
+  readonly #answered = new Set<number>();
+
+  #answerBytes = 0;
+
+  #lastSequence = 0;
+
+  /** Keys up to this sequence number are honoured only as far as a record says. */
+  #floor = 0;
+
+  private constructor(private readonly options: KeyLedgerOptions) {}
+
+  static create(options: KeyLedgerOptions): KeyLedgerService {
+    return new KeyLedgerService(options);
+  }
+
+  readonly api: KeyLedgerApi = {
+    mint: (organisationId) => this.#mint(organisationId),
+    claim: (key, organisationId, fingerprint) => this.#claim(key, organisationId, fingerprint),
+    void: (key, organisationId, problem) => this.#void(key, organisationId, problem),
+    finish: (recordId, record) => this.#finish(recordId, record),
+  };
+
+  #mint(organisationId: string): MintDecision {
+    if (!this.#makeRoom()) {
+      return {
+        kind: KeyVerdict.Refused,
+        problem: notRun(Reason.RecordsFull, 'too many keyed calls are in progress'),
+      };
+    }
+    this.#lastSequence += 1;
+    return {
+      kind: KeyVerdict.Fresh,
+      key: issueKey(this.options.issuer, organisationId, this.#lastSequence),
+    };
+  }
+
+  #claim(key: string, organisationId: string, fingerprint: string): KeyDecision {
+    const decision = this.#look(key, organisationId);
+    if (decision.kind === KeyVerdict.Fresh) {
+      this.#records.set(decision.recordId, { state: KeyState.Running, fingerprint });
+      return decision;
+    }
+    if (decision.kind === KeyVerdict.Known && !KeyLedgerService.#fits(decision.record, fingerprint)) {
+      return { kind: KeyVerdict.Refused, problem: OTHER_CONTENT };
+    }
+    return decision;
+  }
+
+  #void(key: string, organisationId: string, problem: Problem): KeyDecision {
+    const decision = this.#look(key, organisationId);
+    if (decision.kind === KeyVerdict.Fresh) {
+      this.#records.set(decision.recordId, { state: KeyState.NotRun, fingerprint: '', problem });
+    }
+    return decision;
+  }
+
+  #look(key: string, organisationId: string): KeyDecision {
+    const { origin, sequence } = checkKey(this.options.issuer, organisationId, key);
+    if (origin !== KeyOrigin.Ours) {
+      return { kind: KeyVerdict.Refused, problem: REFUSALS[origin] };
+    }
+    const record = this.#records.get(sequence);
+    if (record !== undefined) {
+      return { kind: KeyVerdict.Known, recordId: sequence, record };
+    }
+    return sequence <= this.#floor
+      ? { kind: KeyVerdict.Refused, problem: DROPPED }
+      : { kind: KeyVerdict.Fresh, recordId: sequence };
+  }
+
+  #finish(recordId: number, record: KeyRecord): void {
+    this.#records.set(recordId, record);
+    if (record.answer !== undefined) {
+      this.#answered.add(recordId);
+      this.#answerBytes += sizeOf(record);
+      this.#dropAnswers();
+    }
+  }
+
+  /** Raises the floor past the oldest key; false when that key's call is in progress. */
+  #makeRoom(): boolean {
+    if (this.#lastSequence - this.#floor < this.options.limits.maxKeyCount) {
+      return true;
+    }
+    const oldest = this.#floor + 1;
+    if (this.#records.get(oldest)?.state === KeyState.Running) {
+      return false;
+    }
+    this.#dropAnswer(oldest);
+    this.#records.delete(oldest);
+    this.#floor = oldest;
+    return true;
+  }
+
+  #dropAnswers(): void {
+    while (this.#answerBytes > this.options.limits.maxAnswerBytes) {
+      const [oldest] = this.#answered;
+      this.#dropAnswer(oldest as number);
+    }
+  }
+
+  #dropAnswer(recordId: number): void {
+    const record = this.#records.get(recordId);
+    if (record !== undefined && this.#answered.delete(recordId)) {
+      this.#answerBytes -= sizeOf(record);
+      this.#records.set(recordId, { state: record.state, fingerprint: record.fingerprint });
+    }
+  }
+
+  static #fits(record: KeyRecord, fingerprint: string): boolean {
+    return record.state === KeyState.NotRun || record.fingerprint === fingerprint;
+  }
+}
+
+/**
+ * Registers the key ledger.
+ *
+ * @example
+ * keyLedgerRegistration({ issuer, limits: DEFAULT_KEY_LEDGER_LIMITS });
+ */
+export const keyLedgerRegistration = (
+  options: KeyLedgerOptions,
+): Registration<ServiceName.KeyLedger> => ({
+  name: ServiceName.KeyLedger,
+  requires: [],
+  create: () => createInstance(KeyLedgerService.create(options).api, {}),
+});
--- /dev/null
+++ b/packages/sidecar/src/run-table.ts
@@ -0,0 +1,78 @@
+/** @module The runs of one sidecar, by call, by record and by subscriber. */
+import { RunState, type Run, type Subscriber } from './run.js';
+
+/** A subscriber together with its run. */
+export interface Subscription {
+  readonly run: Run;
+  readonly subscriber: Subscriber;
+}
+
+/** Keeps the runs. */
+export class RunTable {
+  readonly #runs = new Map<string, Run>();
+
+  private constructor() {}
+
+  /**
+   * Creates an empty table.
+   *
+   * @example
+   * const table = RunTable.create();
+   */
+  static create(): RunTable {
+    return new RunTable();
+  }
+
+  /** Adds a run. */
+  add(run: Run): void {
+    this.#runs.set(run.callId, run);
+  }
+
+  /** Forgets a run. */
+  remove(run: Run): void {
+    this.#runs.delete(run.callId);
+  }
+
+  /** The run of a call to the target. */
+  byCall(callId: string): Run | undefined {
+    return this.#runs.get(callId);
+  }
+
+  /** The run of a record in the key ledger. */
+  byRecord(recordId: number): Run | undefined {
+    return this.all().find((run) => run.recordId === recordId);
+  }
+
+  /** The subscription of one attempt on one link. */
+  subscription(linkId: string, runId: string): Subscription | undefined {
+    return this.subscriptions(linkId).find(({ subscriber }) => subscriber.runId === runId);
+  }
+
+  /** All subscriptions of one link. */
+  subscriptions(linkId: string): readonly Subscription[] {
+    return this.all().flatMap((run) =>
+      run.subscribers
+        .filter((subscriber) => subscriber.linkId === linkId)
+        .map((subscriber) => ({ run, subscriber })),
+    );
+  }
+
+  /** Every run. */
+  all(): readonly Run[] {
+    return [...this.#runs.values()];
+  }
+
+  /** Runs that wait, the most urgent first. */
+  waiting(): readonly Run[] {
+    return this.all()
+      .filter(({ state }) => state === RunState.Waiting)
+      .sort((left, right) => right.message.priority - left.message.priority);
+  }
+
+  /** Number of runs that occupy the target. */
+  runningCount(): number {
+    return this.all().filter(
+      ({ state }) => state === RunState.Running || state === RunState.AwaitingHealth,
+    ).length;
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/target-monitor-service.ts
@@ -0,0 +1,124 @@
+/** @module Follows the condition of the target beside this process. */
+import {
+  EffectKind,
+  EventKind,
+  LogLevel,
+  LogTopic,
+  ServiceName,
+  TargetState,
+  TimerKind,
+  type ConfigurationApi,
+  type Effect,
+  type Event,
+  type Registration,
+  type TargetMonitorApi,
+} from '@ebonysill/core';
+import { log, setTimer } from '@ebonysill/fleet';
+import { createInstance } from '@ebonysill/kernel';
+
+/** Time between reads of the target's health. */
+const HEALTH_INTERVAL_MS = 500;
+
+const TIMER_KEY = 'health';
+
+/** What the target monitor is created from. */
+export interface TargetMonitorOptions {
+  readonly targetId: string;
+}
+
+/** Keeps the last known condition of the target. */
+class TargetMonitorService {
+  #state = TargetState.Down;
+
+  private constructor(
+    private readonly targetId: string,
+    private readonly configuration: ConfigurationApi,
+  ) {}
+
+  static create(
+    options: TargetMonitorOptions,
+    configuration: ConfigurationApi,
+  ): TargetMonitorService {
+    return new TargetMonitorService(options.targetId, configuration);
+  }
+
+  readonly api: TargetMonitorApi = {
+    state: () => this.#state,
+    limit: () => this.#limit(),
+  };
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.Timer:
+        return event.timer === TimerKind.TargetHealth ? [TargetMonitorService.read()] : [];
+      case EventKind.TargetHealth:
+        return [
+          ...this.#become(TargetMonitorService.#stateOf(event.isUp, event.isCold)),
+          setTimer(TimerKind.TargetHealth, TIMER_KEY, HEALTH_INTERVAL_MS),
+        ];
+      case EventKind.TargetError:
+        return this.#state === TargetState.Warm ? this.#become(TargetState.Cold) : [];
+      default:
+        return [];
+    }
+  }
+
+  static read(): Effect {
+    return { kind: EffectKind.ReadTargetHealth };
+  }
+
+  static #stateOf(isUp: boolean, isCold: boolean): TargetState {
+    if (!isUp) {
+      return TargetState.Down;
+    }
+    return isCold ? TargetState.Cold : TargetState.Warm;
+  }
+
+  #become(state: TargetState): readonly Effect[] {
+    if (state === this.#state) {
+      return [];
+    }
+    this.#state = state;
+    return [
+      log(LogLevel.Info, LogTopic.TargetStateChanged, { targetId: this.targetId, detail: state }),
+    ];
+  }
+
+  #limit(): number {
+    const target = this.configuration.target(this.targetId);
+    if (target === undefined) {
+      return 0;
+    }
+    switch (this.#state) {
+      case TargetState.Warm:
+        return target.concurrency;
+      case TargetState.Cold:
+        return target.coldConcurrency;
+      case TargetState.Draining:
+      case TargetState.Down:
+        return 0;
+      default:
+        return this.#state satisfies never;
+    }
+  }
+}
+
+/**
+ * Registers the target monitor.
+ *
+ * @example
+ * targetMonitorRegistration({ targetId: 'assistant-1' });
+ */
+export const targetMonitorRegistration = (
+  options: TargetMonitorOptions,
+): Registration<ServiceName.TargetMonitor> => ({
+  name: ServiceName.TargetMonitor,
+  requires: [ServiceName.Configuration],
+  create: (find) => {
+    const service = TargetMonitorService.create(options, find(ServiceName.Configuration));
+    return createInstance(service.api, {
+      start: () => [TargetMonitorService.read()],
+      handle: (event) => service.handle(event),
+    });
+  },
+});
