--- /dev/null
+++ b/demo/src/demo-fleet.ts
@@ -0,0 +1,147 @@
+/** @module Starts and stops a fleet of real processes on loopback. */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { ServiceKind } from '@ebonysill/core';
+import {
+  buildConfiguration,
+  planTargets,
+  type FleetPlan,
+  type PlacedTarget,
+  type PlannedTarget,
+} from './fleet-plan.js';
+import { programPath, spawnProgram, type Program } from './program.js';
+
+/** A target with its sidecar. */
+export interface RunningTarget extends PlacedTarget {
+  readonly target: Program;
+  readonly targetUrl: string;
+  readonly sidecar: Program;
+}
+
+/** An entry process of the fleet. */
+export interface RunningEntry {
+  readonly entryId: string;
+  readonly program: Program;
+  readonly url: string;
+  readonly adminUrl: string;
+}
+
+interface Listening {
+  readonly listening: { readonly servingPort: number; readonly adminPort: number };
+}
+
+const HOST = '127.0.0.1';
+
+const portOf = (program: Program): number => Number(program.listening.split(' ').at(-1));
+
+const addressesOf = (program: Program): Listening['listening'] =>
+  (JSON.parse(program.listening) as Listening).listening;
+
+const urlOf = (port: number): string => `http://${HOST}:${port}`;
+
+/** A running fleet. */
+export class DemoFleet {
+  private constructor(
+    private readonly folder: string,
+    readonly plan: FleetPlan,
+    readonly targets: readonly RunningTarget[],
+    readonly configurationService: Program,
+    readonly entries: readonly RunningEntry[],
+  ) {}
+
+  /**
+   * Starts a fleet: targets and sidecars, the configuration service, entry processes.
+   *
+   * @example
+   * const fleet = await DemoFleet.create(plan);
+   * await fleet.stop();
+   */
+  static async create(plan: FleetPlan): Promise<DemoFleet> {
+    const folder = await mkdtemp(join(tmpdir(), 'ebonysill-'));
+    const targets = await Promise.all(
+      planTargets(plan).map((target) => DemoFleet.#startTarget(folder, plan, target)),
+    );
+    const file = join(folder, 'configuration.jsonc');
+    await writeFile(file, JSON.stringify(buildConfiguration(plan, targets, 1)));
+    const configurationService = await spawnProgram(programPath('stand-ins', 'configuration'), [
+      '--port',
+      '0',
+      '--file',
+      file,
+    ]);
+    const entries = await Promise.all(
+      plan.zones.map((zone) =>
+        DemoFleet.#startEntry(folder, zone, urlOf(portOf(configurationService))),
+      ),
+    );
+    return new DemoFleet(folder, plan, targets, configurationService, entries);
+  }
+
+  /** Address of the configuration service. */
+  get configurationUrl(): string {
+    return urlOf(portOf(this.configurationService));
+  }
+
+  /** Ends every process of the fleet. */
+  async stop(): Promise<void> {
+    const programs = [
+      ...this.entries.map(({ program }) => program),
+      this.configurationService,
+      ...this.targets.flatMap(({ target, sidecar }) => [target, sidecar]),
+    ];
+    programs.forEach(({ child }) => child.kill('SIGKILL'));
+    await Promise.all(programs.map(({ exited }) => exited));
+    await rm(this.folder, { recursive: true });
+  }
+
+  static async #startTarget(
+    folder: string,
+    plan: FleetPlan,
+    planned: PlannedTarget,
+  ): Promise<RunningTarget> {
+    const isModel = planned.kind === ServiceKind.Model;
+    const target = await spawnProgram(programPath('stand-ins', isModel ? 'engine' : 'plain'), [
+      '--port',
+      '0',
+      ...(isModel ? ['--token-interval-ms', String(plan.tokenIntervalMs)] : []),
+    ]);
+    const targetUrl = urlOf(portOf(target));
+    const file = join(folder, `${planned.targetId}.jsonc`);
+    const settings = {
+      targetId: planned.targetId,
+      availabilityZone: planned.availabilityZone,
+      host: HOST,
+      linkPort: 0,
+      adminPort: 0,
+      targetUrl,
+      logLevel: 'info',
+    };
+    await writeFile(file, JSON.stringify(settings));
+    const sidecar = await spawnProgram(programPath('binaries', 'sidecar'), [file]);
+    const { servingPort } = addressesOf(sidecar);
+    return { ...planned, target, targetUrl, sidecar, sidecarPort: servingPort };
+  }
+
+  static async #startEntry(
+    folder: string,
+    availabilityZone: string,
+    configurationUrl: string,
+  ): Promise<RunningEntry> {
+    const entryId = `entry-${availabilityZone}`;
+    const file = join(folder, `${entryId}.jsonc`);
+    const settings = {
+      processId: entryId,
+      availabilityZone,
+      host: HOST,
+      callerPort: 0,
+      adminPort: 0,
+      configurationUrl,
+      logLevel: 'info',
+    };
+    await writeFile(file, JSON.stringify(settings));
+    const program = await spawnProgram(programPath('binaries', 'entry'), [file]);
+    const { servingPort, adminPort } = addressesOf(program);
+    return { entryId, program, url: urlOf(servingPort), adminUrl: urlOf(adminPort) };
+  }
+}
--- /dev/null
+++ b/packages/binaries/src/run-binary.ts
@@ -0,0 +1,71 @@
+/** @module Runs a process from its settings file until it is told to drain. */
+import { readFile } from 'node:fs/promises';
+import {
+  SettingsVerdict,
+  describeProblem,
+  parseSettings,
+  type SettingsResult,
+} from '@ebonysill/settings';
+import type { ProcessAddresses, RunningProcess } from './running-process.js';
+
+/** Exit code for settings that were refused, after sysexits' EX_CONFIG. */
+export const EXIT_CONFIGURATION = 78;
+
+/** What a binary needs to run. */
+export interface BinaryOptions<TSettings> {
+  readonly file: string;
+  readonly schema: Parameters<typeof parseSettings<TSettings>>[0];
+  readonly start: (settings: TSettings) => Promise<RunningProcess<ProcessAddresses>>;
+}
+
+const refuse = (lines: readonly string[]): void => {
+  process.stderr.write(`${lines.join('\n')}\n`);
+  process.exitCode = EXIT_CONFIGURATION;
+};
+
+const readSettings = async <TSettings>({
+  file,
+  schema,
+}: BinaryOptions<TSettings>): Promise<SettingsResult<TSettings> | undefined> => {
+  try {
+    return parseSettings(schema, await readFile(file, 'utf8'), file);
+  } catch {
+    return undefined;
+  }
+};
+
+const drainOnSignal = (running: RunningProcess<ProcessAddresses>): void => {
+  const drain = (): void => {
+    running.drain().catch((error: unknown) => {
+      process.stderr.write(`${String(error)}\n`);
+      process.exitCode = 1;
+    });
+  };
+  process.once('SIGTERM', drain);
+  process.once('SIGINT', drain);
+};
+
+/**
+ * Runs one process: reads its settings, starts it, and drains it on SIGTERM or SIGINT.
+ *
+ * @example
+ * await runBinary({ file: 'entry.jsonc', schema: entrySettingsSchema, start: startEntry });
+ */
+export const runBinary = async <TSettings>(options: BinaryOptions<TSettings>): Promise<void> => {
+  const result = await readSettings(options);
+  if (result === undefined) {
+    refuse([`${options.file}: the file cannot be read`]);
+    return;
+  }
+  if (result.kind === SettingsVerdict.Refused) {
+    refuse(result.problems.map(describeProblem));
+    return;
+  }
+  try {
+    const running = await options.start(result.value);
+    drainOnSignal(running);
+    process.stdout.write(`${JSON.stringify({ listening: running.addresses })}\n`);
+  } catch (error) {
+    refuse([`${options.file}: ${error instanceof Error ? error.message : String(error)}`]);
+  }
+};
--- /dev/null
+++ b/packages/binaries/src/running-process.ts
@@ -0,0 +1,111 @@
+/** @module What the entry process and the sidecar have in common as processes. */
+import { ProcessRole, ServiceName, type FindService, type LoadReport } from '@ebonysill/core';
+import {
+  AdminServer,
+  Journal,
+  LogPort,
+  ProcessHost,
+  systemRuntime,
+  type ProcessHostOptions,
+} from '@ebonysill/transport';
+
+/** A process that is running. */
+export interface RunningProcess<TAddresses> {
+  readonly addresses: TAddresses;
+  /** Refuses new work; resolves when every request in progress has ended. */
+  readonly drain: () => Promise<void>;
+  /** Stops at once. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Identity and surroundings of a process. */
+export interface ProcessOptions {
+  readonly processId: string;
+  readonly role: ProcessRole;
+  readonly availabilityZone: string;
+  readonly host: string;
+  readonly adminPort: number;
+  readonly logLevel: string;
+  /** Ports and services of the role. */
+  readonly parts: Pick<
+    ProcessHostOptions,
+    'createServices' | 'createCallerPort' | 'createTargetPort' | 'createConfigurationPort'
+  >;
+  /** Opens the role's own listening sockets. */
+  readonly listen: (process: ProcessHost) => Promise<number>;
+}
+
+/** Addresses that a process listens on. */
+export interface ProcessAddresses {
+  readonly servingPort: number;
+  readonly adminPort: number;
+}
+
+const loadOf = (role: ProcessRole, find: FindService): LoadReport | undefined =>
+  role === ProcessRole.Sidecar ? find(ServiceName.Execution).load() : undefined;
+
+const createAdmin = (
+  options: ProcessOptions,
+  process: ProcessHost,
+  journal: Journal,
+): AdminServer =>
+  AdminServer.create({
+    readStatus: () => ({
+      processId: options.processId,
+      role: options.role,
+      availabilityZone: options.availabilityZone,
+      revision: process.find(ServiceName.Configuration).revision(),
+      load: loadOf(options.role, process.find),
+      peers: process.find(ServiceName.Links).peers(),
+      residentBytes: globalThis.process.memoryUsage.rss(),
+      uptimeMs: globalThis.process.uptime() * 1_000,
+    }),
+    explain: (requestId) => journal.explain(requestId),
+  });
+
+/**
+ * Starts a process of one role.
+ *
+ * @example
+ * const running = await startProcess({ processId, role, availabilityZone, host, adminPort, logLevel, parts, listen });
+ */
+export const startProcess = async (
+  options: ProcessOptions,
+): Promise<RunningProcess<ProcessAddresses>> => {
+  const logs = LogPort.create(options.processId, options.logLevel);
+  const journal = Journal.create(systemRuntime.nowMs);
+  let onDrained = (): void => undefined;
+  const drained = new Promise<void>((resolve) => {
+    onDrained = resolve;
+  });
+  const process = ProcessHost.create({
+    ...options.parts,
+    onLog: (effect) => {
+      logs.write(effect);
+      journal.note(effect);
+    },
+    onDrained: () => onDrained(),
+    onBroken: (error) => {
+      logs.fatal(error);
+      globalThis.process.exitCode = 1;
+      process.shutdown().catch(() => undefined);
+    },
+  });
+  process.start();
+  const admin = createAdmin(options, process, journal);
+  const servingPort = await options.listen(process);
+  const adminPort = await admin.listen(options.host, options.adminPort);
+  const stop = async (): Promise<void> => {
+    admin.shutdown();
+    await process.shutdown();
+  };
+  return {
+    addresses: { servingPort, adminPort },
+    drain: async () => {
+      process.drain();
+      await drained;
+      await stop();
+    },
+    stop,
+  };
+};
--- /dev/null
+++ b/packages/binaries/src/start-entry.ts
@@ -0,0 +1,51 @@
+/** @module Starts an entry process. */
+import { ProcessRole } from '@ebonysill/core';
+import { createEntryServices } from '@ebonysill/entry';
+import type { EntrySettings } from '@ebonysill/settings';
+import { CallerPort, ConfigurationPort, type Page, type ProcessHost } from '@ebonysill/transport';
+import { startProcess, type ProcessAddresses, type RunningProcess } from './running-process.js';
+
+/** Addresses of an entry process; callers are served on the serving port. */
+export type EntryAddresses = ProcessAddresses;
+
+const PLAIN_TEXT = 'text/plain';
+
+const OK = 200;
+
+const healthPage = (path: string): Page | undefined =>
+  path === '/healthz' ? { status: OK, contentType: PLAIN_TEXT, body: 'ok\n' } : undefined;
+
+const listenToCallers = async (settings: EntrySettings, process: ProcessHost): Promise<number> =>
+  (await process.callers?.listen(settings.host, settings.callerPort)) ?? 0;
+
+/**
+ * Starts an entry process from its settings.
+ *
+ * @example
+ * const entry = await startEntry(settings);
+ * await entry.drain();
+ */
+export const startEntry = (settings: EntrySettings): Promise<RunningProcess<EntryAddresses>> => {
+  const { processId, availabilityZone, maxInProgress, seedSidecars, configurationUrl } = settings;
+  return startProcess({
+    processId,
+    role: ProcessRole.Entry,
+    availabilityZone,
+    host: settings.host,
+    adminPort: settings.adminPort,
+    logLevel: settings.logLevel,
+    parts: {
+      createServices: (runtime) =>
+        createEntryServices({
+          runtime,
+          processId,
+          availabilityZone,
+          maxInProgress,
+          seeds: seedSidecars,
+        }),
+      createCallerPort: (post) => CallerPort.create({ post, readPage: healthPage }),
+      createConfigurationPort: (post) => ConfigurationPort.create(configurationUrl, post),
+    },
+    listen: (process) => listenToCallers(settings, process),
+  });
+};
--- a/packages/entry/src/idempotence.ts
+++ b/packages/entry/src/idempotence.ts
@@ -20,4 +20,3 @@
   service.idempotentCalls.some(
     (call) => call.method === method && path.startsWith(call.pathPrefix),
   );
-
--- a/packages/entry/src/idempotent-calls-service.ts
+++ b/packages/entry/src/idempotent-calls-service.ts
@@ -316,10 +316,7 @@
       return [];
     }
     if (chunk.sequence > exchange.deliveredCount || !exchange.isHeadSent) {
-      return [
-        ...this.#sendCancel(attempt),
-        ...this.#onFailed(exchange, attempt, SEQUENCE_GAP),
-      ];
+      return [...this.#sendCancel(attempt), ...this.#onFailed(exchange, attempt, SEQUENCE_GAP)];
     }
     exchange.deliveredCount += 1;
     if (exchange.call.service.continuation === Continuation.Resume) {
@@ -486,12 +483,7 @@
   options: IdempotentCallsOptions,
 ): Registration<ServiceName.IdempotentCalls> => ({
   name: ServiceName.IdempotentCalls,
-  requires: [
-    ServiceName.Admission,
-    ServiceName.Routing,
-    ServiceName.Links,
-    ServiceName.Suspects,
-  ],
+  requires: [ServiceName.Admission, ServiceName.Routing, ServiceName.Links, ServiceName.Suspects],
   create: (find) => {
     const service = IdempotentCallsService.create(options, find);
     return createInstance(service.api, {
--- a/packages/entry/src/intake-service.ts
+++ b/packages/entry/src/intake-service.ts
@@ -126,9 +126,7 @@
   #serve(call: Call): readonly Effect[] {
     const { event, service } = call;
     if (event.intent === CallerIntent.MintKey) {
-      return this.#isDraining
-        ? this.#refuseEarly(event, DRAINING)
-        : this.#keyedCalls.mint(call);
+      return this.#isDraining ? this.#refuseEarly(event, DRAINING) : this.#keyedCalls.mint(call);
     }
     if (isIdempotent(service, event.method, event.path)) {
       return this.#isDraining
--- a/packages/entry/src/keyed-calls-service.ts
+++ b/packages/entry/src/keyed-calls-service.ts
@@ -165,10 +165,7 @@
       return [this.#deadlineTimer(call), ...this.#dispatch(exchange)];
     }
     this.#admission.release(call.exchangeId);
-    return this.#refuse(
-      call,
-      decision.kind === Admission.Refused ? decision.problem : OVERLOADED,
-    );
+    return this.#refuse(call, decision.kind === Admission.Refused ? decision.problem : OVERLOADED);
   }
 
   #refuse(call: Call, problem: Problem): readonly Effect[] {
--- a/packages/entry/src/routing-service.ts
+++ b/packages/entry/src/routing-service.ts
@@ -128,8 +128,7 @@
       .flatMap(({ targetId }) => this.links.peer(targetId) ?? [])
       .filter((peer) => this.#mayTake(peer));
     return sample(candidates, CHOICE_COUNT, this.options.runtime.random).reduce<Peer | undefined>(
-      (best, peer) =>
-        best === undefined || this.#cost(peer) < this.#cost(best) ? peer : best,
+      (best, peer) => (best === undefined || this.#cost(peer) < this.#cost(best) ? peer : best),
       undefined,
     );
   }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,7 +2,11 @@
 export { configurationRegistration, type ConfigurationOptions } from './configuration-service.js';
 export { linksRegistration, type LinksOptions, type SeedSidecar } from './links-service.js';
 export { SILENCE_LIMIT_MS } from './link-timing.js';
-export { suspectsRegistration, type SuspectsOptions, REFUSED_CRASH_COUNT } from './suspects-service.js';
+export {
+  suspectsRegistration,
+  type SuspectsOptions,
+  REFUSED_CRASH_COUNT,
+} from './suspects-service.js';
 export { log } from './log.js';
 export { send, setTimer, clearTimer } from './effects.js';
 export { sample } from './sample.js';
--- a/packages/fleet/src/log.ts
+++ b/packages/fleet/src/log.ts
@@ -1,5 +1,11 @@
 /** @module Builds log effects. */
-import { EffectKind, type LogEffect, type LogFields, type LogLevel, type LogTopic } from '@ebonysill/core';
+import {
+  EffectKind,
+  type LogEffect,
+  type LogFields,
+  type LogLevel,
+  type LogTopic,
+} from '@ebonysill/core';
 
 /** Builds the effect that writes one log line. */
 type BuildLog = (level: LogLevel, topic: LogTopic, fields: LogFields) => LogEffect;
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -60,6 +60,15 @@
     return new Kernel(options);
   }
 
+  /** Returns the API of a service, for the ports around the kernel. */
+  readonly find: Find<TDirectory> = (wanted) => {
+    const running = this.#running.find(({ name }) => name === wanted);
+    if (running === undefined) {
+      throw new InvariantError(`service "${String(wanted)}" is not registered`);
+    }
+    return running.instance.api as TDirectory[typeof wanted];
+  };
+
   /** Starts the services in dependency order and begins to answer events. */
   start(): void {
     this.#phase = Phase.Running;
--- /dev/null
+++ b/packages/settings/src/configuration-schema.ts
@@ -0,0 +1,121 @@
+/** @module Schema of the fleet's configuration, with the checks between its parts. */
+import {
+  Continuation,
+  DuplicateCheck,
+  ServiceKind,
+  ZoneState,
+  type Configuration,
+} from '@ebonysill/core';
+import { z } from 'zod';
+import { ipField, nameField, portField } from './fields.js';
+import { parseSettings, type SettingsResult } from './parse-settings.js';
+
+const MAX_DEADLINE_MS = 3_600_000;
+
+const MAX_WEIGHT = 1_000;
+
+const idempotentCallSchema = z.strictObject({
+  method: z.string().regex(/^[A-Z]{1,16}$/, 'expected an HTTP method in capitals'),
+  pathPrefix: z.string().startsWith('/'),
+});
+
+const serviceSchema = z.strictObject({
+  name: nameField,
+  kind: z.enum(ServiceKind),
+  continuation: z.enum(Continuation),
+  duplicateCheck: z.enum(DuplicateCheck),
+  idempotentCalls: z.array(idempotentCallSchema),
+  deadlineMs: z.int().min(1).max(MAX_DEADLINE_MS),
+});
+
+const targetSchema = z.strictObject({
+  targetId: nameField,
+  service: nameField,
+  availabilityZone: nameField,
+  sidecarHost: ipField,
+  sidecarPort: portField,
+  concurrency: z.int().min(1),
+  coldConcurrency: z.int().min(1),
+});
+
+const organisationSchema = z.strictObject({
+  organisationId: nameField,
+  credentialSha256: z.string().regex(/^[0-9a-f]{64}$/, 'expected a SHA-256 digest in hexadecimal'),
+  maxInProgress: z.int().min(1),
+  weight: z.number().positive().max(MAX_WEIGHT),
+});
+
+const zoneSchema = z.strictObject({ name: nameField, state: z.enum(ZoneState) });
+
+const shapeSchema = z.strictObject({
+  revision: z.int().min(1),
+  availabilityZones: z.array(zoneSchema).min(1),
+  services: z.array(serviceSchema),
+  targets: z.array(targetSchema),
+  organisations: z.array(organisationSchema),
+});
+
+type Shape = z.infer<typeof shapeSchema>;
+
+interface Fault {
+  readonly path: (string | number)[];
+  readonly message: string;
+}
+
+const duplicatesIn = (
+  list: keyof Shape,
+  field: string,
+  names: readonly string[],
+): readonly Fault[] =>
+  names.flatMap((name, index) =>
+    names.indexOf(name) === index
+      ? []
+      : [{ path: [list, index, field], message: `"${name}" stands twice` }],
+  );
+
+const faultsOf = (shape: Shape): readonly Fault[] => {
+  const zoneNames = shape.availabilityZones.map(({ name }) => name);
+  const serviceNames = shape.services.map(({ name }) => name);
+  const targetIds = shape.targets.map(({ targetId }) => targetId);
+  const organisationIds = shape.organisations.map(({ organisationId }) => organisationId);
+  const targetFaults = shape.targets.flatMap((target, index) => [
+    ...(zoneNames.includes(target.availabilityZone)
+      ? []
+      : [
+          { path: ['targets', index, 'availabilityZone'], message: 'expected a zone listed above' },
+        ]),
+    ...(serviceNames.includes(target.service)
+      ? []
+      : [{ path: ['targets', index, 'service'], message: 'expected a service listed above' }]),
+    ...(target.coldConcurrency <= target.concurrency
+      ? []
+      : [
+          {
+            path: ['targets', index, 'coldConcurrency'],
+            message: 'expected at most the concurrency',
+          },
+        ]),
+  ]);
+  return [
+    ...duplicatesIn('availabilityZones', 'name', zoneNames),
+    ...duplicatesIn('services', 'name', serviceNames),
+    ...duplicatesIn('targets', 'targetId', targetIds),
+    ...duplicatesIn('organisations', 'organisationId', organisationIds),
+    ...targetFaults,
+  ];
+};
+
+const configurationSchema = shapeSchema.superRefine((shape, context) => {
+  faultsOf(shape).forEach(({ path, message }) => {
+    context.addIssue({ code: 'custom', path, message });
+  });
+});
+
+/**
+ * Parses and checks a configuration.
+ *
+ * @example
+ * const result = parseConfiguration(text, 'configuration.jsonc');
+ */
+export const parseConfiguration = (text: string, file: string): SettingsResult<Configuration> =>
+  parseSettings<Configuration>(configurationSchema, text, file);
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,16 @@
+/** @module Public interface of the settings package. */
+export { parseConfiguration } from './configuration-schema.js';
+export { credentialDigest } from './credential-digest.js';
+export {
+  entrySettingsSchema,
+  sidecarSettingsSchema,
+  type EntrySettings,
+  type SidecarSettings,
+} from './process-settings.js';
+export {
+  SettingsVerdict,
+  describeProblem,
+  parseSettings,
+  type SettingsProblem,
+  type SettingsResult,
+} from './parse-settings.js';
--- /dev/null
+++ b/packages/settings/src/process-settings.ts
@@ -0,0 +1,37 @@
+/** @module Settings files of the processes. */
+import { z } from 'zod';
+import { ipField, nameField, portField, urlField } from './fields.js';
+
+const logLevelField = z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info');
+
+const seedField = z.strictObject({ targetId: nameField, host: ipField, port: portField });
+
+/** Settings of an entry process. */
+export const entrySettingsSchema = z.strictObject({
+  processId: nameField,
+  availabilityZone: nameField,
+  host: ipField,
+  callerPort: portField,
+  adminPort: portField,
+  configurationUrl: urlField,
+  maxInProgress: z.int().min(1).default(4_000),
+  seedSidecars: z.array(seedField).default([]),
+  logLevel: logLevelField,
+});
+
+/** Checked settings of an entry process. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+
+/** Settings of a sidecar. */
+export const sidecarSettingsSchema = z.strictObject({
+  targetId: nameField,
+  availabilityZone: nameField,
+  host: ipField,
+  linkPort: portField,
+  adminPort: portField,
+  targetUrl: urlField,
+  logLevel: logLevelField,
+});
+
+/** Checked settings of a sidecar. */
+export type SidecarSettings = z.infer<typeof sidecarSettingsSchema>;
--- a/packages/sidecar/src/create-sidecar-services.ts
+++ b/packages/sidecar/src/create-sidecar-services.ts
@@ -7,7 +7,11 @@
   type SeedSidecar,
 } from '@ebonysill/fleet';
 import { executionRegistration } from './execution-service.js';
-import { DEFAULT_KEY_LEDGER_LIMITS, keyLedgerRegistration, type KeyLedgerLimits } from './key-ledger-service.js';
+import {
+  DEFAULT_KEY_LEDGER_LIMITS,
+  keyLedgerRegistration,
+  type KeyLedgerLimits,
+} from './key-ledger-service.js';
 import { targetMonitorRegistration } from './target-monitor-service.js';
 
 /** What a sidecar is created from. */
--- a/packages/sidecar/src/execution-service.ts
+++ b/packages/sidecar/src/execution-service.ts
@@ -192,7 +192,8 @@
   /** Keys of a lost process may run again only where targets themselves refuse a repeat. */
   #mayRunForeign(problem: Problem, message: RunMessage): boolean {
     return (
-      problem.reason === Reason.KeyFromLostProcess && this.#checksDuplicates(message.request.service)
+      problem.reason === Reason.KeyFromLostProcess &&
+      this.#checksDuplicates(message.request.service)
     );
   }
 
@@ -215,10 +216,7 @@
     const callId = `${this.options.targetId}/${this.#callCount}`;
     const nowMs = this.options.runtime.nowMs();
     this.#runs.add(createRun({ callId, linkId, message, recordId, nowMs }));
-    return [
-      setTimer(TimerKind.RunDeadline, callId, message.timeLeftMs),
-      ...this.#startWaiting(),
-    ];
+    return [setTimer(TimerKind.RunDeadline, callId, message.timeLeftMs), ...this.#startWaiting()];
   }
 
   /** Why this process takes no work at all at present. */
@@ -293,16 +291,14 @@
     const { status, contentType, chunks } = answer;
     return [
       send(linkId, { kind: MessageKind.RunHead, runId, status, contentType }),
-      ...chunks
-        .slice(deliveredCount)
-        .map((data, index) =>
-          send(linkId, {
-            kind: MessageKind.RunChunk,
-            runId,
-            sequence: deliveredCount + index,
-            data,
-          }),
-        ),
+      ...chunks.slice(deliveredCount).map((data, index) =>
+        send(linkId, {
+          kind: MessageKind.RunChunk,
+          runId,
+          sequence: deliveredCount + index,
+          data,
+        }),
+      ),
       send(linkId, { kind: MessageKind.RunEnd, runId, chunkCount: chunks.length }),
     ];
   }
@@ -493,15 +489,10 @@
   }
 
   /** Ends a run without a whole answer, and starts the next in its place. */
-  #end(
-    run: Run,
-    problem: Problem,
-    suspicions: readonly CrashSuspicion[] = [],
-  ): readonly Effect[] {
+  #end(run: Run, problem: Problem, suspicions: readonly CrashSuspicion[] = []): readonly Effect[] {
     if (run.recordId !== undefined) {
       const { fingerprint } = run.message;
-      const state =
-        problem.outcome === Outcome.RefusedNotRun ? KeyState.NotRun : KeyState.Unknown;
+      const state = problem.outcome === Outcome.RefusedNotRun ? KeyState.NotRun : KeyState.Unknown;
       this.#ledger.finish(run.recordId, { state, fingerprint, problem });
     }
     return [...this.#failSubscribers(run, problem, suspicions), ...this.#forget(run)];
--- a/packages/sidecar/src/key-ledger-service.ts
+++ b/packages/sidecar/src/key-ledger-service.ts
@@ -105,7 +105,10 @@
       this.#records.set(decision.recordId, { state: KeyState.Running, fingerprint });
       return decision;
     }
-    if (decision.kind === KeyVerdict.Known && !KeyLedgerService.#fits(decision.record, fingerprint)) {
+    if (
+      decision.kind === KeyVerdict.Known &&
+      !KeyLedgerService.#fits(decision.record, fingerprint)
+    ) {
       return { kind: KeyVerdict.Refused, problem: OTHER_CONTENT };
     }
     return decision;
--- /dev/null
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -0,0 +1,130 @@
+/** @module Stand-in for a model engine: streams tokens, batches, has a cold start. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { z } from 'zod';
+import { completionChunk, completionEnd } from './completion.js';
+import { listen, readBody, respondJson } from './http-util.js';
+
+/** How the engine behaves. */
+export interface EngineOptions {
+  /** Time between tokens; 0 writes them as fast as the connection takes them. */
+  readonly tokenIntervalMs: number;
+  /** Time after the start during which the engine is cold. */
+  readonly coldMs: number;
+  /** Requests that a cold engine bears; with more it falls over. */
+  readonly coldConcurrency: number;
+  /** Delay of the load report. */
+  readonly healthLagMs: number;
+}
+
+const DEFAULT_TOKENS = 32;
+
+const requestSchema = z.object({ max_tokens: z.int().min(1).max(100_000).default(DEFAULT_TOKENS) });
+
+const RESUME_HEADER = 'x-resume-after-chunks';
+
+/** Serves completions. */
+export class EngineStandIn {
+  readonly #server: Server;
+
+  #coldUntilMs: number;
+
+  #runningCount = 0;
+
+  /** Requests that were begun since the start. */
+  startedCount = 0;
+
+  /** Times that the engine fell over. */
+  crashCount = 0;
+
+  private constructor(private readonly options: EngineOptions) {
+    this.#coldUntilMs = performance.now() + options.coldMs;
+    this.#server = createServer((request, response) => this.#onRequest(request, response));
+  }
+
+  /**
+   * Creates an engine, not yet listening.
+   *
+   * @example
+   * const engine = EngineStandIn.create({ tokenIntervalMs: 5, coldMs: 0, coldConcurrency: 2, healthLagMs: 0 });
+   */
+  static create(options: EngineOptions): EngineStandIn {
+    return new EngineStandIn(options);
+  }
+
+  /** Starts to serve; resolves with the port number. */
+  listen(port: number): Promise<number> {
+    return listen(this.#server, port);
+  }
+
+  /** Stops at once. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #isCold(lagMs: number): boolean {
+    return performance.now() - lagMs < this.#coldUntilMs;
+  }
+
+  #onRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === '/health') {
+      respondJson(response, 200, { isCold: this.#isCold(this.options.healthLagMs) });
+      return;
+    }
+    readBody(request, (body) => this.#complete(request, response, body));
+  }
+
+  #complete(request: IncomingMessage, response: ServerResponse, body: string): void {
+    if (this.#isCold(0) && this.#runningCount >= this.options.coldConcurrency) {
+      this.#fallOver();
+      return;
+    }
+    const parsed = requestSchema.safeParse(EngineStandIn.#parse(body));
+    if (!parsed.success) {
+      respondJson(response, 400, { error: 'expected a JSON object' });
+      return;
+    }
+    this.#runningCount += 1;
+    this.startedCount += 1;
+    response.once('close', () => {
+      this.#runningCount -= 1;
+    });
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    const firstIndex = Number(request.headers[RESUME_HEADER] ?? 0);
+    this.#stream(response, body, firstIndex, parsed.data.max_tokens);
+  }
+
+  static #parse(body: string): unknown {
+    try {
+      return JSON.parse(body);
+    } catch {
+      return undefined;
+    }
+  }
+
+  #stream(response: ServerResponse, body: string, index: number, count: number): void {
+    if (response.destroyed) {
+      return;
+    }
+    if (index >= count) {
+      response.end(index === count ? completionEnd : '');
+      return;
+    }
+    const hasRoom = response.write(completionChunk(body, index));
+    const next = (): void => this.#stream(response, body, index + 1, count);
+    if (!hasRoom) {
+      response.once('drain', next);
+    } else if (this.options.tokenIntervalMs > 0) {
+      setTimeout(next, this.options.tokenIntervalMs);
+    } else {
+      setImmediate(next);
+    }
+  }
+
+  /** Cuts every connection and starts over, cold. */
+  #fallOver(): void {
+    this.crashCount += 1;
+    this.#coldUntilMs = performance.now() + this.options.coldMs;
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,6 @@
+/** @module Public interface of the stand-ins. */
+export { ConfigurationStandIn, ConfigurationMode } from './configuration-stand-in.js';
+export { EngineStandIn, type EngineOptions } from './engine-stand-in.js';
+export { completionChunk, completionEnd } from './completion.js';
+export { listen, readBody } from './http-util.js';
+export { PlainStandIn, type PlainOptions } from './plain-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/plain-stand-in.ts
@@ -0,0 +1,81 @@
+/** @module Stand-in for a plain service that counts how often each call ran. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { listen, readBody, respondJson } from './http-util.js';
+
+/** How the service behaves. */
+export interface PlainOptions {
+  /** Time that a call is held before it runs. */
+  readonly holdMs: number;
+  /** Whether a repeated idempotency key is answered from the first run. */
+  readonly checksKeys: boolean;
+}
+
+/** Serves calls and counts them. */
+export class PlainStandIn {
+  readonly #server: Server;
+
+  readonly #runsByBody = new Map<string, number>();
+
+  readonly #numberByKey = new Map<string, number>();
+
+  #runCount = 0;
+
+  private constructor(private readonly options: PlainOptions) {
+    this.#server = createServer((request, response) => this.#onRequest(request, response));
+  }
+
+  /**
+   * Creates a service, not yet listening.
+   *
+   * @example
+   * const enrolment = PlainStandIn.create({ holdMs: 0, checksKeys: false });
+   */
+  static create(options: PlainOptions): PlainStandIn {
+    return new PlainStandIn(options);
+  }
+
+  /** Starts to serve; resolves with the port number. */
+  listen(port: number): Promise<number> {
+    return listen(this.#server, port);
+  }
+
+  /** Stops at once. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** How often a call with this body ran. */
+  runsOf(body: string): number {
+    return this.#runsByBody.get(body) ?? 0;
+  }
+
+  #onRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === '/health') {
+      respondJson(response, 200, { isCold: false });
+      return;
+    }
+    if (request.url === '/runs') {
+      respondJson(response, 200, Object.fromEntries(this.#runsByBody));
+      return;
+    }
+    if (request.method === 'GET') {
+      respondJson(response, 200, { path: request.url, inStockCount: 7 });
+      return;
+    }
+    readBody(request, (body) => {
+      setTimeout(() => this.#run(request, response, body), this.options.holdMs);
+    });
+  }
+
+  #run(request: IncomingMessage, response: ServerResponse, body: string): void {
+    const key = String(request.headers['idempotency-key'] ?? '');
+    const known = this.options.checksKeys ? this.#numberByKey.get(key) : undefined;
+    if (known === undefined) {
+      this.#runCount += 1;
+      this.#runsByBody.set(body, this.runsOf(body) + 1);
+      this.#numberByKey.set(key, this.#runCount);
+    }
+    respondJson(response, 200, { licenceNumber: known ?? this.#runCount });
+  }
+}
--- /dev/null
+++ b/packages/transport/src/admin-router.ts
@@ -0,0 +1,45 @@
+/** @module Control calls for operators, as a typed router. */
+import type { LoadReport, Peer, ProcessRole } from '@ebonysill/core';
+import { initTRPC } from '@trpc/server';
+import { z } from 'zod';
+import type { JournalLine } from './journal.js';
+
+/** What a process tells about itself. */
+export interface ProcessStatus {
+  readonly processId: string;
+  readonly role: ProcessRole;
+  readonly availabilityZone: string;
+  readonly revision: number;
+  readonly load: LoadReport | undefined;
+  readonly peers: readonly Peer[];
+  /** Resident memory of the process. */
+  readonly residentBytes: number;
+  readonly uptimeMs: number;
+}
+
+/** What the router calls. */
+export interface AdminFunctions {
+  readonly readStatus: () => ProcessStatus;
+  readonly explain: (requestId: string) => readonly JournalLine[];
+}
+
+const trpc = initTRPC.create();
+
+const MAX_REQUEST_ID_CHARS = 64;
+
+/**
+ * Builds the router of one process.
+ *
+ * @example
+ * const router = adminRouter({ readStatus, explain });
+ */
+export const adminRouter = ({ readStatus, explain }: AdminFunctions) =>
+  trpc.router({
+    status: trpc.procedure.query(() => readStatus()),
+    explain: trpc.procedure
+      .input(z.object({ requestId: z.string().max(MAX_REQUEST_ID_CHARS) }))
+      .query(({ input }) => explain(input.requestId)),
+  });
+
+/** Type of the router, for clients. */
+export type AdminRouter = ReturnType<typeof adminRouter>;
--- /dev/null
+++ b/packages/transport/src/caller-port.ts
@@ -0,0 +1,232 @@
+/** @module The HTTP front end for callers. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import {
+  EffectKind,
+  EventKind,
+  Outcome,
+  Reason,
+  notRun,
+  type AnswerChunkEffect,
+  type AnswerEndEffect,
+  type AnswerHeadEffect,
+  type AnswerKeyEffect,
+  type AnswerProblemEffect,
+  type Event,
+  type Problem,
+} from '@ebonysill/core';
+import { decodeCallerRequest, isProblem } from './caller-request.js';
+import { statusOf } from './problem-status.js';
+
+/** Longest request body. */
+const MAX_BODY_BYTES = 1_048_576;
+
+/** Longest request header block. */
+const MAX_HEADER_BYTES = 16_384;
+
+/** Time for a caller to send its whole request. */
+const REQUEST_TIMEOUT_MS = 30_000;
+
+const PROBLEM_TYPE = 'application/problem+json';
+
+const EVENT_STREAM = 'text/event-stream';
+
+/** What the port is created from. */
+export interface CallerPortOptions {
+  readonly post: (event: Event) => void;
+  /** Answers `GET /healthz`, `GET /readyz` and `GET /metrics`; undefined for other paths. */
+  readonly readPage: (path: string) => Page | undefined;
+}
+
+/** A page that the process itself serves. */
+export interface Page {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+type AnswerEffect =
+  AnswerHeadEffect | AnswerChunkEffect | AnswerEndEffect | AnswerKeyEffect | AnswerProblemEffect;
+
+const problemBody = (problem: Problem, requestId: string): string =>
+  JSON.stringify({
+    type: `urn:ebonysill:${problem.reason}`,
+    title: problem.reason,
+    status: statusOf(problem),
+    detail: problem.detail,
+    outcome: problem.outcome,
+    reason: problem.reason,
+    requestId,
+  });
+
+/** Serves callers over HTTP. */
+export class CallerPort {
+  readonly #responses = new Map<string, ServerResponse>();
+
+  readonly #server: Server;
+
+  #exchangeCount = 0;
+
+  private constructor(private readonly options: CallerPortOptions) {
+    this.#server = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
+      (request, response) => this.#onRequest(request, response),
+    );
+  }
+
+  /**
+   * Creates the front end, not yet listening.
+   *
+   * @example
+   * const callers = CallerPort.create({ post, readPage });
+   */
+  static create(options: CallerPortOptions): CallerPort {
+    return new CallerPort(options);
+  }
+
+  /** Accepts callers; resolves with the port number in use. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, () => {
+        this.#server.off('error', reject);
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Stops accepting connections; requests in progress go on. */
+  stopAccepting(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** Closes what is left. */
+  shutdown(): void {
+    this.#server.closeAllConnections();
+  }
+
+  /** Performs one part of an answer. */
+  perform(effect: AnswerEffect): void {
+    const response = this.#responses.get(effect.exchangeId);
+    if (response === undefined) {
+      return;
+    }
+    switch (effect.kind) {
+      case EffectKind.AnswerHead:
+        CallerPort.#writeHead(response, effect);
+        return;
+      case EffectKind.AnswerChunk:
+        this.#writeChunk(response, effect);
+        return;
+      case EffectKind.AnswerEnd:
+        this.#responses.delete(effect.exchangeId);
+        response.end();
+        return;
+      case EffectKind.AnswerKey:
+        this.#responses.delete(effect.exchangeId);
+        CallerPort.#writeKey(response, effect);
+        return;
+      case EffectKind.AnswerProblem:
+        this.#responses.delete(effect.exchangeId);
+        CallerPort.#writeProblem(response, effect.problem, effect.requestId);
+        return;
+      default:
+        effect satisfies never;
+    }
+  }
+
+  static #writeHead(response: ServerResponse, effect: AnswerHeadEffect): void {
+    response.writeHead(effect.status, {
+      'content-type': effect.contentType,
+      'ebonysill-request-id': effect.requestId,
+      'ebonysill-outcome': Outcome.Done,
+    });
+    response.flushHeaders();
+  }
+
+  #writeChunk(response: ServerResponse, { exchangeId, data }: AnswerChunkEffect): void {
+    response.write(data, 'latin1', (error) => {
+      if (error === undefined || error === null) {
+        this.options.post({ kind: EventKind.CallerFlushed, exchangeId, chunkCount: 1 });
+      }
+    });
+  }
+
+  static #writeKey(response: ServerResponse, effect: AnswerKeyEffect): void {
+    response.writeHead(201, {
+      'content-type': 'application/json',
+      'ebonysill-request-id': effect.requestId,
+      'ebonysill-outcome': Outcome.Done,
+    });
+    response.end(JSON.stringify({ idempotencyKey: effect.idempotencyKey }));
+  }
+
+  /** Before the head: a problem document. After it: a visible cut, never a proper end. */
+  static #writeProblem(response: ServerResponse, problem: Problem, requestId: string): void {
+    const body = problemBody(problem, requestId);
+    if (!response.headersSent) {
+      response.writeHead(statusOf(problem), {
+        'content-type': PROBLEM_TYPE,
+        'ebonysill-request-id': requestId,
+        'ebonysill-outcome': problem.outcome,
+      });
+      response.end(body);
+      return;
+    }
+    if (response.getHeader('content-type') === EVENT_STREAM) {
+      response.write(`event: error\ndata: ${body}\n\n`, () => response.destroy());
+      return;
+    }
+    response.destroy();
+  }
+
+  #onRequest(request: IncomingMessage, response: ServerResponse): void {
+    const page = request.method === 'GET' ? this.options.readPage(request.url ?? '') : undefined;
+    if (page !== undefined) {
+      response.writeHead(page.status, { 'content-type': page.contentType });
+      response.end(page.body);
+      return;
+    }
+    this.#readBody(request, response);
+  }
+
+  #readBody(request: IncomingMessage, response: ServerResponse): void {
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on('data', (part: Buffer) => {
+      sizeBytes += part.length;
+      if (sizeBytes <= MAX_BODY_BYTES) {
+        parts.push(part);
+      } else if (!response.headersSent) {
+        const detail = `the body is longer than ${MAX_BODY_BYTES} bytes`;
+        response.setHeader('connection', 'close');
+        CallerPort.#writeProblem(response, notRun(Reason.TooLarge, detail), '');
+      }
+    });
+    request.on('end', () => {
+      if (sizeBytes <= MAX_BODY_BYTES) {
+        this.#dispatch(request, response, Buffer.concat(parts).toString('latin1'));
+      }
+    });
+  }
+
+  #dispatch(request: IncomingMessage, response: ServerResponse, body: string): void {
+    this.#exchangeCount += 1;
+    const exchangeId = `exchange-${this.#exchangeCount}`;
+    const decoded = decodeCallerRequest(exchangeId, request, body);
+    if (isProblem(decoded)) {
+      CallerPort.#writeProblem(response, decoded, exchangeId);
+      return;
+    }
+    this.#responses.set(exchangeId, response);
+    response.once('close', () => this.#onClose(exchangeId));
+    this.options.post(decoded);
+  }
+
+  #onClose(exchangeId: string): void {
+    if (this.#responses.delete(exchangeId)) {
+      this.options.post({ kind: EventKind.CallerGone, exchangeId });
+    }
+  }
+}
--- /dev/null
+++ b/packages/transport/src/chunk-splitter.ts
@@ -0,0 +1,60 @@
+/** @module Cuts a target's answer into the same chunks every time. */
+
+const EVENT_STREAM = 'text/event-stream';
+
+const EVENT_END = '\n\n';
+
+/** Characters of a chunk of an answer that is no event stream. */
+const PLAIN_CHUNK_CHARS = 16_384;
+
+/** Cuts text into whole chunks. */
+export interface ChunkSplitter {
+  /** Adds text; returns the chunks that are whole. */
+  readonly push: (text: string) => readonly string[];
+  /** Returns what is left at the end of the answer. */
+  readonly flush: () => readonly string[];
+}
+
+type FindEnd = (held: string) => number;
+
+const endOfEvent: FindEnd = (held) => {
+  const index = held.indexOf(EVENT_END);
+  return index < 0 ? -1 : index + EVENT_END.length;
+};
+
+const endOfPlainChunk: FindEnd = (held) =>
+  held.length < PLAIN_CHUNK_CHARS ? -1 : PLAIN_CHUNK_CHARS;
+
+const splitBy = (findEnd: FindEnd): ChunkSplitter => {
+  let held = '';
+  return {
+    push: (text) => {
+      held += text;
+      const chunks: string[] = [];
+      let end = findEnd(held);
+      while (end > 0) {
+        chunks.push(held.slice(0, end));
+        held = held.slice(end);
+        end = findEnd(held);
+      }
+      return chunks;
+    },
+    flush: () => {
+      const rest = held === '' ? [] : [held];
+      held = '';
+      return rest;
+    },
+  };
+};
+
+/** Chooses the splitter for a content type. */
+export type CreateSplitter = (contentType: string) => ChunkSplitter;
+
+/**
+ * Splits an event stream at its events, anything else into pieces of one size.
+ *
+ * @example
+ * createSplitter('text/event-stream').push('data: 1\n\ndata: 2'); // ['data: 1\n\n']
+ */
+export const createSplitter: CreateSplitter = (contentType) =>
+  splitBy(contentType.startsWith(EVENT_STREAM) ? endOfEvent : endOfPlainChunk);
--- /dev/null
+++ b/packages/transport/src/configuration-port.ts
@@ -0,0 +1,75 @@
+/** @module Reads and watches the configuration service over HTTP. */
+import { EventKind, type Event } from '@ebonysill/core';
+import { SettingsVerdict, describeProblem, parseConfiguration } from '@ebonysill/settings';
+import { Agent } from 'undici';
+
+/** Longest time that the configuration service may hold a watch. */
+const WATCH_TIMEOUT_MS = 40_000;
+
+const OK = 200;
+
+const NO_CONTENT = 204;
+
+/** Longest value that the configuration service holds. */
+const MAX_VALUE_CHARS = 1_048_576;
+
+/** Reads the configuration. */
+export class ConfigurationPort {
+  readonly #agent = new Agent({ headersTimeout: WATCH_TIMEOUT_MS, bodyTimeout: WATCH_TIMEOUT_MS });
+
+  private constructor(
+    private readonly serviceUrl: string,
+    private readonly post: (event: Event) => void,
+  ) {}
+
+  /**
+   * Creates a port to the configuration service at an address.
+   *
+   * @example
+   * const configuration = ConfigurationPort.create('http://127.0.0.1:7000', post);
+   */
+  static create(serviceUrl: string, post: (event: Event) => void): ConfigurationPort {
+    return new ConfigurationPort(serviceUrl, post);
+  }
+
+  /** Waits for a revision above the given one; the result is posted as an event. */
+  read(aboveRevision: number): void {
+    this.#fetch(aboveRevision)
+      .then((text) => (text === undefined ? this.read(aboveRevision) : this.#accept(text)))
+      .catch((error: unknown) => {
+        const detail = error instanceof Error ? error.message : 'no answer';
+        this.post({ kind: EventKind.ConfigurationUnavailable, detail });
+      });
+  }
+
+  /** Closes the connections. */
+  async shutdown(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #fetch(aboveRevision: number): Promise<string | undefined> {
+    const { statusCode, body } = await this.#agent.request({
+      origin: this.serviceUrl,
+      path: `/v1/configuration?above=${aboveRevision}`,
+      method: 'GET',
+    });
+    const text = await body.text();
+    if (statusCode === NO_CONTENT) {
+      return undefined;
+    }
+    if (statusCode !== OK || text.length > MAX_VALUE_CHARS) {
+      throw new Error(`the configuration service answered with status ${statusCode}`);
+    }
+    return text;
+  }
+
+  #accept(text: string): void {
+    const result = parseConfiguration(text, 'configuration');
+    if (result.kind === SettingsVerdict.Accepted) {
+      this.post({ kind: EventKind.ConfigurationRead, configuration: result.value });
+      return;
+    }
+    const detail = result.problems.map(describeProblem).join('; ');
+    this.post({ kind: EventKind.ConfigurationUnavailable, detail });
+  }
+}
--- /dev/null
+++ b/packages/transport/src/frame-reader.ts
@@ -0,0 +1,57 @@
+/** @module Splits a byte stream into frames: a four-byte length, then that many bytes. */
+
+/** Bytes of the length before each frame. */
+export const FRAME_HEADER_BYTES = 4;
+
+/** Longest frame that is accepted. */
+export const MAX_FRAME_BYTES = 4 * 1_024 * 1_024;
+
+/** Collects bytes until frames are whole. */
+export class FrameReader {
+  #held: Buffer = Buffer.alloc(0);
+
+  private constructor() {}
+
+  /**
+   * Creates a reader at the start of a stream.
+   *
+   * @example
+   * const reader = FrameReader.create();
+   */
+  static create(): FrameReader {
+    return new FrameReader();
+  }
+
+  /** Adds bytes; returns the frames that are whole, or undefined when one is too long. */
+  push(bytes: Buffer): readonly Buffer[] | undefined {
+    this.#held = this.#held.length === 0 ? bytes : Buffer.concat([this.#held, bytes]);
+    const frames: Buffer[] = [];
+    let offset = 0;
+    while (this.#held.length - offset >= FRAME_HEADER_BYTES) {
+      const sizeBytes = this.#held.readUInt32BE(offset);
+      if (sizeBytes > MAX_FRAME_BYTES) {
+        return undefined;
+      }
+      const start = offset + FRAME_HEADER_BYTES;
+      if (this.#held.length < start + sizeBytes) {
+        break;
+      }
+      frames.push(this.#held.subarray(start, start + sizeBytes));
+      offset = start + sizeBytes;
+    }
+    this.#held = this.#held.subarray(offset);
+    return frames;
+  }
+}
+
+/**
+ * Puts the length before a frame.
+ *
+ * @example
+ * socket.write(frame(encodeMessage(message)));
+ */
+export const frame = (payload: Buffer): Buffer => {
+  const header = Buffer.alloc(FRAME_HEADER_BYTES);
+  header.writeUInt32BE(payload.length);
+  return Buffer.concat([header, payload]);
+};
--- /dev/null
+++ b/packages/transport/src/message-schema.ts
@@ -0,0 +1,138 @@
+/** @module Shapes of the messages between processes, checked on arrival. */
+import {
+  Continuation,
+  DuplicateCheck,
+  MessageKind,
+  Outcome,
+  ProcessRole,
+  Reason,
+  ServiceKind,
+  TargetState,
+  ZoneState,
+  type Message,
+} from '@ebonysill/core';
+import { z } from 'zod';
+
+const MAX_ID_CHARS = 256;
+
+const id = z.string().max(MAX_ID_CHARS);
+
+const count = z.int().min(0);
+
+const load = z.object({
+  targetId: id,
+  state: z.enum(TargetState),
+  runningCount: count,
+  waitingCount: count,
+  limit: count,
+});
+
+const suspicions = z.array(z.object({ fingerprint: id, crashCount: count }));
+
+const problem = z.object({
+  outcome: z.enum(Outcome),
+  reason: z.enum(Reason),
+  detail: z.string(),
+});
+
+const request = z.object({
+  service: id,
+  method: id,
+  path: z.string(),
+  contentType: id,
+  body: z.string(),
+});
+
+const configuration = z.object({
+  revision: count,
+  availabilityZones: z.array(z.object({ name: id, state: z.enum(ZoneState) })),
+  services: z.array(
+    z.object({
+      name: id,
+      kind: z.enum(ServiceKind),
+      continuation: z.enum(Continuation),
+      duplicateCheck: z.enum(DuplicateCheck),
+      idempotentCalls: z.array(z.object({ method: id, pathPrefix: z.string() })),
+      deadlineMs: count,
+    }),
+  ),
+  targets: z.array(
+    z.object({
+      targetId: id,
+      service: id,
+      availabilityZone: id,
+      sidecarHost: id,
+      sidecarPort: count,
+      concurrency: count,
+      coldConcurrency: count,
+    }),
+  ),
+  organisations: z.array(
+    z.object({
+      organisationId: id,
+      credentialSha256: id,
+      maxInProgress: count,
+      weight: z.number(),
+    }),
+  ),
+});
+
+const report = {
+  revision: count,
+  load: load.exactOptional(),
+  suspicions: suspicions.exactOptional(),
+};
+
+const run = {
+  kind: z.literal(MessageKind.Run),
+  runId: id,
+  requestId: id,
+  organisationId: id,
+  request,
+  key: id.exactOptional(),
+  timeLeftMs: z.number().min(0),
+  priority: z.int(),
+  fingerprint: id,
+  crashCount: count,
+  deliveredCount: count,
+  continuation: z.enum(Continuation),
+  deliveredText: z.string().exactOptional(),
+};
+
+/** Any message between processes. */
+export const messageSchema: z.ZodType<Message> = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(MessageKind.RunChunk), runId: id, sequence: count, data: z.string() }),
+  z.object({
+    kind: z.literal(MessageKind.Hello),
+    processId: id,
+    incarnation: id,
+    role: z.enum(ProcessRole),
+    availabilityZone: id,
+    revision: count,
+  }),
+  z.object({ kind: z.literal(MessageKind.Heartbeat), ...report }),
+  z.object({ kind: z.literal(MessageKind.HeartbeatAck), ...report }),
+  z.object({ kind: z.literal(MessageKind.ConfigurationRequest) }),
+  z.object({ kind: z.literal(MessageKind.ConfigurationValue), configuration }),
+  z.object({ kind: z.literal(MessageKind.MintKey), runId: id, organisationId: id }),
+  z.object({ kind: z.literal(MessageKind.KeyMinted), runId: id, key: id }),
+  z.object({ kind: z.literal(MessageKind.KeyRefused), runId: id, problem }),
+  z.object(run),
+  z.object({ kind: z.literal(MessageKind.Tombstone), runId: id, organisationId: id, key: id }),
+  z.object({ kind: z.literal(MessageKind.Cancel), runId: id }),
+  z.object({ kind: z.literal(MessageKind.Credit), runId: id, chunkCount: count }),
+  z.object({ kind: z.literal(MessageKind.RunHead), runId: id, status: count, contentType: id }),
+  z.object({
+    kind: z.literal(MessageKind.RunEnd),
+    runId: id,
+    chunkCount: count,
+    load: load.exactOptional(),
+  }),
+  z.object({
+    kind: z.literal(MessageKind.RunFailed),
+    runId: id,
+    problem,
+    load: load.exactOptional(),
+    suspicions: suspicions.exactOptional(),
+  }),
+]);
--- /dev/null
+++ b/packages/transport/src/process-host.ts
@@ -0,0 +1,156 @@
+/** @module Puts a kernel, its services and the ports together into one process. */
+import { randomBytes } from 'node:crypto';
+import {
+  EffectKind,
+  type AnyRegistration,
+  type Directory,
+  type Effect,
+  type Event,
+  type FindService,
+  type LogEffect,
+  type Runtime,
+} from '@ebonysill/core';
+import { Kernel } from '@ebonysill/kernel';
+import type { CallerPort } from './caller-port.js';
+import type { ConfigurationPort } from './configuration-port.js';
+import { LinkPort } from './link-port.js';
+import type { TargetPort } from './target-port.js';
+import { TimerPort } from './timer-port.js';
+
+/** Ports that only some roles have, and what surrounds the process. */
+export interface ProcessHostOptions {
+  readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
+  readonly createCallerPort?: (post: (event: Event) => void) => CallerPort;
+  readonly createTargetPort?: (post: (event: Event) => void) => TargetPort;
+  readonly createConfigurationPort?: (post: (event: Event) => void) => ConfigurationPort;
+  readonly onLog: (effect: LogEffect) => void;
+  readonly onDrained: () => void;
+  readonly onBroken: (error: unknown) => void;
+}
+
+const RANDOM_BYTES = 6;
+
+const RANDOM_RANGE = 2 ** (8 * RANDOM_BYTES);
+
+/** Clock and random numbers of a real process. */
+export const systemRuntime: Runtime = {
+  nowMs: () => performance.now(),
+  random: () => randomBytes(RANDOM_BYTES).readUIntBE(0, RANDOM_BYTES) / RANDOM_RANGE,
+};
+
+/** One running process. */
+export class ProcessHost {
+  readonly links: LinkPort;
+
+  readonly callers: CallerPort | undefined;
+
+  readonly #target: TargetPort | undefined;
+
+  readonly #configuration: ConfigurationPort | undefined;
+
+  readonly #timers: TimerPort;
+
+  readonly #kernel: Kernel<Directory, Event, Effect>;
+
+  private constructor(private readonly options: ProcessHostOptions) {
+    const post = (event: Event): void => this.#kernel.post(event);
+    this.links = LinkPort.create(post);
+    this.#timers = TimerPort.create(post);
+    this.callers = options.createCallerPort?.(post);
+    this.#target = options.createTargetPort?.(post);
+    this.#configuration = options.createConfigurationPort?.(post);
+    this.#kernel = Kernel.create<Directory, Event, Effect>({
+      services: options.createServices(systemRuntime),
+      nowMs: systemRuntime.nowMs,
+      perform: (effect) => this.#perform(effect),
+      onDrained: () => options.onDrained(),
+      onBroken: (error) => options.onBroken(error),
+    });
+  }
+
+  /**
+   * Creates a process with its ports, not yet started.
+   *
+   * @example
+   * const host = ProcessHost.create(options);
+   * host.start();
+   */
+  static create(options: ProcessHostOptions): ProcessHost {
+    return new ProcessHost(options);
+  }
+
+  /** Returns the API of a service of this process. */
+  get find(): FindService {
+    return this.#kernel.find;
+  }
+
+  /** Starts the services. */
+  start(): void {
+    this.#kernel.start();
+  }
+
+  /** Begins the drain phase. */
+  drain(): void {
+    this.callers?.stopAccepting();
+    this.#kernel.drain();
+  }
+
+  /** Closes every port. */
+  async shutdown(): Promise<void> {
+    this.#kernel.kill();
+    this.#timers.shutdown();
+    this.links.shutdown();
+    this.callers?.shutdown();
+    await Promise.all([this.#target?.shutdown(), this.#configuration?.shutdown()]);
+  }
+
+  #perform(effect: Effect): void {
+    switch (effect.kind) {
+      case EffectKind.AnswerHead:
+      case EffectKind.AnswerChunk:
+      case EffectKind.AnswerEnd:
+      case EffectKind.AnswerKey:
+      case EffectKind.AnswerProblem:
+        this.callers?.perform(effect);
+        return;
+      case EffectKind.OpenLink:
+        this.links.open(effect);
+        return;
+      case EffectKind.CloseLink:
+        this.links.close(effect.linkId);
+        return;
+      case EffectKind.Send:
+        this.links.send(effect.linkId, effect.message);
+        return;
+      case EffectKind.SetTimer:
+        this.#timers.set(effect);
+        return;
+      case EffectKind.ClearTimer:
+        this.#timers.clear(effect);
+        return;
+      case EffectKind.ReadConfiguration:
+        this.#configuration?.read(effect.aboveRevision);
+        return;
+      case EffectKind.CallTarget:
+        this.#target?.call(effect);
+        return;
+      case EffectKind.AbortTarget:
+        this.#target?.abort(effect.callId);
+        return;
+      case EffectKind.PauseTarget:
+        this.#target?.pause(effect.callId);
+        return;
+      case EffectKind.ResumeTarget:
+        this.#target?.resume(effect.callId);
+        return;
+      case EffectKind.ReadTargetHealth:
+        this.#target?.readHealth();
+        return;
+      case EffectKind.Log:
+        this.options.onLog(effect);
+        return;
+      default:
+        effect satisfies never;
+    }
+  }
+}
--- /dev/null
+++ b/packages/transport/src/target-port.ts
@@ -0,0 +1,165 @@
+/** @module Calls to the target beside this process, over HTTP. */
+import type { Readable } from 'node:stream';
+import { EventKind, TargetErrorStage, type CallTargetEffect, type Event } from '@ebonysill/core';
+import { Agent, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import { createSplitter } from './chunk-splitter.js';
+
+/** Time for the target to answer a health read. */
+const HEALTH_TIMEOUT_MS = 400;
+
+/** Failures that prove that no request was written. */
+const BEFORE_WRITE_CODES: readonly string[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+];
+
+const healthSchema = z.object({ isCold: z.boolean() });
+
+const codeOf = (error: unknown): string =>
+  error instanceof Error && 'code' in error ? String(error.code) : '';
+
+/** Calls the target. */
+export class TargetPort {
+  readonly #abortControllers = new Map<string, AbortController>();
+
+  readonly #bodies = new Map<string, Readable>();
+
+  /** Connections that are kept; for calls that may be repeated. */
+  readonly #shared = new Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 1 });
+
+  /** A new connection for each call, so that a failure to connect proves that nothing ran. */
+  readonly #single = new Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 0 });
+
+  private constructor(
+    private readonly targetUrl: string,
+    private readonly post: (event: Event) => void,
+  ) {}
+
+  /**
+   * Creates a port to the target at an address.
+   *
+   * @example
+   * const target = TargetPort.create('http://127.0.0.1:8000', post);
+   */
+  static create(targetUrl: string, post: (event: Event) => void): TargetPort {
+    return new TargetPort(targetUrl, post);
+  }
+
+  /** Sends a request once; the answer is posted as events. */
+  call(effect: CallTargetEffect): void {
+    const { callId } = effect;
+    const controller = new AbortController();
+    this.#abortControllers.set(callId, controller);
+    this.#request(effect, controller.signal)
+      .then((response) => this.#relay(callId, response))
+      .catch((error: unknown) => this.#onError(callId, error));
+  }
+
+  /** Gives up a call; nothing more is posted about it. */
+  abort(callId: string): void {
+    const controller = this.#abortControllers.get(callId);
+    this.#forget(callId);
+    controller?.abort();
+  }
+
+  /** Stops reading an answer. */
+  pause(callId: string): void {
+    this.#bodies.get(callId)?.pause();
+  }
+
+  /** Goes on reading an answer. */
+  resume(callId: string): void {
+    this.#bodies.get(callId)?.resume();
+  }
+
+  /** Reads the target's health; the result is posted as an event. */
+  readHealth(): void {
+    this.#shared
+      .request({
+        origin: this.targetUrl,
+        path: '/health',
+        method: 'GET',
+        signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
+      })
+      .then(({ body }) => body.json())
+      .then((json) => healthSchema.parse(json))
+      .then(({ isCold }) => this.post({ kind: EventKind.TargetHealth, isUp: true, isCold }))
+      .catch(() => this.post({ kind: EventKind.TargetHealth, isUp: false, isCold: true }));
+  }
+
+  /** Closes the connections. */
+  async shutdown(): Promise<void> {
+    await Promise.all([this.#shared.destroy(), this.#single.destroy()]);
+  }
+
+  #request(effect: CallTargetEffect, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+    const { request, requestId, idempotencyKey, deliveredCount, deliveredText } = effect;
+    const agent = idempotencyKey === undefined ? this.#shared : this.#single;
+    const hasBody = request.body !== '';
+    return agent.request({
+      origin: this.targetUrl,
+      path: request.path,
+      method: request.method as Dispatcher.HttpMethod,
+      headers: {
+        'x-request-id': requestId,
+        ...(request.contentType === '' ? {} : { 'content-type': request.contentType }),
+        ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+        ...(deliveredCount === 0 ? {} : { 'x-resume-after-chunks': String(deliveredCount) }),
+        ...(deliveredCount === 0 || deliveredText === undefined
+          ? {}
+          : { 'x-resume-text-chars': String(deliveredText.length) }),
+      },
+      body: hasBody ? Buffer.from(request.body, 'latin1') : null,
+      idempotent: false,
+      signal,
+    });
+  }
+
+  #relay(callId: string, { statusCode, headers, body }: Dispatcher.ResponseData): void {
+    if (!this.#abortControllers.has(callId)) {
+      body.destroy();
+      return;
+    }
+    const contentType = String(headers['content-type'] ?? '');
+    const splitter = createSplitter(contentType);
+    this.#bodies.set(callId, body);
+    this.post({ kind: EventKind.TargetHead, callId, status: statusCode, contentType });
+    body.on('data', (bytes: Buffer) => {
+      this.#postChunks(callId, splitter.push(bytes.toString('latin1')));
+    });
+    body.on('end', () => {
+      this.#postChunks(callId, splitter.flush());
+      this.#postLast(callId, { kind: EventKind.TargetEnd, callId });
+    });
+    body.on('error', (error) => this.#onError(callId, error));
+  }
+
+  #postChunks(callId: string, chunks: readonly string[]): void {
+    chunks.forEach((data) => {
+      if (this.#abortControllers.has(callId)) {
+        this.post({ kind: EventKind.TargetChunk, callId, data });
+      }
+    });
+  }
+
+  #onError(callId: string, error: unknown): void {
+    const isBeforeWrite = BEFORE_WRITE_CODES.includes(codeOf(error));
+    const stage = isBeforeWrite ? TargetErrorStage.BeforeWrite : TargetErrorStage.AfterWrite;
+    this.#postLast(callId, { kind: EventKind.TargetError, callId, stage, detail: codeOf(error) });
+  }
+
+  #postLast(callId: string, event: Event): void {
+    if (this.#abortControllers.has(callId)) {
+      this.#forget(callId);
+      this.post(event);
+    }
+  }
+
+  #forget(callId: string): void {
+    this.#abortControllers.delete(callId);
+    this.#bodies.delete(callId);
+  }
+}
