--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -13,9 +13,30 @@
   ...configs.base.typescript,
   prettier,
   {
+    files: ['**/*.ts'],
     rules: {
       // Node resolves ES modules by their full file name, so the extension cannot be left out.
       'import-x/extensions': ['error', 'ignorePackages', { js: 'always', ts: 'never' }],
+      // Programs are compiled from src/bin to dist/src/bin.
+      'n/hashbang': [
+        'error',
+        { convertPath: { 'src/**/*.ts': ['^src/(.+)\\.ts$', 'dist/src/$1.js'] } },
+      ],
+      // Objects are constructed by static create methods, so constructors are private.
+      '@typescript-eslint/no-empty-function': ['error', { allow: ['private-constructors'] }],
+      // Error classes made by modern-errors are typed by this interface, not by Error.
+      '@typescript-eslint/only-throw-error': [
+        'error',
+        {
+          allow: [
+            {
+              from: 'package',
+              package: 'modern-errors',
+              name: ['SpecificErrorInstance', 'ErrorInstance'],
+            },
+          ],
+        },
+      ],
     },
   },
   {
--- a/packages/core/src/timer.ts
+++ b/packages/core/src/TimerKind.ts
@@ -1,7 +1,7 @@
 /** @module Kinds of timers. */
 
 /** What a timer is for. */
-export enum TimerKind {
+enum TimerKind {
   ConfigurationRead = 'configuration-read',
   LinkReopen = 'link-reopen',
   LinkCheck = 'link-check',
@@ -12,3 +12,5 @@
   TargetHealth = 'target-health',
   Hedge = 'hedge',
 }
+
+export default TimerKind;
--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -8,7 +8,7 @@
 } from './configuration.js';
 import type { Effect } from './effect.js';
 import type { CallerRequestEvent, Event } from './event.js';
-import type { CrashSuspicion, LoadReport, TargetState } from './message.js';
+import type { CrashSuspicion, LoadReport, RunMessage, TargetState } from './message.js';
 import type { Problem } from './outcome.js';
 
 /** Names that services register under and are found by. */
@@ -24,6 +24,7 @@
   KeyLedger = 'key-ledger',
   TargetMonitor = 'target-monitor',
   Execution = 'execution',
+  KeyedExecution = 'keyed-execution',
 }
 
 /** The accepted configuration, and questions about it. */
@@ -211,6 +212,22 @@
 /** Runs requests on the target. */
 export interface ExecutionApi {
   readonly load: () => LoadReport;
+  /** Why the process takes no work at all at present. */
+  readonly closedProblem: () => Problem | undefined;
+  /** Queues or refuses a run; a record id marks a non-idempotent one. */
+  readonly accept: (
+    linkId: string,
+    message: RunMessage,
+    recordId: number | undefined,
+  ) => readonly Effect[];
+  /** Adds a subscriber to the run of a record; undefined when there is none. */
+  readonly attach: (
+    linkId: string,
+    message: RunMessage,
+    recordId: number,
+  ) => readonly Effect[] | undefined;
+  /** Ends the run of a record if it still waits; undefined when there is none that waits. */
+  readonly endWaiting: (recordId: number, problem: Problem) => readonly Effect[] | undefined;
 }
 
 /** Every service's API by name. */
@@ -226,6 +243,7 @@
   readonly [ServiceName.KeyLedger]: KeyLedgerApi;
   readonly [ServiceName.TargetMonitor]: TargetMonitorApi;
   readonly [ServiceName.Execution]: ExecutionApi;
+  readonly [ServiceName.KeyedExecution]: object;
 }
 
 /** Finds a service of this system by name. */
--- a/packages/core/src/effect.ts
+++ b/packages/core/src/effect.ts
@@ -1,7 +1,7 @@
 /** @module Effects: everything that a process does to the outside, as data. */
 import type { Message, TargetRequest } from './message.js';
 import type { Outcome, Problem, Reason } from './outcome.js';
-import type { TimerKind } from './timer.js';
+import type TimerKind from './TimerKind.js';
 
 /** Kind of an effect. */
 export enum EffectKind {
--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -1,7 +1,7 @@
 /** @module Events: every input of a process, as data. */
 import type { Configuration } from './configuration.js';
 import type { Message } from './message.js';
-import type { TimerKind } from './timer.js';
+import type TimerKind from './TimerKind.js';
 
 /** Kind of an event. */
 export enum EventKind {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,4 +7,4 @@
 export * from './message.js';
 export * from './outcome.js';
 export * from './runtime.js';
-export * from './timer.js';
+export { default as TimerKind } from './TimerKind.js';
--- a/packages/entry/src/retry-budget.ts
+++ b/packages/entry/src/RetryBudget.ts
@@ -7,7 +7,7 @@
 const MAX_SAVED_RETRIES = 10;
 
 /** Counts the retries that may be spent. */
-export class RetryBudget {
+export default class RetryBudget {
   #saved = MAX_SAVED_RETRIES;
 
   private constructor() {}
--- a/packages/entry/src/admission-service.ts
+++ b/packages/entry/src/admission-service.ts
@@ -11,7 +11,7 @@
   type Runtime,
 } from '@ebonysill/core';
 import { createInstance } from '@ebonysill/kernel';
-import { RetryBudget } from './retry-budget.js';
+import RetryBudget from './RetryBudget.js';
 
 /** Longest wait in the queue. */
 const MAX_WAIT_MS = 10_000;
--- a/packages/entry/src/idempotent-calls-service.ts
+++ b/packages/entry/src/idempotent-calls-service.ts
@@ -1,7 +1,6 @@
 /** @module Serves idempotent calls: attempts, retries, hedges, continued streams. */
 import {
   Admission,
-  Continuation,
   EffectKind,
   EventKind,
   LogLevel,
@@ -30,64 +29,17 @@
 import { clearTimer, log, send, setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
 import { answerEnd, answerProblem, endLog } from './answers.js';
+import { Delivery, IdempotentExchange, type Attempt } from './idempotent-exchange.js';
 import { buildRun } from './run-message.js';
 
-/** First delay before targets are tried again when none can take the request. */
-const RETRY_BASE_MS = 25;
-
-/** Longest such delay. */
-const RETRY_MAX_MS = 800;
-
 /** A second attempt is started when no answer has begun after this time. */
 const HEDGE_DELAY_MS = 300;
 
-/** Flushed chunks that are granted as credit in one message. */
-const CREDIT_BATCH = 16;
-
-/** Delivered text that is kept for a continued stream. */
-const MAX_DELIVERED_CHARS = 1_048_576;
-
 /** What the idempotent calls service is created from. */
 export interface IdempotentCallsOptions {
   readonly runtime: Runtime;
 }
 
-interface Attempt {
-  readonly runId: string;
-  readonly peer: Peer;
-}
-
-interface Exchange {
-  readonly call: Call;
-  attempts: readonly Attempt[];
-  attemptCount: number;
-  /** Times that no target could take the request. */
-  waitCount: number;
-  /** Targets not to try again before the next delay. */
-  excluded: readonly string[];
-  isHeadSent: boolean;
-  deliveredCount: number;
-  deliveredText: string;
-  flushedCount: number;
-  /** Whether some attempt may have run at least in part. */
-  mayHaveRun: boolean;
-  lastProblem: Problem | undefined;
-}
-
-const createExchange = (call: Call): Exchange => ({
-  call,
-  attempts: [],
-  attemptCount: 0,
-  waitCount: 0,
-  excluded: [],
-  isHeadSent: false,
-  deliveredCount: 0,
-  deliveredText: '',
-  flushedCount: 0,
-  mayHaveRun: false,
-  lastProblem: undefined,
-});
-
 const NO_TARGET = notRun(Reason.NoTarget, 'no target could take the request in time');
 
 const QUEUE_TIMEOUT = notRun(Reason.QueueTimeout, 'the request waited too long for its turn');
@@ -98,7 +50,7 @@
 
 /** Serves idempotent calls. */
 class IdempotentCallsService {
-  readonly #exchanges = new Map<string, Exchange>();
+  readonly #exchanges = new Map<string, IdempotentExchange>();
 
   readonly #exchangeIdByRun = new Map<string, string>();
 
@@ -149,7 +101,7 @@
 
   #begin(call: Call): readonly Effect[] {
     const { exchangeId, organisation, event } = call;
-    const exchange = createExchange(call);
+    const exchange = IdempotentExchange.create(call);
     const decision = this.#admission.admit({
       exchangeId,
       organisation,
@@ -187,7 +139,7 @@
       case TimerKind.QueueTimeout:
         return this.#finish(exchange, QUEUE_TIMEOUT);
       case TimerKind.RetryDelay:
-        exchange.excluded = [];
+        exchange.readmitTargets();
         return this.#attempt(exchange);
       case TimerKind.Hedge:
         return this.#hedge(exchange);
@@ -199,7 +151,7 @@
   }
 
   /** Starts one more attempt, or waits until a target can take it. */
-  #attempt(exchange: Exchange): readonly Effect[] {
+  #attempt(exchange: IdempotentExchange): readonly Effect[] {
     const { call } = exchange;
     if (this.#suspects.isRefused(call.fingerprint)) {
       const detail = 'targets crashed while they ran this request';
@@ -209,35 +161,30 @@
     if (peer === undefined) {
       return [this.#waitForTarget(exchange)];
     }
-    const isFirst = exchange.attemptCount === 0;
+    const isFirst = !exchange.wasAttempted;
     return [
       ...this.#startAttempt(exchange, peer),
       ...(isFirst ? [setTimer(TimerKind.Hedge, call.exchangeId, HEDGE_DELAY_MS)] : []),
     ];
   }
 
-  #waitForTarget(exchange: Exchange): Effect {
-    const longestMs = Math.min(RETRY_BASE_MS * 2 ** exchange.waitCount, RETRY_MAX_MS);
-    exchange.waitCount += 1;
-    const delayMs = longestMs * (0.5 + this.runtime.random() / 2);
+  #waitForTarget(exchange: IdempotentExchange): Effect {
+    const delayMs = exchange.nextWaitMs(this.runtime.random);
     return setTimer(TimerKind.RetryDelay, exchange.call.exchangeId, delayMs);
   }
 
-  #pick(exchange: Exchange): Peer | undefined {
-    const inUse = exchange.attempts.map(({ peer }) => peer.processId);
+  #pick({ call, unavailable }: IdempotentExchange): Peer | undefined {
     return this.#routing.pick({
-      service: exchange.call.service.name,
-      excluded: [...exchange.excluded, ...inUse],
-      fingerprint: exchange.call.fingerprint,
+      service: call.service.name,
+      excluded: unavailable,
+      fingerprint: call.fingerprint,
     });
   }
 
-  #startAttempt(exchange: Exchange, peer: Peer): readonly Effect[] {
+  #startAttempt(exchange: IdempotentExchange, peer: Peer): readonly Effect[] {
     const { call, deliveredCount, deliveredText } = exchange;
     const runId = drawId(this.runtime.random);
-    exchange.attempts = [...exchange.attempts, { runId, peer }];
-    exchange.attemptCount += 1;
-    exchange.flushedCount = 0;
+    exchange.start(runId, peer);
     this.#exchangeIdByRun.set(runId, call.exchangeId);
     this.#routing.started(peer.processId);
     const message = buildRun(call, {
@@ -258,7 +205,7 @@
     ];
   }
 
-  #hedge(exchange: Exchange): readonly Effect[] {
+  #hedge(exchange: IdempotentExchange): readonly Effect[] {
     const { call, isHeadSent, attempts } = exchange;
     if (isHeadSent || attempts.length !== 1) {
       return [];
@@ -275,7 +222,7 @@
       return [];
     }
     const exchange = this.#exchanges.get(this.#exchangeIdByRun.get(message.runId) ?? '');
-    const attempt = exchange?.attempts.find(({ runId }) => runId === message.runId);
+    const attempt = exchange?.attempt(message.runId);
     if (exchange === undefined || attempt === undefined) {
       return [];
     }
@@ -296,13 +243,13 @@
   }
 
   /** The first attempt whose answer begins serves the request; others are cancelled. */
-  #onHead(exchange: Exchange, attempt: Attempt, head: RunHeadMessage): readonly Effect[] {
+  #onHead(exchange: IdempotentExchange, attempt: Attempt, head: RunHeadMessage): readonly Effect[] {
     const others = exchange.attempts.filter((other) => other !== attempt);
     const cancels = others.flatMap((other) => this.#cancel(exchange, other));
     if (exchange.isHeadSent) {
       return cancels;
     }
-    exchange.isHeadSent = true;
+    exchange.beginAnswer();
     const { exchangeId, requestId } = exchange.call;
     const { status, contentType } = head;
     return [
@@ -311,32 +258,33 @@
     ];
   }
 
-  #onChunk(exchange: Exchange, attempt: Attempt, chunk: RunChunkMessage): readonly Effect[] {
-    if (chunk.sequence < exchange.deliveredCount) {
-      return [];
-    }
-    if (chunk.sequence > exchange.deliveredCount || !exchange.isHeadSent) {
-      return [...this.#sendCancel(attempt), ...this.#onFailed(exchange, attempt, SEQUENCE_GAP)];
-    }
-    exchange.deliveredCount += 1;
-    if (exchange.call.service.continuation === Continuation.Resume) {
-      exchange.deliveredText += chunk.data;
+  #onChunk(
+    exchange: IdempotentExchange,
+    attempt: Attempt,
+    chunk: RunChunkMessage,
+  ): readonly Effect[] {
+    switch (exchange.take(chunk.sequence, chunk.data)) {
+      case Delivery.Next: {
+        const { exchangeId } = exchange.call;
+        return [{ kind: EffectKind.AnswerChunk, exchangeId, data: chunk.data }];
+      }
+      case Delivery.Gap:
+        return [...this.#sendCancel(attempt), ...this.#onFailed(exchange, attempt, SEQUENCE_GAP)];
+      case Delivery.Repeated:
+      default:
+        return [];
     }
-    const { exchangeId } = exchange.call;
-    return [{ kind: EffectKind.AnswerChunk, exchangeId, data: chunk.data }];
   }
 
-  #onEnd(exchange: Exchange): readonly Effect[] {
+  #onEnd(exchange: IdempotentExchange): readonly Effect[] {
     this.#suspects.clear(exchange.call.fingerprint);
     return [...answerEnd(exchange.call, this.runtime.nowMs()), ...this.#forget(exchange)];
   }
 
-  #onFailed(exchange: Exchange, attempt: Attempt, problem: Problem): readonly Effect[] {
+  #onFailed(exchange: IdempotentExchange, attempt: Attempt, problem: Problem): readonly Effect[] {
     this.#endAttempt(exchange, attempt);
-    exchange.excluded = [...exchange.excluded, attempt.peer.processId];
-    exchange.lastProblem = problem;
+    exchange.fail(attempt, problem);
     const hasRun = problem.outcome !== Outcome.RefusedNotRun;
-    exchange.mayHaveRun ||= hasRun;
     const failed = log(LogLevel.Info, LogTopic.AttemptFailed, {
       requestId: exchange.call.requestId,
       runId: attempt.runId,
@@ -351,9 +299,9 @@
   }
 
   /** Decides whether a request without attempts is tried again. */
-  #goOn(exchange: Exchange, problem: Problem, hasRun: boolean): readonly Effect[] {
+  #goOn(exchange: IdempotentExchange, problem: Problem, hasRun: boolean): readonly Effect[] {
     const { call } = exchange;
-    if (exchange.isHeadSent && !this.#canContinue(exchange)) {
+    if (exchange.isHeadSent && !exchange.canContinue) {
       const detail = 'the answer was cut and cannot be continued';
       return this.#finish(exchange, unknown(Reason.StreamCut, detail));
     }
@@ -363,23 +311,10 @@
     return this.#attempt(exchange);
   }
 
-  #canContinue({ call, deliveredCount, deliveredText }: Exchange): boolean {
-    switch (call.service.continuation) {
-      case Continuation.Resume:
-        return deliveredText.length <= MAX_DELIVERED_CHARS;
-      case Continuation.DeterministicRestart:
-        return true;
-      case Continuation.None:
-        return deliveredCount === 0;
-      default:
-        return call.service.continuation satisfies never;
-    }
-  }
-
   #onLinkClosed(linkId: string): readonly Effect[] {
     return [...this.#exchanges.values()].flatMap((exchange) =>
-      exchange.attempts
-        .filter(({ peer }) => peer.linkId === linkId)
+      exchange
+        .attemptsOn(linkId)
         .flatMap((attempt) => this.#onFailed(exchange, attempt, LINK_LOST)),
     );
   }
@@ -390,14 +325,11 @@
     if (exchange === undefined || attempt === undefined) {
       return [];
     }
-    exchange.flushedCount += chunkCount;
-    if (exchange.flushedCount < CREDIT_BATCH) {
-      return [];
-    }
-    const credit = exchange.flushedCount;
-    exchange.flushedCount = 0;
-    const { runId, peer } = attempt;
-    return [send(peer.linkId, { kind: MessageKind.Credit, runId, chunkCount: credit })];
+    const { runId, peer, credit } = attempt;
+    const granted = credit.add(chunkCount);
+    return granted === 0
+      ? []
+      : [send(peer.linkId, { kind: MessageKind.Credit, runId, chunkCount: granted })];
   }
 
   #onCallerGone(exchangeId: string): readonly Effect[] {
@@ -413,16 +345,16 @@
     ];
   }
 
-  #onDeadline(exchange: Exchange): readonly Effect[] {
+  #onDeadline(exchange: IdempotentExchange): readonly Effect[] {
     const wasSent = exchange.attempts.length > 0;
-    exchange.mayHaveRun ||= wasSent;
+    exchange.abandon();
     const last = exchange.lastProblem ?? NO_TARGET;
     const reason = wasSent ? Reason.DeadlinePassed : last.reason;
     return this.#finish(exchange, notRun(reason, `the deadline passed: ${last.detail}`));
   }
 
   /** Ends a request without a whole answer; "not run" is told only if no attempt may have run. */
-  #finish(exchange: Exchange, problem: Problem): readonly Effect[] {
+  #finish(exchange: IdempotentExchange, problem: Problem): readonly Effect[] {
     const told = exchange.mayHaveRun ? { ...problem, outcome: Outcome.Unknown } : problem;
     return [
       ...this.#cancelAll(exchange),
@@ -431,11 +363,11 @@
     ];
   }
 
-  #cancelAll(exchange: Exchange): readonly Effect[] {
+  #cancelAll(exchange: IdempotentExchange): readonly Effect[] {
     return exchange.attempts.flatMap((attempt) => this.#cancel(exchange, attempt));
   }
 
-  #cancel(exchange: Exchange, attempt: Attempt): readonly Effect[] {
+  #cancel(exchange: IdempotentExchange, attempt: Attempt): readonly Effect[] {
     this.#endAttempt(exchange, attempt);
     return this.#sendCancel(attempt);
   }
@@ -446,14 +378,14 @@
       : [send(peer.linkId, { kind: MessageKind.Cancel, runId })];
   }
 
-  #endAttempt(exchange: Exchange, attempt: Attempt): void {
-    exchange.attempts = exchange.attempts.filter((other) => other !== attempt);
+  #endAttempt(exchange: IdempotentExchange, attempt: Attempt): void {
+    exchange.end(attempt);
     this.#exchangeIdByRun.delete(attempt.runId);
     this.#routing.ended(attempt.peer.processId);
     this.#links.release(attempt.peer.linkId);
   }
 
-  #forget(exchange: Exchange): readonly Effect[] {
+  #forget(exchange: IdempotentExchange): readonly Effect[] {
     const { exchangeId } = exchange.call;
     exchange.attempts.forEach((attempt) => this.#endAttempt(exchange, attempt));
     this.#exchanges.delete(exchangeId);
--- a/packages/entry/src/intake-service.ts
+++ b/packages/entry/src/intake-service.ts
@@ -24,7 +24,7 @@
 } from '@ebonysill/core';
 import { log } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
-import { isIdempotent } from './idempotence.js';
+import isIdempotent from './isIdempotent.js';
 
 const KEY_MISSING = notRun(
   Reason.KeyMissing,
--- a/packages/entry/src/idempotence.ts
+++ b/packages/entry/src/isIdempotent.ts
@@ -10,13 +10,11 @@
  * @example
  * isIdempotent(service, 'GET', '/inventory/7'); // true
  */
-export const isIdempotent = (
-  service: ServiceConfiguration,
-  method: string,
-  path: string,
-): boolean =>
+const isIdempotent = (service: ServiceConfiguration, method: string, path: string): boolean =>
   service.kind === ServiceKind.Model ||
   SAFE_METHODS.includes(method) ||
   service.idempotentCalls.some(
     (call) => call.method === method && path.startsWith(call.pathPrefix),
   );
+
+export default isIdempotent;
--- a/packages/entry/src/keyed-calls-service.ts
+++ b/packages/entry/src/keyed-calls-service.ts
@@ -29,12 +29,13 @@
   type Problem,
   type Registration,
   type RunChunkMessage,
+  type RunHeadMessage,
   type Runtime,
 } from '@ebonysill/core';
 import { clearTimer, send, setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
 import { answerEnd, answerProblem, endLog } from './answers.js';
-import { KeyedPhase, createKeyedExchange, type KeyedExchange } from './keyed-exchange.js';
+import { KeyedExchange, KeyedPhase } from './keyed-exchange.js';
 import { buildRun } from './run-message.js';
 
 /** Time for a sidecar to void a key. */
@@ -43,9 +44,6 @@
 /** Targets that are asked for a key. */
 const MAX_MINT_ATTEMPTS = 4;
 
-/** Flushed chunks that are granted as credit in one message. */
-const CREDIT_BATCH = 16;
-
 /** What the keyed calls service is created from. */
 export interface KeyedCallsOptions {
   readonly runtime: Runtime;
@@ -70,6 +68,16 @@
 
 const CUT = unknown(Reason.StreamCut, 'part of the answer was lost');
 
+const beginAnswer = (exchange: KeyedExchange, head: RunHeadMessage): readonly Effect[] => {
+  if (exchange.isHeadSent) {
+    return [];
+  }
+  exchange.beginAnswer();
+  const { exchangeId, requestId } = exchange.call;
+  const { status, contentType } = head;
+  return [{ kind: EffectKind.AnswerHead, exchangeId, requestId, status, contentType }];
+};
+
 /** Serves keyed calls. */
 class KeyedCallsService {
   readonly #exchanges = new Map<string, KeyedExchange>();
@@ -125,22 +133,22 @@
   }
 
   #mint(call: Call): readonly Effect[] {
-    const exchange = createKeyedExchange(call, undefined, KeyedPhase.AwaitingKey);
+    const exchange = KeyedExchange.create(call, undefined, KeyedPhase.AwaitingKey);
     this.#exchanges.set(call.exchangeId, exchange);
     return [this.#deadlineTimer(call), ...this.#askForKey(exchange)];
   }
 
   #askForKey(exchange: KeyedExchange): readonly Effect[] {
-    const { call, refusedTargets } = exchange;
+    const { call, askedTargets } = exchange;
     const peer = this.#routing.pick({
       service: call.service.name,
-      excluded: refusedTargets,
+      excluded: askedTargets,
       fingerprint: call.fingerprint,
     });
-    if (peer === undefined || refusedTargets.length >= MAX_MINT_ATTEMPTS) {
+    if (peer === undefined || askedTargets.length >= MAX_MINT_ATTEMPTS) {
       return this.#finish(exchange, exchange.refusal ?? NO_TARGET);
     }
-    exchange.refusedTargets = [...refusedTargets, peer.processId];
+    exchange.ask(peer.processId);
     return this.#sendTo(exchange, peer, {
       kind: MessageKind.MintKey,
       runId: this.#newRun(exchange),
@@ -160,7 +168,7 @@
       timeLeftMs: call.deadlineMs - this.runtime.nowMs(),
     });
     if (decision.kind === Admission.Admitted) {
-      const exchange = createKeyedExchange(call, key, KeyedPhase.AwaitingLink);
+      const exchange = KeyedExchange.create(call, key, KeyedPhase.AwaitingLink);
       this.#exchanges.set(call.exchangeId, exchange);
       return [this.#deadlineTimer(call), ...this.#dispatch(exchange)];
     }
@@ -173,15 +181,15 @@
     if (key === undefined) {
       return answerProblem(call, MALFORMED, this.runtime.nowMs());
     }
-    const exchange = createKeyedExchange(call, key, KeyedPhase.AwaitingVoid);
+    const exchange = KeyedExchange.create(call, key, KeyedPhase.AwaitingVoid);
     this.#exchanges.set(call.exchangeId, exchange);
     return this.#startVoid(exchange, problem);
   }
 
   #startVoid(exchange: KeyedExchange, problem: Problem): readonly Effect[] {
     const { exchangeId } = exchange.call;
-    exchange.phase = KeyedPhase.AwaitingVoid;
-    exchange.refusal = problem;
+    exchange.become(KeyedPhase.AwaitingVoid);
+    exchange.refuse(problem);
     return [
       setTimer(TimerKind.RequestDeadline, exchangeId, VOID_TIMEOUT_MS),
       ...this.#dispatch(exchange),
@@ -225,7 +233,7 @@
       const message: Message = { kind: MessageKind.Tombstone, runId, organisationId, key };
       return this.#sendTo(exchange, peer, message);
     }
-    exchange.phase = KeyedPhase.AwaitingAnswer;
+    exchange.become(KeyedPhase.AwaitingAnswer);
     const nowMs = this.runtime.nowMs();
     const message = buildRun(call, { runId, nowMs, crashCount: 0, deliveredCount, key });
     return this.#sendTo(exchange, peer, message);
@@ -233,22 +241,21 @@
 
   #newRun(exchange: KeyedExchange): string {
     this.#exchangeIdByRun.delete(exchange.runId);
-    exchange.runId = drawId(this.runtime.random);
-    exchange.flushedCount = 0;
+    exchange.start(drawId(this.runtime.random));
     this.#exchangeIdByRun.set(exchange.runId, exchange.call.exchangeId);
     return exchange.runId;
   }
 
   #sendTo(exchange: KeyedExchange, peer: Peer, message: Message): readonly Effect[] {
     this.#leaveLink(exchange);
-    exchange.linkId = peer.linkId;
+    exchange.use(peer.linkId);
     return [send(peer.linkId, message), ...this.#links.retain(peer.linkId)];
   }
 
   #leaveLink(exchange: KeyedExchange): void {
-    if (exchange.linkId !== undefined) {
-      this.#links.release(exchange.linkId);
-      exchange.linkId = undefined;
+    const linkId = exchange.leaveLink();
+    if (linkId !== undefined) {
+      this.#links.release(linkId);
     }
   }
 
@@ -270,10 +277,10 @@
       case MessageKind.KeyMinted:
         return this.#onMinted(exchange, message.key);
       case MessageKind.KeyRefused:
-        exchange.refusal = message.problem;
+        exchange.refuse(message.problem);
         return this.#askForKey(exchange);
       case MessageKind.RunHead:
-        return this.#onHead(exchange, message.status, message.contentType);
+        return beginAnswer(exchange, message);
       case MessageKind.RunChunk:
         return this.#onChunk(exchange, message);
       case MessageKind.RunEnd:
@@ -297,15 +304,6 @@
     ];
   }
 
-  #onHead(exchange: KeyedExchange, status: number, contentType: string): readonly Effect[] {
-    if (exchange.isHeadSent) {
-      return [];
-    }
-    exchange.isHeadSent = true;
-    const { exchangeId, requestId } = exchange.call;
-    return [{ kind: EffectKind.AnswerHead, exchangeId, requestId, status, contentType }];
-  }
-
   #onChunk(exchange: KeyedExchange, { sequence, data }: RunChunkMessage): readonly Effect[] {
     if (sequence < exchange.deliveredCount) {
       return [];
@@ -313,7 +311,7 @@
     if (sequence > exchange.deliveredCount) {
       return this.#finish(exchange, CUT);
     }
-    exchange.deliveredCount += 1;
+    exchange.deliver();
     return [{ kind: EffectKind.AnswerChunk, exchangeId: exchange.call.exchangeId, data }];
   }
 
@@ -327,12 +325,12 @@
     return [...this.#exchanges.values()]
       .filter((exchange) => exchange.linkId === linkId)
       .flatMap((exchange) => {
-        exchange.linkId = undefined;
+        exchange.leaveLink();
         if (exchange.phase === KeyedPhase.AwaitingKey) {
           return this.#askForKey(exchange);
         }
         if (exchange.phase === KeyedPhase.AwaitingAnswer) {
-          exchange.phase = KeyedPhase.AwaitingLink;
+          exchange.become(KeyedPhase.AwaitingLink);
         }
         return this.#dispatch(exchange);
       });
@@ -343,14 +341,11 @@
     if (exchange?.linkId === undefined) {
       return [];
     }
-    exchange.flushedCount += chunkCount;
-    if (exchange.flushedCount < CREDIT_BATCH) {
-      return [];
-    }
-    const credit = exchange.flushedCount;
-    exchange.flushedCount = 0;
     const { runId, linkId } = exchange;
-    return [send(linkId, { kind: MessageKind.Credit, runId, chunkCount: credit })];
+    const granted = exchange.flushed(chunkCount);
+    return granted === 0
+      ? []
+      : [send(linkId, { kind: MessageKind.Credit, runId, chunkCount: granted })];
   }
 
   #onCallerGone(exchangeId: string): readonly Effect[] {
--- a/packages/entry/src/keyed-exchange.ts
+++ b/packages/entry/src/keyed-exchange.ts
@@ -1,5 +1,6 @@
 /** @module State of one keyed exchange: a mint, a call, or the voiding of a call's key. */
 import type { Call, IdempotencyKeyParts, Problem } from '@ebonysill/core';
+import CreditMeter from './CreditMeter.js';
 
 /** What a keyed exchange waits for. */
 export enum KeyedPhase {
@@ -13,42 +14,123 @@
   AwaitingVoid = 'awaiting-void',
 }
 
-/** One keyed exchange. */
-export interface KeyedExchange {
-  readonly call: Call;
-  /** Absent while a key is being minted. */
-  readonly key: IdempotencyKeyParts | undefined;
-  phase: KeyedPhase;
-  runId: string;
-  linkId: string | undefined;
-  isHeadSent: boolean;
-  deliveredCount: number;
-  flushedCount: number;
-  /** Targets that refused to mint a key. */
-  refusedTargets: readonly string[];
-  /** What to tell the caller once its key is void. */
-  refusal: Problem | undefined;
-}
+/** Follows one keyed exchange. */
+export class KeyedExchange {
+  #runId = '';
+
+  #linkId: string | undefined;
+
+  #isHeadSent = false;
+
+  #deliveredCount = 0;
+
+  #credit = CreditMeter.create();
+
+  #askedTargets: readonly string[] = [];
+
+  #refusal: Problem | undefined;
+
+  private constructor(
+    readonly call: Call,
+    /** Absent while a key is being minted. */
+    readonly key: IdempotencyKeyParts | undefined,
+    private currentPhase: KeyedPhase,
+  ) {}
+
+  /**
+   * Creates an exchange in its first phase.
+   *
+   * @example
+   * KeyedExchange.create(call, undefined, KeyedPhase.AwaitingKey);
+   */
+  static create(
+    call: Call,
+    key: IdempotencyKeyParts | undefined,
+    phase: KeyedPhase,
+  ): KeyedExchange {
+    return new KeyedExchange(call, key, phase);
+  }
+
+  /** What the exchange waits for. */
+  get phase(): KeyedPhase {
+    return this.currentPhase;
+  }
+
+  /** Attempt whose messages count; older ones do not. */
+  get runId(): string {
+    return this.#runId;
+  }
+
+  /** Link of that attempt. */
+  get linkId(): string | undefined {
+    return this.#linkId;
+  }
+
+  /** Whether the answer to the caller has begun. */
+  get isHeadSent(): boolean {
+    return this.#isHeadSent;
+  }
 
-/**
- * Creates an exchange in its first phase.
- *
- * @example
- * createKeyedExchange(call, undefined, KeyedPhase.AwaitingKey);
- */
-export const createKeyedExchange = (
-  call: Call,
-  key: IdempotencyKeyParts | undefined,
-  phase: KeyedPhase,
-): KeyedExchange => ({
-  call,
-  key,
-  phase,
-  runId: '',
-  linkId: undefined,
-  isHeadSent: false,
-  deliveredCount: 0,
-  flushedCount: 0,
-  refusedTargets: [],
-  refusal: undefined,
-});
+  /** Chunks delivered to the caller. */
+  get deliveredCount(): number {
+    return this.#deliveredCount;
+  }
+
+  /** Targets that were asked for a key. */
+  get askedTargets(): readonly string[] {
+    return this.#askedTargets;
+  }
+
+  /** What to tell the caller once its key is void, or when no key was minted. */
+  get refusal(): Problem | undefined {
+    return this.#refusal;
+  }
+
+  /** Moves the exchange on. */
+  become(phase: KeyedPhase): void {
+    this.currentPhase = phase;
+  }
+
+  /** Begins an attempt. */
+  start(runId: string): void {
+    this.#runId = runId;
+    this.#credit = CreditMeter.create();
+  }
+
+  /** Puts the attempt on a link. */
+  use(linkId: string): void {
+    this.#linkId = linkId;
+  }
+
+  /** Takes the attempt off its link; returns the link that was used. */
+  leaveLink(): string | undefined {
+    const linkId = this.#linkId;
+    this.#linkId = undefined;
+    return linkId;
+  }
+
+  /** Notes that a target was asked for a key. */
+  ask(targetId: string): void {
+    this.#askedTargets = [...this.#askedTargets, targetId];
+  }
+
+  /** Notes what to tell the caller if nothing better comes. */
+  refuse(problem: Problem): void {
+    this.#refusal = problem;
+  }
+
+  /** Notes that the answer to the caller has begun. */
+  beginAnswer(): void {
+    this.#isHeadSent = true;
+  }
+
+  /** Notes a delivered chunk. */
+  deliver(): void {
+    this.#deliveredCount += 1;
+  }
+
+  /** Counts flushed chunks; returns the credit to grant now, or 0. */
+  flushed(chunkCount: number): number {
+    return this.#credit.add(chunkCount);
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/LinkTable.ts
@@ -0,0 +1,76 @@
+/** @module The links of one process, by id and by peer. */
+import type { HelloMessage, Peer } from '@ebonysill/core';
+import { Link } from './link.js';
+
+/** Links by id and by peer. */
+export default class LinkTable {
+  readonly #links = new Map<string, Link>();
+
+  readonly #linkIdByPeer = new Map<string, string>();
+
+  readonly #dialledIds = new Set<string>();
+
+  private constructor() {}
+
+  /**
+   * Creates an empty table.
+   *
+   * @example
+   * const table = LinkTable.create();
+   */
+  static create(): LinkTable {
+    return new LinkTable();
+  }
+
+  /** Adds a link that is being opened. */
+  add(linkId: string, dialledId: string | undefined, nowMs: number): Link {
+    const link = Link.create(linkId, dialledId, nowMs);
+    this.#links.set(linkId, link);
+    if (dialledId !== undefined) {
+      this.#dialledIds.add(dialledId);
+    }
+    return link;
+  }
+
+  /** The link with this id. */
+  get(linkId: string): Link | undefined {
+    return this.#links.get(linkId);
+  }
+
+  /** Marks a link as up; a newer link to the same process takes the place of an older one. */
+  greet(link: Link, hello: HelloMessage): void {
+    link.greet(hello);
+    this.#linkIdByPeer.set(hello.processId, link.linkId);
+  }
+
+  /** Forgets a link. */
+  remove({ linkId, processId, dialledId }: Link): void {
+    this.#links.delete(linkId);
+    if (dialledId !== undefined) {
+      this.#dialledIds.delete(dialledId);
+    }
+    if (processId !== undefined && this.#linkIdByPeer.get(processId) === linkId) {
+      this.#linkIdByPeer.delete(processId);
+    }
+  }
+
+  /** Whether a link that this process dialled to `targetId` exists in any state. */
+  isDialled(targetId: string): boolean {
+    return this.#dialledIds.has(targetId);
+  }
+
+  /** The peer with this process id, if a link to it is up. */
+  peer(processId: string): Peer | undefined {
+    return this.peerOfLink(this.#linkIdByPeer.get(processId) ?? '');
+  }
+
+  /** The peer at the other end of a link that is up. */
+  peerOfLink(linkId: string): Peer | undefined {
+    return this.#links.get(linkId)?.peer;
+  }
+
+  /** Peers of all links that are up. */
+  peers(): readonly Peer[] {
+    return [...this.#linkIdByPeer.values()].flatMap((linkId) => this.peerOfLink(linkId) ?? []);
+  }
+}
--- a/packages/fleet/src/configuration-service.ts
+++ b/packages/fleet/src/configuration-service.ts
@@ -21,7 +21,7 @@
 } from '@ebonysill/core';
 import { createInstance } from '@ebonysill/kernel';
 import { send, setTimer } from './effects.js';
-import { log } from './log.js';
+import log from './log.js';
 
 /** Delay before the configuration service is asked again after a failure. */
 const RETRY_READ_MS = 1_000;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,6 @@
   type SuspectsOptions,
   REFUSED_CRASH_COUNT,
 } from './suspects-service.js';
-export { log } from './log.js';
+export { default as log } from './log.js';
 export { send, setTimer, clearTimer } from './effects.js';
-export { sample } from './sample.js';
+export { default as sample } from './sample.js';
--- /dev/null
+++ b/packages/fleet/src/link.ts
@@ -0,0 +1,140 @@
+/** @module State of one link. */
+import type { HelloMessage, LoadReport, Peer } from '@ebonysill/core';
+import {
+  BUSY_CHECK_MS,
+  IDLE_CHECK_MS,
+  IDLE_SILENCE_LIMIT_MS,
+  SILENCE_LIMIT_MS,
+} from './link-timing.js';
+
+/** How far a link has come. */
+export enum LinkState {
+  Opening = 'opening',
+  Greeting = 'greeting',
+  Up = 'up',
+}
+
+/** A check that comes this late shows that this process itself was paused. */
+const OWN_PAUSE_MS = 1_000;
+
+/** Follows one link. */
+export class Link {
+  #state = LinkState.Opening;
+
+  #hello: HelloMessage | undefined;
+
+  #load: LoadReport | undefined;
+
+  #loadHeardMs: number;
+
+  #lastHeardMs: number;
+
+  #checkDueMs: number;
+
+  #retainCount = 0;
+
+  private constructor(
+    readonly linkId: string,
+    /** The sidecar that this process dialled; absent on inbound links. */
+    readonly dialledId: string | undefined,
+    nowMs: number,
+  ) {
+    this.#loadHeardMs = nowMs;
+    this.#lastHeardMs = nowMs;
+    this.#checkDueMs = nowMs;
+  }
+
+  /**
+   * Creates a link that is being opened.
+   *
+   * @example
+   * const link = Link.create('entry-1>bookings-1#1', 'bookings-1', nowMs);
+   */
+  static create(linkId: string, dialledId: string | undefined, nowMs: number): Link {
+    return new Link(linkId, dialledId, nowMs);
+  }
+
+  /** Process at the other end, once it has said hello. */
+  get processId(): string | undefined {
+    return this.#hello?.processId;
+  }
+
+  /** The other end as a peer, once it has said hello. */
+  get peer(): Peer | undefined {
+    if (this.#hello === undefined) {
+      return undefined;
+    }
+    const { processId, incarnation, availabilityZone } = this.#hello;
+    const { linkId } = this;
+    const load = this.#load;
+    return {
+      linkId,
+      processId,
+      incarnation,
+      availabilityZone,
+      load,
+      loadHeardMs: this.#loadHeardMs,
+    };
+  }
+
+  /** The connection is there; hellos come next. */
+  open(): void {
+    this.#state = LinkState.Greeting;
+  }
+
+  /** The other end said hello. */
+  greet(hello: HelloMessage): void {
+    this.#state = LinkState.Up;
+    this.#hello = hello;
+  }
+
+  /** A message arrived, perhaps with a load report. */
+  hear(nowMs: number, load: LoadReport | undefined): void {
+    this.#lastHeardMs = nowMs;
+    if (load !== undefined) {
+      this.#load = load;
+      this.#loadHeardMs = nowMs;
+    }
+  }
+
+  /** Counts one more piece of work; returns whether the link was idle before. */
+  retain(nowMs: number): boolean {
+    this.#retainCount += 1;
+    if (this.#retainCount > 1) {
+      return false;
+    }
+    this.#lastHeardMs = Math.max(this.#lastHeardMs, nowMs - BUSY_CHECK_MS);
+    return true;
+  }
+
+  /** Counts one piece of work less. */
+  release(): void {
+    this.#retainCount = Math.max(this.#retainCount - 1, 0);
+  }
+
+  /** Notes that a check is due; returns the delay until then. */
+  planCheck(nowMs: number): number {
+    const delayMs = this.#isIdle ? IDLE_CHECK_MS : BUSY_CHECK_MS;
+    this.#checkDueMs = nowMs + delayMs;
+    return delayMs;
+  }
+
+  /** Whether the other end has been silent for too long; a pause of this process does not count. */
+  isSilent(nowMs: number): boolean {
+    if (nowMs - this.#checkDueMs > OWN_PAUSE_MS) {
+      this.#lastHeardMs = nowMs;
+    }
+    const limitMs = this.#isIdle ? IDLE_SILENCE_LIMIT_MS : SILENCE_LIMIT_MS;
+    return nowMs - this.#lastHeardMs >= limitMs;
+  }
+
+  /** Whether a heartbeat is wanted, because nothing else was heard lately. */
+  needsHeartbeat(nowMs: number): boolean {
+    const intervalMs = this.#isIdle ? IDLE_CHECK_MS : BUSY_CHECK_MS;
+    return this.#state === LinkState.Up && nowMs - this.#lastHeardMs >= intervalMs / 2;
+  }
+
+  get #isIdle(): boolean {
+    return this.#state === LinkState.Up && this.#retainCount === 0;
+  }
+}
--- a/packages/fleet/src/links-service.ts
+++ b/packages/fleet/src/links-service.ts
@@ -24,21 +24,11 @@
 } from '@ebonysill/core';
 import { createInstance } from '@ebonysill/kernel';
 import { clearTimer, send, setTimer } from './effects.js';
-import { LinkState, LinkTable, type Link } from './link-table.js';
-import {
-  BUSY_CHECK_MS,
-  IDLE_CHECK_MS,
-  IDLE_SILENCE_LIMIT_MS,
-  REOPEN_BASE_MS,
-  REOPEN_MAX_MS,
-  SILENCE_LIMIT_MS,
-  SPREAD_COUNT,
-} from './link-timing.js';
-import { log } from './log.js';
-import { sample } from './sample.js';
-
-/** A check that comes this late shows that this process itself was paused. */
-const OWN_PAUSE_MS = 1_000;
+import LinkTable from './LinkTable.js';
+import type { Link } from './link.js';
+import { REOPEN_BASE_MS, REOPEN_MAX_MS, SPREAD_COUNT } from './link-timing.js';
+import log from './log.js';
+import sample from './sample.js';
 
 /** Address of a sidecar that is known before any configuration is. */
 export interface SeedSidecar {
@@ -58,6 +48,8 @@
   readonly seeds: readonly SeedSidecar[];
 }
 
+const noLoad = (): undefined => undefined;
+
 const loadIn = (message: Message): LoadReport | undefined => {
   switch (message.kind) {
     case MessageKind.Heartbeat:
@@ -87,7 +79,7 @@
 
   #toldRevision = 0;
 
-  #readLoad: () => LoadReport | undefined = () => undefined;
+  #readLoad: () => LoadReport | undefined = noLoad;
 
   private constructor(
     private readonly options: LinksOptions,
@@ -167,7 +159,7 @@
     }
     this.#linkCount += 1;
     const linkId = `${this.options.processId}>${targetId}#${this.#linkCount}`;
-    const link = this.#table.add(linkId, targetId, LinkState.Opening, this.#nowMs());
+    const link = this.#table.add(linkId, targetId, this.#nowMs());
     return [{ kind: EffectKind.OpenLink, linkId, ...address }, this.#scheduleCheck(link)];
   }
 
@@ -182,12 +174,12 @@
 
   #onOpened(linkId: string, isInbound: boolean): readonly Effect[] {
     const link = isInbound
-      ? this.#table.add(linkId, undefined, LinkState.Greeting, this.#nowMs())
+      ? this.#table.add(linkId, undefined, this.#nowMs())
       : this.#table.get(linkId);
     if (link === undefined) {
       return [{ kind: EffectKind.CloseLink, linkId }];
     }
-    link.state = LinkState.Greeting;
+    link.open();
     const { processId, incarnation, role, availabilityZone } = this.options;
     return [
       send(linkId, {
@@ -207,12 +199,7 @@
     if (link === undefined) {
       return [];
     }
-    link.lastHeardMs = this.#nowMs();
-    const load = loadIn(message);
-    if (load !== undefined) {
-      link.load = load;
-      link.loadHeardMs = link.lastHeardMs;
-    }
+    link.hear(this.#nowMs(), loadIn(message));
     switch (message.kind) {
       case MessageKind.Hello:
         return this.#onHello(link, message);
@@ -237,10 +224,6 @@
     ];
   }
 
-  #report(kind: MessageKind.Heartbeat): HeartbeatMessage;
-
-  #report(kind: MessageKind.HeartbeatAck): HeartbeatAckMessage;
-
   #report(
     kind: MessageKind.Heartbeat | MessageKind.HeartbeatAck,
   ): HeartbeatMessage | HeartbeatAckMessage {
@@ -282,53 +265,26 @@
       return [];
     }
     const nowMs = this.#nowMs();
-    if (nowMs - link.checkDueMs > OWN_PAUSE_MS) {
-      link.lastHeardMs = nowMs;
-    }
-    const silentMs = nowMs - link.lastHeardMs;
-    const limitMs = LinksService.#isIdle(link) ? IDLE_SILENCE_LIMIT_MS : SILENCE_LIMIT_MS;
-    if (silentMs >= limitMs) {
+    if (link.isSilent(nowMs)) {
       return [{ kind: EffectKind.CloseLink, linkId }];
     }
-    const isQuiet = link.state === LinkState.Up && silentMs >= LinksService.#intervalMs(link) / 2;
     return [
-      ...(isQuiet ? [send(linkId, this.#report(MessageKind.Heartbeat))] : []),
+      ...(link.needsHeartbeat(nowMs) ? [send(linkId, this.#report(MessageKind.Heartbeat))] : []),
       this.#scheduleCheck(link),
     ];
   }
 
-  static #isIdle(link: Link): boolean {
-    return link.state === LinkState.Up && link.retainCount === 0;
-  }
-
-  static #intervalMs(link: Link): number {
-    return LinksService.#isIdle(link) ? IDLE_CHECK_MS : BUSY_CHECK_MS;
-  }
-
   #scheduleCheck(link: Link): Effect {
-    const delayMs = LinksService.#intervalMs(link);
-    link.checkDueMs = this.#nowMs() + delayMs;
-    return setTimer(TimerKind.LinkCheck, link.linkId, delayMs);
+    return setTimer(TimerKind.LinkCheck, link.linkId, link.planCheck(this.#nowMs()));
   }
 
   #retain(linkId: string): readonly Effect[] {
     const link = this.#table.get(linkId);
-    if (link === undefined) {
-      return [];
-    }
-    link.retainCount += 1;
-    if (link.retainCount > 1) {
-      return [];
-    }
-    link.lastHeardMs = Math.max(link.lastHeardMs, this.#nowMs() - BUSY_CHECK_MS);
-    return [this.#scheduleCheck(link)];
+    return link?.retain(this.#nowMs()) === true ? [this.#scheduleCheck(link)] : [];
   }
 
   #release(linkId: string): void {
-    const link = this.#table.get(linkId);
-    if (link !== undefined && link.retainCount > 0) {
-      link.retainCount -= 1;
-    }
+    this.#table.get(linkId)?.release();
   }
 
   #nowMs(): number {
--- a/packages/fleet/src/log.ts
+++ b/packages/fleet/src/log.ts
@@ -16,9 +16,11 @@
  * @example
  * log(LogLevel.Info, LogTopic.LinkUp, { peerId: 'target-1' });
  */
-export const log: BuildLog = (level, topic, fields) => ({
+const log: BuildLog = (level, topic, fields) => ({
   kind: EffectKind.Log,
   level,
   topic,
   fields,
 });
+
+export default log;
--- a/packages/fleet/src/sample.ts
+++ b/packages/fleet/src/sample.ts
@@ -13,7 +13,7 @@
  * @example
  * sample(['a', 'b', 'c'], 2, runtime.random); // for instance c, a
  */
-export const sample: Sample = (items, count, random) => {
+const sample: Sample = (items, count, random) => {
   if (items.length <= count) {
     return items;
   }
@@ -23,3 +23,5 @@
     return chosen as (typeof items)[number];
   });
 };
+
+export default sample;
--- a/packages/kernel/src/inbox.ts
+++ b/packages/kernel/src/Inbox.ts
@@ -2,7 +2,7 @@
 import { Stream, type Scheduler, type Sink } from 'most';
 
 /** Events that wait while an earlier event is being answered. */
-export class Inbox<TEvent> {
+export default class Inbox<TEvent> {
   /** The events, in the order in which they were posted. */
   readonly stream: Stream<TEvent>;
 
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -1,5 +1,5 @@
 /** @module The micro-kernel: starts services, feeds them events, hands on their effects. */
-import { Inbox } from './inbox.js';
+import Inbox from './Inbox.js';
 import InvariantError from './InvariantError.js';
 import type { Find, ServiceInstance, ServiceRegistration } from './service.js';
 import { startOrder } from './start-order.js';
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,5 +1,5 @@
 /** @module Public interface of the settings package. */
-export { parseConfiguration } from './configuration-schema.js';
+export { default as parseConfiguration } from './parseConfiguration.js';
 export { credentialDigest } from './credential-digest.js';
 export {
   entrySettingsSchema,
--- a/packages/settings/src/configuration-schema.ts
+++ b/packages/settings/src/parseConfiguration.ts
@@ -117,5 +117,7 @@
  * @example
  * const result = parseConfiguration(text, 'configuration.jsonc');
  */
-export const parseConfiguration = (text: string, file: string): SettingsResult<Configuration> =>
+const parseConfiguration = (text: string, file: string): SettingsResult<Configuration> =>
   parseSettings<Configuration>(configurationSchema, text, file);
+
+export default parseConfiguration;
--- /dev/null
+++ b/packages/sidecar/src/RunGate.ts
@@ -0,0 +1,84 @@
+/** @module Decides whether the process takes a run at present. */
+import {
+  Reason,
+  TargetState,
+  notRun,
+  type ConfigurationApi,
+  type CrashSuspicion,
+  type Problem,
+  type SuspectsApi,
+  type TargetMonitorApi,
+} from '@ebonysill/core';
+
+/** Runs that may wait, as a multiple of those that may run. */
+const WAITING_RATIO = 2;
+
+/** What the gate asks. */
+interface GateSources {
+  readonly configuration: ConfigurationApi;
+  readonly suspects: SuspectsApi;
+  readonly monitor: TargetMonitorApi;
+}
+
+/** Decides on runs. */
+export default class RunGate {
+  private constructor(
+    private readonly targetId: string,
+    private readonly sources: GateSources,
+  ) {}
+
+  /**
+   * Creates the gate of one target.
+   *
+   * @example
+   * const gate = RunGate.create('assistant-1', { configuration, suspects, monitor });
+   */
+  static create(targetId: string, sources: GateSources): RunGate {
+    return new RunGate(targetId, sources);
+  }
+
+  /** Why the process takes no work at all. */
+  closedProblem(isDraining: boolean): Problem | undefined {
+    const { configuration, monitor } = this.sources;
+    if (isDraining) {
+      return notRun(Reason.Draining, 'the process beside the target is shutting down');
+    }
+    const target = configuration.target(this.targetId);
+    if (target === undefined) {
+      return notRun(Reason.NotReady, 'the target is not in the configuration');
+    }
+    if (!configuration.isInService(target.availabilityZone)) {
+      return notRun(Reason.NoTarget, 'the availability zone is out of service');
+    }
+    if (monitor.state() === TargetState.Down) {
+      return notRun(Reason.TargetLost, 'the target does not answer');
+    }
+    return undefined;
+  }
+
+  /** Refuses proven crashers, and keeps suspects apart so that a crash shows which one it was. */
+  suspectProblem(fingerprint: string, others: readonly string[]): Problem | undefined {
+    const { suspects } = this.sources;
+    if (suspects.isRefused(fingerprint)) {
+      return notRun(Reason.CrashSuspect, 'targets crashed while they ran this request');
+    }
+    const isSuspect = suspects.crashCount(fingerprint) > 0;
+    if (isSuspect && others.some((other) => suspects.crashCount(other) > 0)) {
+      return notRun(Reason.TargetBusy, 'another suspect request is in progress');
+    }
+    return undefined;
+  }
+
+  /** Refuses what the target could not begin soon. */
+  fullProblem(runningCount: number, waitingCount: number): Problem | undefined {
+    const limit = this.sources.monitor.limit();
+    const isFull = runningCount >= limit && waitingCount >= limit * WAITING_RATIO;
+    return isFull ? notRun(Reason.TargetBusy, 'the queue of the target is full') : undefined;
+  }
+
+  /** What is suspected of a request, to tell others. */
+  suspicionsOf(fingerprint: string): readonly CrashSuspicion[] {
+    const crashCount = this.sources.suspects.crashCount(fingerprint);
+    return crashCount === 0 ? [] : [{ fingerprint, crashCount }];
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/answer-buffer.ts
@@ -0,0 +1,71 @@
+/** @module Chunks of one answer that are still needed. */
+
+/** Bytes of one answer that are recorded for a later re-ask. */
+export const MAX_RECORDED_BYTES = 65_536;
+
+/** Holds the chunks of one answer: all while it is recorded, otherwise those not yet sent. */
+export class AnswerBuffer {
+  #chunks: string[] = [];
+
+  #heldBytes = 0;
+
+  #isRecorded: boolean;
+
+  private constructor(
+    private firstSequence: number,
+    isRecorded: boolean,
+  ) {
+    this.#isRecorded = isRecorded;
+  }
+
+  /**
+   * Creates a buffer whose first chunk has the given position in the whole answer.
+   *
+   * @example
+   * const buffer = AnswerBuffer.create(0, true);
+   */
+  static create(firstSequence: number, isRecorded: boolean): AnswerBuffer {
+    return new AnswerBuffer(firstSequence, isRecorded);
+  }
+
+  /** Whether the whole answer is kept. */
+  get isRecorded(): boolean {
+    return this.#isRecorded;
+  }
+
+  /** Chunks of the whole answer known so far. */
+  get knownCount(): number {
+    return this.firstSequence + this.#chunks.length;
+  }
+
+  /** Every held chunk. */
+  get chunks(): readonly string[] {
+    return this.#chunks;
+  }
+
+  /** Adds a chunk; an answer that grows past the bound is no longer recorded. */
+  push(data: string): void {
+    this.#chunks.push(data);
+    this.#heldBytes += data.length;
+    if (this.#heldBytes > MAX_RECORDED_BYTES) {
+      this.#isRecorded = false;
+    }
+  }
+
+  /** Up to `count` chunks from a position in the whole answer. */
+  slice(sequence: number, count: number): readonly string[] {
+    const from = Math.max(sequence - this.firstSequence, 0);
+    return this.#chunks.slice(from, from + count);
+  }
+
+  /** Forgets the chunks before a position, unless the answer is recorded. */
+  release(sequence: number): void {
+    if (this.#isRecorded) {
+      return;
+    }
+    const count = Math.min(Math.max(sequence - this.firstSequence, 0), this.#chunks.length);
+    const released = this.#chunks.splice(0, count);
+    this.firstSequence += released.length;
+    this.#heldBytes -= released.reduce((sizeBytes, chunk) => sizeBytes + chunk.length, 0);
+  }
+}
--- a/packages/sidecar/src/create-sidecar-services.ts
+++ b/packages/sidecar/src/create-sidecar-services.ts
@@ -12,6 +12,7 @@
   keyLedgerRegistration,
   type KeyLedgerLimits,
 } from './key-ledger-service.js';
+import keyedExecutionRegistration from './keyedExecutionRegistration.js';
 import { targetMonitorRegistration } from './target-monitor-service.js';
 
 /** What a sidecar is created from. */
@@ -52,5 +53,6 @@
     }),
     targetMonitorRegistration({ targetId }),
     executionRegistration({ runtime, targetId }),
+    keyedExecutionRegistration(),
   ];
 };
--- a/packages/sidecar/src/execution-service.ts
+++ b/packages/sidecar/src/execution-service.ts
@@ -3,11 +3,9 @@
   EffectKind,
   EventKind,
   KeyState,
-  KeyVerdict,
   LogLevel,
   LogTopic,
   MessageKind,
-  DuplicateCheck,
   Outcome,
   Reason,
   ServiceName,
@@ -23,10 +21,8 @@
   type Event,
   type ExecutionApi,
   type FindService,
-  type KeyRecord,
   type LinkMessageEvent,
   type LoadReport,
-  type MintKeyMessage,
   type Problem,
   type Registration,
   type RunMessage,
@@ -34,16 +30,12 @@
   type TargetErrorEvent,
   type TargetHeadEvent,
   type TargetHealthEvent,
-  type TombstoneMessage,
 } from '@ebonysill/core';
 import { clearTimer, log, send, setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
-import { holdChunk, isComplete, isStalled, relay } from './relay.js';
 import { RunTable } from './run-table.js';
-import { RunState, createRun, createSubscriber, knownCount, type Run } from './run.js';
-
-/** Runs that may wait, as a multiple of those that may run. */
-const WAITING_RATIO = 2;
+import RunGate from './RunGate.js';
+import { Run, RunState } from './run.js';
 
 /** Status with which a target refuses for lack of capacity. */
 const SERVICE_UNAVAILABLE = 503;
@@ -54,18 +46,22 @@
   readonly targetId: string;
 }
 
-const VOIDED = notRun(Reason.KeySpent, 'this key was voided before it ran');
-
 const CALLER_LEFT = notRun(Reason.CallerCancelled, 'the caller left before the request ran');
 
 const LATE_IN_QUEUE = notRun(Reason.DeadlinePassed, 'the deadline passed in the queue');
 
 const LATE_AT_TARGET = unknown(Reason.DeadlinePassed, 'the deadline passed while it ran');
 
-const STILL_RUNNING = unknown(Reason.DeadlinePassed, 'the request is still running');
-
 const ANSWER_DROPPED = unknown(Reason.RecordDropped, 'it ran; its recorded answer was dropped');
 
+const pauseOrResume = (run: Run): readonly Effect[] => {
+  if (!run.takePauseChange()) {
+    return [];
+  }
+  const kind = run.isPaused ? EffectKind.PauseTarget : EffectKind.ResumeTarget;
+  return [{ kind, callId: run.callId }];
+};
+
 /** Runs requests. */
 class ExecutionService {
   readonly #runs = RunTable.create();
@@ -80,6 +76,8 @@
 
   readonly #monitor;
 
+  readonly #gate;
+
   #callCount = 0;
 
   #isDraining = false;
@@ -93,6 +91,11 @@
     this.#suspects = find(ServiceName.Suspects);
     this.#ledger = find(ServiceName.KeyLedger);
     this.#monitor = find(ServiceName.TargetMonitor);
+    this.#gate = RunGate.create(options.targetId, {
+      configuration: this.#configuration,
+      suspects: this.#suspects,
+      monitor: this.#monitor,
+    });
     this.#links.provideLoad(() => this.#load());
   }
 
@@ -100,7 +103,13 @@
     return new ExecutionService(options, find);
   }
 
-  readonly api: ExecutionApi = { load: () => this.#load() };
+  readonly api: ExecutionApi = {
+    load: () => this.#load(),
+    closedProblem: () => this.#gate.closedProblem(this.#isDraining),
+    accept: (linkId, message, recordId) => this.#accept(linkId, message, recordId),
+    attach: (linkId, message, recordId) => this.#attach(linkId, message, recordId),
+    endWaiting: (recordId, problem) => this.#endWaiting(recordId, problem),
+  };
 
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
@@ -136,12 +145,8 @@
 
   #onMessage({ linkId, message }: LinkMessageEvent): readonly Effect[] {
     switch (message.kind) {
-      case MessageKind.MintKey:
-        return this.#onMint(linkId, message);
       case MessageKind.Run:
-        return this.#onRun(linkId, message);
-      case MessageKind.Tombstone:
-        return this.#onTombstone(linkId, message);
+        return message.key === undefined ? this.#accept(linkId, message, undefined) : [];
       case MessageKind.Cancel:
         return this.#onCancel(linkId, message);
       case MessageKind.Credit:
@@ -151,185 +156,51 @@
     }
   }
 
-  #onMint(linkId: string, { runId, organisationId }: MintKeyMessage): readonly Effect[] {
-    const gate = this.#gateProblem();
-    if (gate !== undefined) {
-      return [send(linkId, { kind: MessageKind.KeyRefused, runId, problem: gate })];
-    }
-    const decision = this.#ledger.mint(organisationId);
-    return decision.kind === KeyVerdict.Fresh
-      ? [send(linkId, { kind: MessageKind.KeyMinted, runId, key: decision.key })]
-      : [send(linkId, { kind: MessageKind.KeyRefused, runId, problem: decision.problem })];
-  }
-
-  #onRun(linkId: string, message: RunMessage): readonly Effect[] {
+  #accept(linkId: string, message: RunMessage, recordId: number | undefined): readonly Effect[] {
     if (this.#runs.subscription(linkId, message.runId) !== undefined) {
       return [];
     }
-    return message.key === undefined
-      ? this.#accept(linkId, message, undefined)
-      : this.#onKeyedRun(linkId, message, message.key);
-  }
-
-  #onKeyedRun(linkId: string, message: RunMessage, key: string): readonly Effect[] {
-    const decision = this.#ledger.claim(key, message.organisationId, message.fingerprint);
-    switch (decision.kind) {
-      case KeyVerdict.Fresh:
-        return this.#accept(linkId, message, decision.recordId);
-      case KeyVerdict.Known:
-        return this.#mayRepeat(decision.record, message)
-          ? this.#accept(linkId, message, decision.recordId)
-          : this.#attach(linkId, message, decision.recordId, decision.record);
-      case KeyVerdict.Refused:
-        return this.#mayRunForeign(decision.problem, message)
-          ? this.#accept(linkId, message, undefined)
-          : [this.#fail(linkId, message.runId, decision.problem)];
-      default:
-        return decision satisfies never;
-    }
-  }
-
-  /** Keys of a lost process may run again only where targets themselves refuse a repeat. */
-  #mayRunForeign(problem: Problem, message: RunMessage): boolean {
-    return (
-      problem.reason === Reason.KeyFromLostProcess &&
-      this.#checksDuplicates(message.request.service)
-    );
-  }
-
-  #mayRepeat(record: KeyRecord, message: RunMessage): boolean {
-    return record.state === KeyState.Unknown && this.#checksDuplicates(message.request.service);
-  }
-
-  #checksDuplicates(service: string): boolean {
-    return this.#configuration.service(service)?.duplicateCheck === DuplicateCheck.Key;
-  }
-
-  #accept(linkId: string, message: RunMessage, recordId: number | undefined): readonly Effect[] {
-    const problem = this.#gateProblem() ?? this.#runProblem(message);
+    const problem = this.#problemOf(message);
     if (problem !== undefined) {
       this.#recordNotRun(recordId, message.fingerprint, problem);
-      const suspicions = this.#suspicionsOf(message.fingerprint);
+      const suspicions = this.#gate.suspicionsOf(message.fingerprint);
       return [this.#fail(linkId, message.runId, problem, suspicions)];
     }
     this.#callCount += 1;
     const callId = `${this.options.targetId}/${this.#callCount}`;
     const nowMs = this.options.runtime.nowMs();
-    this.#runs.add(createRun({ callId, linkId, message, recordId, nowMs }));
+    this.#runs.add(Run.create({ callId, linkId, message, recordId, nowMs }));
     return [setTimer(TimerKind.RunDeadline, callId, message.timeLeftMs), ...this.#startWaiting()];
   }
 
-  /** Why this process takes no work at all at present. */
-  #gateProblem(): Problem | undefined {
-    if (this.#isDraining) {
-      return notRun(Reason.Draining, 'the process beside the target is shutting down');
-    }
-    const target = this.#configuration.target(this.options.targetId);
-    if (target === undefined) {
-      return notRun(Reason.NotReady, 'the target is not in the configuration');
-    }
-    if (!this.#configuration.isInService(target.availabilityZone)) {
-      return notRun(Reason.NoTarget, 'the availability zone is out of service');
-    }
-    if (this.#monitor.state() === TargetState.Down) {
-      return notRun(Reason.TargetLost, 'the target does not answer');
-    }
-    return undefined;
-  }
-
-  /** Why this request is not taken. */
-  #runProblem(message: RunMessage): Problem | undefined {
-    const { fingerprint } = message;
-    if (this.#suspects.isRefused(fingerprint)) {
-      return notRun(Reason.CrashSuspect, 'targets crashed while they ran this request');
-    }
-    if (this.#suspects.crashCount(fingerprint) > 0 && this.#holdsSuspect()) {
-      return notRun(Reason.TargetBusy, 'another suspect request is in progress');
-    }
-    const limit = this.#monitor.limit();
-    const isFull = this.#runs.runningCount() >= limit;
-    if (isFull && this.#runs.waiting().length >= limit * WAITING_RATIO) {
-      return notRun(Reason.TargetBusy, 'the queue of the target is full');
-    }
-    return undefined;
-  }
-
-  #suspicionsOf(fingerprint: string): readonly CrashSuspicion[] {
-    const crashCount = this.#suspects.crashCount(fingerprint);
-    return crashCount === 0 ? [] : [{ fingerprint, crashCount }];
-  }
-
-  #holdsSuspect(): boolean {
-    return this.#runs
-      .all()
-      .some(({ message }) => this.#suspects.crashCount(message.fingerprint) > 0);
+  /** Why this request is not taken at present. */
+  #problemOf({ fingerprint }: RunMessage): Problem | undefined {
+    const others = this.#runs.all().map(({ message }) => message.fingerprint);
+    return (
+      this.#gate.closedProblem(this.#isDraining) ??
+      this.#gate.suspectProblem(fingerprint, others) ??
+      this.#gate.fullProblem(this.#runs.runningCount(), this.#runs.waiting().length)
+    );
   }
 
-  #attach(
-    linkId: string,
-    message: RunMessage,
-    recordId: number,
-    record: KeyRecord,
-  ): readonly Effect[] {
+  #attach(linkId: string, message: RunMessage, recordId: number): readonly Effect[] | undefined {
     const run = this.#runs.byRecord(recordId);
     if (run === undefined) {
-      return this.#replay(linkId, message, record);
+      return undefined;
+    }
+    if (this.#runs.subscription(linkId, message.runId) !== undefined) {
+      return [];
     }
-    if (!run.isRecorded) {
+    if (!run.answer.isRecorded) {
       return [this.#fail(linkId, message.runId, ANSWER_DROPPED)];
     }
-    run.subscribers = [...run.subscribers, createSubscriber(linkId, message)];
+    run.subscribe(linkId, message);
     return this.#pump(run);
   }
 
-  #replay(linkId: string, message: RunMessage, record: KeyRecord): readonly Effect[] {
-    const { runId, deliveredCount } = message;
-    const { answer } = record;
-    if (answer === undefined) {
-      return [this.#fail(linkId, runId, record.problem ?? ANSWER_DROPPED)];
-    }
-    const { status, contentType, chunks } = answer;
-    return [
-      send(linkId, { kind: MessageKind.RunHead, runId, status, contentType }),
-      ...chunks.slice(deliveredCount).map((data, index) =>
-        send(linkId, {
-          kind: MessageKind.RunChunk,
-          runId,
-          sequence: deliveredCount + index,
-          data,
-        }),
-      ),
-      send(linkId, { kind: MessageKind.RunEnd, runId, chunkCount: chunks.length }),
-    ];
-  }
-
-  #onTombstone(linkId: string, message: TombstoneMessage): readonly Effect[] {
-    const { runId, key, organisationId } = message;
-    const decision = this.#ledger.void(key, organisationId, VOIDED);
-    switch (decision.kind) {
-      case KeyVerdict.Fresh:
-        return [this.#fail(linkId, runId, VOIDED)];
-      case KeyVerdict.Refused:
-        return [this.#fail(linkId, runId, decision.problem)];
-      case KeyVerdict.Known:
-        return this.#voidKnown(linkId, runId, decision.recordId, decision.record);
-      default:
-        return decision satisfies never;
-    }
-  }
-
-  #voidKnown(
-    linkId: string,
-    runId: string,
-    recordId: number,
-    record: KeyRecord,
-  ): readonly Effect[] {
+  #endWaiting(recordId: number, problem: Problem): readonly Effect[] | undefined {
     const run = this.#runs.byRecord(recordId);
-    if (run?.state === RunState.Waiting) {
-      return [...this.#end(run, VOIDED), this.#fail(linkId, runId, VOIDED)];
-    }
-    const fallback = record.state === KeyState.Running ? STILL_RUNNING : ANSWER_DROPPED;
-    return [this.#fail(linkId, runId, record.problem ?? fallback)];
+    return run?.state === RunState.Waiting ? this.#end(run, problem) : undefined;
   }
 
   #onCancel(linkId: string, { runId }: CancelMessage): readonly Effect[] {
@@ -344,9 +215,7 @@
   }
 
   #detach(run: Run, linkId: string, runId: string): readonly Effect[] {
-    run.subscribers = run.subscribers.filter(
-      (subscriber) => subscriber.linkId !== linkId || subscriber.runId !== runId,
-    );
+    run.unsubscribe((subscriber) => subscriber.is(linkId, runId));
     if (run.subscribers.length > 0) {
       return this.#pump(run);
     }
@@ -364,7 +233,7 @@
     if (subscription === undefined) {
       return [];
     }
-    subscription.subscriber.credit += chunkCount;
+    subscription.subscriber.grant(chunkCount);
     return this.#pump(subscription.run);
   }
 
@@ -379,7 +248,7 @@
         ...this.#end(run, unknown(Reason.TargetFailed, 'the target refused the request')),
       ];
     }
-    run.head = { status, contentType };
+    run.begin({ status, contentType });
     return this.#pump(run);
   }
 
@@ -388,7 +257,7 @@
     if (run === undefined) {
       return [];
     }
-    holdChunk(run, data);
+    run.answer.push(data);
     return this.#pump(run);
   }
 
@@ -397,7 +266,7 @@
     if (run === undefined) {
       return [];
     }
-    run.state = RunState.Answered;
+    run.become(RunState.Answered);
     this.#suspects.clear(run.message.fingerprint);
     this.#recordAnswer(run);
     return [...this.#pump(run), ...this.#startWaiting()];
@@ -408,10 +277,10 @@
       return;
     }
     const { fingerprint } = run.message;
-    const answer = { ...run.head, chunks: run.chunks };
+    const answer = { ...run.head, chunks: [...run.answer.chunks] };
     this.#ledger.finish(
       run.recordId,
-      run.isRecorded
+      run.answer.isRecorded
         ? { state: KeyState.Done, fingerprint, answer }
         : { state: KeyState.Done, fingerprint },
     );
@@ -419,25 +288,15 @@
 
   /** Sends what may be sent; ends the run when everybody has the whole answer. */
   #pump(run: Run): readonly Effect[] {
-    const effects = relay(run);
-    const done = run.subscribers.filter((subscriber) => isComplete(run, subscriber));
-    run.subscribers = run.subscribers.filter((subscriber) => !done.includes(subscriber));
+    const effects = run.relay();
+    const done = run.unsubscribe((subscriber) => run.isComplete(subscriber));
     const load = this.#load();
+    const chunkCount = run.answer.knownCount;
     const ends = done.map(({ linkId, runId }) =>
-      send(linkId, { kind: MessageKind.RunEnd, runId, chunkCount: knownCount(run), load }),
+      send(linkId, { kind: MessageKind.RunEnd, runId, chunkCount, load }),
     );
     const isOver = run.state === RunState.Answered && run.subscribers.length === 0;
-    return [...effects, ...ends, ...this.#setPaused(run), ...(isOver ? this.#forget(run) : [])];
-  }
-
-  #setPaused(run: Run): readonly Effect[] {
-    const shouldPause = isStalled(run);
-    if (shouldPause === run.isPaused) {
-      return [];
-    }
-    run.isPaused = shouldPause;
-    const kind = shouldPause ? EffectKind.PauseTarget : EffectKind.ResumeTarget;
-    return [{ kind, callId: run.callId }];
+    return [...effects, ...ends, ...pauseOrResume(run), ...(isOver ? this.#forget(run) : [])];
   }
 
   #onError({ callId, stage }: TargetErrorEvent): readonly Effect[] {
@@ -448,7 +307,7 @@
     if (stage === TargetErrorStage.BeforeWrite) {
       return this.#end(run, notRun(Reason.TargetLost, 'the target could not be reached'));
     }
-    run.state = RunState.AwaitingHealth;
+    run.become(RunState.AwaitingHealth);
     return [{ kind: EffectKind.ReadTargetHealth }];
   }
 
@@ -484,7 +343,7 @@
       ];
     }
     const told = this.#failSubscribers(run, LATE_AT_TARGET, []);
-    run.subscribers = [];
+    run.unsubscribe(() => true);
     return [...told, ...this.#pump(run)];
   }
 
@@ -520,7 +379,11 @@
     const durationMs = this.options.runtime.nowMs() - run.startedMs;
     return [
       clearTimer(TimerKind.RunDeadline, run.callId),
-      log(LogLevel.Info, LogTopic.RunEnded, { requestId, durationMs, chunkCount: knownCount(run) }),
+      log(LogLevel.Info, LogTopic.RunEnded, {
+        requestId,
+        durationMs,
+        chunkCount: run.answer.knownCount,
+      }),
     ];
   }
 
@@ -533,7 +396,7 @@
   }
 
   #startRun(run: Run): readonly Effect[] {
-    run.state = RunState.Running;
+    run.become(RunState.Running);
     const { requestId, request, key, deliveredText } = run.message;
     return [
       log(LogLevel.Info, LogTopic.RunStarted, { requestId, targetId: this.options.targetId }),
@@ -542,7 +405,7 @@
         callId: run.callId,
         requestId,
         request,
-        deliveredCount: run.firstSequence,
+        deliveredCount: run.resumeCount,
         ...(key === undefined ? {} : { idempotencyKey: key }),
         ...(deliveredText === undefined ? {} : { deliveredText }),
       },
--- a/packages/sidecar/src/run-table.ts
+++ b/packages/sidecar/src/run-table.ts
@@ -1,5 +1,6 @@
 /** @module The runs of one sidecar, by call, by record and by subscriber. */
-import { RunState, type Run, type Subscriber } from './run.js';
+import { RunState, type Run } from './run.js';
+import type { Subscriber } from './subscriber.js';
 
 /** A subscriber together with its run. */
 export interface Subscription {
--- a/packages/sidecar/src/run.ts
+++ b/packages/sidecar/src/run.ts
@@ -1,5 +1,7 @@
 /** @module One run of a request on the target, and those who wait for its answer. */
-import { Continuation, type RunHeadMessage, type RunMessage } from '@ebonysill/core';
+import { Continuation, type Effect, type RunMessage } from '@ebonysill/core';
+import { AnswerBuffer } from './answer-buffer.js';
+import { Subscriber, type AnswerHead } from './subscriber.js';
 
 /** How far a run has come. */
 export enum RunState {
@@ -13,90 +15,127 @@
   Answered = 'answered',
 }
 
-/** Someone who waits for the answer of a run. */
-export interface Subscriber {
+/** What a run is created from. */
+export interface RunOptions {
+  readonly callId: string;
   readonly linkId: string;
-  readonly runId: string;
-  /** Next chunk to send, as a position in the whole answer. */
-  nextSequence: number;
-  /** Chunks that may be sent before more credit comes. */
-  credit: number;
-  isHeadSent: boolean;
+  readonly message: RunMessage;
+  /** Record in the key ledger; undefined for idempotent requests. */
+  readonly recordId: number | undefined;
+  readonly nowMs: number;
 }
 
 /** A run and its answer so far. */
-export interface Run {
+export class Run {
   readonly callId: string;
+
   readonly message: RunMessage;
-  /** Record in the key ledger; undefined for idempotent requests. */
+
   readonly recordId: number | undefined;
+
   readonly startedMs: number;
-  state: RunState;
-  subscribers: readonly Subscriber[];
-  head: Pick<RunHeadMessage, 'status' | 'contentType'> | undefined;
-  /** Chunks held: all of them while the answer is recorded, otherwise those not yet sent. */
-  chunks: string[];
-  /** Position of the first held chunk in the whole answer. */
-  firstSequence: number;
-  heldBytes: number;
-  isRecorded: boolean;
-  isPaused: boolean;
-}
 
-/** Chunks that a subscriber may receive before it grants more credit. */
-export const INITIAL_CREDIT = 64;
-
-/** Bytes of one answer that are recorded for a later re-ask. */
-export const MAX_RECORDED_BYTES = 65_536;
-
-/**
- * Creates the subscriber that a message asks for.
- *
- * @example
- * run.subscribers = [createSubscriber(linkId, message)];
- */
-export const createSubscriber = (linkId: string, message: RunMessage): Subscriber => ({
-  linkId,
-  runId: message.runId,
-  nextSequence: message.deliveredCount,
-  credit: INITIAL_CREDIT,
-  isHeadSent: false,
-});
+  readonly answer: AnswerBuffer;
 
-/** What a run is created from. */
-export interface RunOptions {
-  readonly callId: string;
-  readonly linkId: string;
-  readonly message: RunMessage;
-  readonly recordId: number | undefined;
-  readonly nowMs: number;
-}
+  /** Chunks that the engine is told to leave out. */
+  readonly resumeCount: number;
+
+  #state = RunState.Waiting;
+
+  #subscribers: readonly Subscriber[] = [];
+
+  #head: AnswerHead | undefined;
+
+  #isPaused = false;
+
+  private constructor({ callId, linkId, message, recordId, nowMs }: RunOptions) {
+    this.callId = callId;
+    this.message = message;
+    this.recordId = recordId;
+    this.startedMs = nowMs;
+    this.resumeCount =
+      message.continuation === Continuation.Resume && recordId === undefined
+        ? message.deliveredCount
+        : 0;
+    this.answer = AnswerBuffer.create(this.resumeCount, recordId !== undefined);
+    this.subscribe(linkId, message);
+  }
+
+  /**
+   * Creates a run that waits.
+   *
+   * @example
+   * const run = Run.create({ callId, linkId, message, recordId: undefined, nowMs });
+   */
+  static create(options: RunOptions): Run {
+    return new Run(options);
+  }
+
+  /** How far the run has come. */
+  get state(): RunState {
+    return this.#state;
+  }
+
+  /** Those who wait for the answer. */
+  get subscribers(): readonly Subscriber[] {
+    return this.#subscribers;
+  }
 
-/**
- * Creates a run that waits.
- *
- * @example
- * createRun({ callId, linkId, message, recordId: undefined, nowMs });
- */
-export const createRun = ({ callId, linkId, message, recordId, nowMs }: RunOptions): Run => ({
-  callId,
-  message,
-  recordId,
-  startedMs: nowMs,
-  state: RunState.Waiting,
-  subscribers: [createSubscriber(linkId, message)],
-  head: undefined,
-  chunks: [],
-  firstSequence: message.continuation === Continuation.Resume ? message.deliveredCount : 0,
-  heldBytes: 0,
-  isRecorded: recordId !== undefined,
-  isPaused: false,
-});
-
-/**
- * Number of chunks of the answer known so far.
- *
- * @example
- * knownCount(run); // 12
- */
-export const knownCount = (run: Run): number => run.firstSequence + run.chunks.length;
+  /** Status and content type of the answer, once known. */
+  get head(): AnswerHead | undefined {
+    return this.#head;
+  }
+
+  /** Moves the run on. */
+  become(state: RunState): void {
+    this.#state = state;
+  }
+
+  /** Notes how the answer begins. */
+  begin(head: AnswerHead): void {
+    this.#head = head;
+  }
+
+  /** Adds someone who waits for the answer. */
+  subscribe(linkId: string, { runId, deliveredCount }: RunMessage): void {
+    const subscriber = Subscriber.create({ linkId, runId, deliveredCount });
+    this.#subscribers = [...this.#subscribers, subscriber];
+  }
+
+  /** Removes those that a test selects; returns them. */
+  unsubscribe(isSelected: (subscriber: Subscriber) => boolean): readonly Subscriber[] {
+    const removed = this.#subscribers.filter(isSelected);
+    this.#subscribers = this.#subscribers.filter((subscriber) => !removed.includes(subscriber));
+    return removed;
+  }
+
+  /** Sends on what the subscribers' credit allows, and forgets what nobody needs. */
+  relay(): readonly Effect[] {
+    const effects = this.#subscribers.flatMap((subscriber) =>
+      subscriber.advance(this.#head, this.answer),
+    );
+    this.answer.release(Math.min(...this.#subscribers.map(({ nextSequence }) => nextSequence)));
+    return effects;
+  }
+
+  /** Whether a subscriber has received the whole answer. */
+  isComplete({ nextSequence }: Subscriber): boolean {
+    return this.#state === RunState.Answered && nextSequence >= this.answer.knownCount;
+  }
+
+  /** Whether reading the target's answer must change between paused and not. */
+  takePauseChange(): boolean {
+    const shouldPause =
+      this.#state === RunState.Running &&
+      !this.answer.isRecorded &&
+      this.#subscribers.some(({ isStalled }) => isStalled);
+    const isChange = shouldPause !== this.#isPaused;
+    this.#isPaused = shouldPause;
+    return isChange;
+  }
+
+  /** Whether reading the target's answer is paused. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/subscriber.ts
@@ -0,0 +1,98 @@
+/** @module Someone who waits for the answer of a run, and the credit it has granted. */
+import { MessageKind, type Effect } from '@ebonysill/core';
+import { send } from '@ebonysill/fleet';
+import type { AnswerBuffer } from './answer-buffer.js';
+
+/** Chunks that a subscriber may receive before it grants more credit. */
+const INITIAL_CREDIT = 64;
+
+/** Status and content type of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly contentType: string;
+}
+
+/** Where a subscriber is, and what it has already. */
+export interface SubscriberOptions {
+  readonly linkId: string;
+  readonly runId: string;
+  /** Chunks that it received from an earlier run. */
+  readonly deliveredCount: number;
+}
+
+/** Follows one subscriber. */
+export class Subscriber {
+  readonly linkId: string;
+
+  readonly runId: string;
+
+  #nextSequence: number;
+
+  #credit = INITIAL_CREDIT;
+
+  #isHeadSent = false;
+
+  private constructor({ linkId, runId, deliveredCount }: SubscriberOptions) {
+    this.linkId = linkId;
+    this.runId = runId;
+    this.#nextSequence = deliveredCount;
+  }
+
+  /**
+   * Creates a subscriber to which nothing was sent.
+   *
+   * @example
+   * const subscriber = Subscriber.create({ linkId, runId, deliveredCount: 0 });
+   */
+  static create(options: SubscriberOptions): Subscriber {
+    return new Subscriber(options);
+  }
+
+  /** Next chunk to send, as a position in the whole answer. */
+  get nextSequence(): number {
+    return this.#nextSequence;
+  }
+
+  /** Whether nothing may be sent before more credit comes. */
+  get isStalled(): boolean {
+    return this.#credit === 0;
+  }
+
+  /** Whether this is the subscription of one attempt on one link. */
+  is(linkId: string, runId: string): boolean {
+    return this.linkId === linkId && this.runId === runId;
+  }
+
+  /** Lets more chunks be sent. */
+  grant(chunkCount: number): void {
+    this.#credit += chunkCount;
+  }
+
+  /** Sends what is known and the credit allows. */
+  advance(head: AnswerHead | undefined, buffer: AnswerBuffer): readonly Effect[] {
+    return [...this.#sendHead(head), ...this.#sendChunks(buffer)];
+  }
+
+  #sendHead(head: AnswerHead | undefined): readonly Effect[] {
+    if (head === undefined || this.#isHeadSent) {
+      return [];
+    }
+    this.#isHeadSent = true;
+    return [send(this.linkId, { kind: MessageKind.RunHead, runId: this.runId, ...head })];
+  }
+
+  #sendChunks(buffer: AnswerBuffer): readonly Effect[] {
+    const firstSequence = this.#nextSequence;
+    const chunks = buffer.slice(firstSequence, this.#credit);
+    this.#nextSequence += chunks.length;
+    this.#credit -= chunks.length;
+    return chunks.map((data, index) =>
+      send(this.linkId, {
+        kind: MessageKind.RunChunk,
+        runId: this.runId,
+        sequence: firstSequence + index,
+        data,
+      }),
+    );
+  }
+}
--- a/packages/stand-ins/src/configuration-stand-in.ts
+++ b/packages/stand-ins/src/configuration-stand-in.ts
@@ -22,7 +22,6 @@
 interface Watch {
   readonly aboveRevision: number;
   readonly response: ServerResponse;
-  readonly timer: NodeJS.Timeout;
 }
 
 /** Serves one configuration value. */
@@ -65,7 +64,6 @@
 
   /** Stops at once. */
   close(): void {
-    this.#watches.forEach(({ timer }) => clearTimeout(timer));
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -129,12 +127,8 @@
       this.#write(response);
       return;
     }
-    const timer = setTimeout(() => {
-      this.#watches.delete(watch);
-      response.writeHead(204);
-      response.end();
-    }, WATCH_MS);
-    const watch: Watch = { aboveRevision, response, timer };
+    const watch: Watch = { aboveRevision, response };
+    const timer = setTimeout(() => ConfigurationStandIn.#writeNothing(response), WATCH_MS);
     this.#watches.add(watch);
     response.once('close', () => {
       clearTimeout(timer);
@@ -142,9 +136,13 @@
     });
   }
 
+  static #writeNothing(response: ServerResponse): void {
+    response.writeHead(204);
+    response.end();
+  }
+
   #release(watch: Watch): void {
     if (this.#mode === ConfigurationMode.Up) {
-      clearTimeout(watch.timer);
       this.#watches.delete(watch);
       this.#write(watch.response);
     }
--- a/packages/transport/src/admin-server.ts
+++ b/packages/transport/src/AdminServer.ts
@@ -5,7 +5,7 @@
 import { adminRouter, type AdminFunctions } from './admin-router.js';
 
 /** Serves operators. */
-export class AdminServer {
+export default class AdminServer {
   private constructor(private readonly server: Server) {}
 
   /**
--- a/packages/transport/src/configuration-port.ts
+++ b/packages/transport/src/ConfigurationPort.ts
@@ -14,7 +14,7 @@
 const MAX_VALUE_CHARS = 1_048_576;
 
 /** Reads the configuration. */
-export class ConfigurationPort {
+export default class ConfigurationPort {
   readonly #agent = new Agent({ headersTimeout: WATCH_TIMEOUT_MS, bodyTimeout: WATCH_TIMEOUT_MS });
 
   private constructor(
--- a/packages/transport/src/link-port.ts
+++ b/packages/transport/src/LinkPort.ts
@@ -8,7 +8,7 @@
 const MAX_INBOUND_LINKS = 2_048;
 
 /** Opens, accepts, reads and writes links. */
-export class LinkPort {
+export default class LinkPort {
   readonly #sockets = new Map<string, Socket>();
 
   #server: Server | undefined;
--- a/packages/transport/src/log-port.ts
+++ b/packages/transport/src/LogPort.ts
@@ -3,7 +3,7 @@
 import { pino, type Logger } from 'pino';
 
 /** Writes log lines. */
-export class LogPort {
+export default class LogPort {
   private constructor(private readonly logger: Logger) {}
 
   /**
--- a/packages/transport/src/target-port.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -22,7 +22,7 @@
   error instanceof Error && 'code' in error ? String(error.code) : '';
 
 /** Calls the target. */
-export class TargetPort {
+export default class TargetPort {
   readonly #abortControllers = new Map<string, AbortController>();
 
   readonly #bodies = new Map<string, Readable>();
@@ -102,7 +102,7 @@
     return agent.request({
       origin: this.targetUrl,
       path: request.path,
-      method: request.method as Dispatcher.HttpMethod,
+      method: request.method,
       headers: {
         'x-request-id': requestId,
         ...(request.contentType === '' ? {} : { 'content-type': request.contentType }),
--- a/packages/transport/src/timer-port.ts
+++ b/packages/transport/src/TimerPort.ts
@@ -8,7 +8,7 @@
 } from '@ebonysill/core';
 
 /** Runs timers. */
-export class TimerPort {
+export default class TimerPort {
   readonly #handles = new Map<string, NodeJS.Timeout>();
 
   private constructor(private readonly post: (event: Event) => void) {}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,5 +1,5 @@
 /** @module Public interface of the ports. */
-export { AdminServer } from './admin-server.js';
+export { default as AdminServer } from './AdminServer.js';
 export {
   adminRouter,
   type AdminRouter,
@@ -7,10 +7,10 @@
   type ProcessStatus,
 } from './admin-router.js';
 export { CallerPort, type CallerPortOptions, type Page } from './caller-port.js';
-export { ConfigurationPort } from './configuration-port.js';
+export { default as ConfigurationPort } from './ConfigurationPort.js';
 export { Journal, type JournalLine } from './journal.js';
-export { LinkPort } from './link-port.js';
-export { LogPort } from './log-port.js';
+export { default as LinkPort } from './LinkPort.js';
+export { default as LogPort } from './LogPort.js';
 export { decodeMessage, encodeMessage } from './message-codec.js';
 export { ProcessHost, systemRuntime, type ProcessHostOptions } from './process-host.js';
-export { TargetPort } from './target-port.js';
+export { default as TargetPort } from './TargetPort.js';
--- a/packages/transport/src/message-codec.ts
+++ b/packages/transport/src/message-codec.ts
@@ -1,7 +1,7 @@
 /** @module Encodes messages between processes as MessagePack. */
 import type { Message } from '@ebonysill/core';
 import { Packr } from 'msgpackr';
-import { messageSchema } from './message-schema.js';
+import messageSchema from './messageSchema.js';
 
 const packr = new Packr({ useRecords: false });
 
--- a/packages/transport/src/message-schema.ts
+++ b/packages/transport/src/messageSchema.ts
@@ -100,7 +100,7 @@
 };
 
 /** Any message between processes. */
-export const messageSchema: z.ZodType<Message> = z.discriminatedUnion('kind', [
+const messageSchema: z.ZodType<Message> = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal(MessageKind.RunChunk), runId: id, sequence: count, data: z.string() }),
   z.object({
     kind: z.literal(MessageKind.Hello),
@@ -136,3 +136,5 @@
     suspicions: suspicions.exactOptional(),
   }),
 ]);
+
+export default messageSchema;
--- a/packages/transport/src/process-host.ts
+++ b/packages/transport/src/process-host.ts
@@ -12,10 +12,10 @@
 } from '@ebonysill/core';
 import { Kernel } from '@ebonysill/kernel';
 import type { CallerPort } from './caller-port.js';
-import type { ConfigurationPort } from './configuration-port.js';
-import { LinkPort } from './link-port.js';
-import type { TargetPort } from './target-port.js';
-import { TimerPort } from './timer-port.js';
+import type ConfigurationPort from './ConfigurationPort.js';
+import LinkPort from './LinkPort.js';
+import type TargetPort from './TargetPort.js';
+import TimerPort from './TimerPort.js';
 
 /** Ports that only some roles have, and what surrounds the process. */
 export interface ProcessHostOptions {
