feat(emulator): run whole fleets on virtual time from a seed

Cause: faults at chosen steps need time, network and processes under control. Change: virtual clock, ordered links with faults, processes that can be killed, paused and drained, fake targets and configuration service, calling agents.

--- /dev/null
+++ b/packages/emulator/src/emulated-network.ts
@@ -0,0 +1,247 @@
+/** @module Links between emulated processes: ordered, delayed, and faulty on demand. */
+import { EventKind, type Message, type OpenLinkEffect } from '@ebonysill/core';
+import type { EmulatedProcess } from './emulated-process.js';
+import type { Random } from './create-random.js';
+import type { VirtualTime } from './virtual-time.js';
+
+/** What happens to one message. */
+export enum MessageFate {
+  Delivered = 'delivered',
+  /** Lost, although the link goes on. */
+  Lost = 'lost',
+  Doubled = 'doubled',
+  /** Overtaken by later messages. */
+  Reordered = 'reordered',
+  /** Held up, with everything behind it. */
+  Late = 'late',
+}
+
+/** A fate with its delay. */
+export interface Fate {
+  readonly kind: MessageFate;
+  readonly delayMs: number;
+}
+
+/** Faults of the network, asked for each message and each dial. */
+export interface NetworkRules {
+  /** Fate of a message from one process to another. */
+  readonly fateOf: (from: EmulatedProcess, to: EmulatedProcess, message: Message) => Fate;
+  /** Whether bytes from one process reach another. */
+  readonly isConnected: (from: EmulatedProcess, to: EmulatedProcess) => boolean;
+  /** One-way delay between two processes. */
+  readonly latencyMs: (from: EmulatedProcess, to: EmulatedProcess) => number;
+}
+
+/** Latency varies up to this share above its base. */
+const LATENCY_JITTER = 0.3;
+
+const DELIVERED: Fate = { kind: MessageFate.Delivered, delayMs: 0 };
+
+/** Fate of a message on a healthy network. */
+export const deliverAll = (): Fate => DELIVERED;
+
+interface End {
+  readonly process: EmulatedProcess;
+  readonly linkId: string;
+  /** When the last message in order arrives at this end. */
+  lastArrivalMs: number;
+  /** Once bytes were lost on the way to this end, nothing arrives any more. */
+  isSilent: boolean;
+}
+
+interface EmulatedLink {
+  readonly dialler: End;
+  readonly listener: End;
+}
+
+const createEnd = (process: EmulatedProcess, linkId: string): End => ({
+  process,
+  linkId,
+  lastArrivalMs: 0,
+  isSilent: false,
+});
+
+/** Carries messages. */
+export class EmulatedNetwork {
+  readonly #listeners = new Map<string, EmulatedProcess>();
+
+  readonly #links = new Map<string, EmulatedLink>();
+
+  #inboundCount = 0;
+
+  private constructor(
+    private readonly time: VirtualTime,
+    private readonly random: Random,
+    private readonly rules: NetworkRules,
+  ) {}
+
+  /**
+   * Creates a network without links.
+   *
+   * @example
+   * const network = EmulatedNetwork.create(time, random, rules);
+   */
+  static create(time: VirtualTime, random: Random, rules: NetworkRules): EmulatedNetwork {
+    return new EmulatedNetwork(time, random, rules);
+  }
+
+  /** Lets a process accept links at an address. */
+  listen(host: string, port: number, process: EmulatedProcess): void {
+    this.#listeners.set(`${host}:${port}`, process);
+  }
+
+  /** Opens a link; a dead listener refuses, an unreachable one stays silent. */
+  open(dialler: EmulatedProcess, { linkId, host, port }: OpenLinkEffect): void {
+    const listener = this.#listeners.get(`${host}:${port}`);
+    if (listener === undefined) {
+      this.time.schedule(1, () => dialler.post({ kind: EventKind.LinkClosed, linkId }));
+      return;
+    }
+    const roundTripMs = this.#delayMs(dialler, listener) + this.#delayMs(listener, dialler);
+    const isReachable =
+      this.rules.isConnected(dialler, listener) && this.rules.isConnected(listener, dialler);
+    if (!isReachable) {
+      this.#links.set(linkId, {
+        dialler: createEnd(dialler, linkId),
+        listener: createEnd(listener, ''),
+      });
+      return;
+    }
+    this.time.schedule(roundTripMs, () => this.#connect(dialler, listener, linkId));
+  }
+
+  /** Sends a message on a link. */
+  send(from: EmulatedProcess, linkId: string, message: Message): void {
+    const to = this.#otherEnd(from, linkId);
+    if (to === undefined) {
+      return;
+    }
+    if (!this.rules.isConnected(from, to.process)) {
+      to.isSilent = true;
+    }
+    if (to.isSilent) {
+      return;
+    }
+    const fate = this.rules.fateOf(from, to.process, message);
+    this.#deliver(from, to, message, fate);
+  }
+
+  /** Closes a link; the other end learns of it unless it cannot be reached. */
+  close(from: EmulatedProcess, linkId: string): void {
+    const to = this.#otherEnd(from, linkId);
+    this.time.schedule(0, () => from.post({ kind: EventKind.LinkClosed, linkId }));
+    if (to !== undefined) {
+      this.#links.delete(linkId);
+      this.#links.delete(to.linkId);
+      this.#closeEnd(from, to);
+    }
+  }
+
+  /** Closes every link of a process that died; the others learn of it if they can be reached. */
+  drop(process: EmulatedProcess): void {
+    this.#endsOf(process).forEach(({ linkId }) => {
+      const to = this.#otherEnd(process, linkId);
+      this.#links.delete(linkId);
+      if (to !== undefined) {
+        this.#links.delete(to.linkId);
+        this.#closeEnd(process, to);
+      }
+    });
+  }
+
+  /** Makes the links between two processes silent in one direction, for good. */
+  silence(from: EmulatedProcess, to: EmulatedProcess): void {
+    this.#endsOf(to)
+      .filter(({ linkId }) => this.#otherEnd(to, linkId)?.process === from)
+      .forEach(({ linkId }) => this.#silenceEnd(linkId, to));
+  }
+
+  #silenceEnd(linkId: string, process: EmulatedProcess): void {
+    const link = this.#links.get(linkId);
+    const end = link?.dialler.process === process ? link.dialler : link?.listener;
+    if (end !== undefined) {
+      end.isSilent = true;
+    }
+  }
+
+  #closeEnd(from: EmulatedProcess, to: End): void {
+    if (to.isSilent || !this.rules.isConnected(from, to.process)) {
+      return;
+    }
+    const atMs = Math.max(to.lastArrivalMs, this.time.nowMs + this.#delayMs(from, to.process));
+    const { linkId } = to;
+    this.time.schedule(atMs - this.time.nowMs, () =>
+      to.process.post({ kind: EventKind.LinkClosed, linkId }),
+    );
+  }
+
+  #connect(dialler: EmulatedProcess, listener: EmulatedProcess, linkId: string): void {
+    if (!listener.isAlive) {
+      dialler.post({ kind: EventKind.LinkClosed, linkId });
+      return;
+    }
+    this.#inboundCount += 1;
+    const inboundId = `inbound#${this.#inboundCount}`;
+    const link = {
+      dialler: createEnd(dialler, linkId),
+      listener: createEnd(listener, inboundId),
+    };
+    this.#links.set(linkId, link);
+    this.#links.set(inboundId, link);
+    listener.post({ kind: EventKind.LinkOpened, linkId: inboundId, isInbound: true });
+    dialler.post({ kind: EventKind.LinkOpened, linkId, isInbound: false });
+  }
+
+  #deliver(from: EmulatedProcess, to: End, message: Message, fate: Fate): void {
+    const arrivalMs = this.time.nowMs + this.#delayMs(from, to.process) + fate.delayMs;
+    switch (fate.kind) {
+      case MessageFate.Lost:
+        return;
+      case MessageFate.Reordered:
+        this.#arriveAt(arrivalMs, to, message);
+        return;
+      case MessageFate.Doubled:
+        this.#arriveInOrder(arrivalMs, to, message);
+        this.#arriveAt(arrivalMs + fate.delayMs, to, message);
+        return;
+      case MessageFate.Delivered:
+      case MessageFate.Late:
+        this.#arriveInOrder(arrivalMs, to, message);
+        return;
+      default:
+        fate.kind satisfies never;
+    }
+  }
+
+  #arriveInOrder(arrivalMs: number, to: End, message: Message): void {
+    const end = to;
+    end.lastArrivalMs = Math.max(end.lastArrivalMs, arrivalMs);
+    this.#arriveAt(end.lastArrivalMs, end, message);
+  }
+
+  #arriveAt(arrivalMs: number, { process, linkId }: End, message: Message): void {
+    this.time.schedule(arrivalMs - this.time.nowMs, () => {
+      if (this.#links.has(linkId)) {
+        process.post({ kind: EventKind.LinkMessage, linkId, message });
+      }
+    });
+  }
+
+  #otherEnd(process: EmulatedProcess, linkId: string): End | undefined {
+    const link = this.#links.get(linkId);
+    if (link === undefined || link.listener.linkId === '') {
+      return undefined;
+    }
+    return link.dialler.process === process ? link.listener : link.dialler;
+  }
+
+  #endsOf(process: EmulatedProcess): readonly End[] {
+    return [...this.#links].flatMap(([linkId, { dialler, listener }]) =>
+      [dialler, listener].filter((end) => end.process === process && end.linkId === linkId),
+    );
+  }
+
+  #delayMs(from: EmulatedProcess, to: EmulatedProcess): number {
+    return this.rules.latencyMs(from, to) * (1 + this.random() * LATENCY_JITTER);
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/emulated-process.ts
@@ -0,0 +1,225 @@
+/** @module One process on virtual time: a kernel, with emulated ports around it. */
+import {
+  EffectKind,
+  EventKind,
+  type AnyRegistration,
+  type Directory,
+  type Effect,
+  type Event,
+  type FindService,
+  type Runtime,
+  type TimerKind,
+} from '@ebonysill/core';
+import { Kernel } from '@ebonysill/kernel';
+import { createRandom } from './create-random.js';
+import type { Scheduled, VirtualTime } from './virtual-time.js';
+
+/** Ports of an emulated process. */
+export interface EmulatedPorts {
+  readonly open: (process: EmulatedProcess, effect: Effect & { kind: EffectKind.OpenLink }) => void;
+  readonly close: (process: EmulatedProcess, linkId: string) => void;
+  readonly drop: (process: EmulatedProcess) => void;
+  /** Everything else that a process does to the outside. */
+  readonly perform: (process: EmulatedProcess, effect: Effect) => void;
+  /** Told of each effect before it is performed; may pause or kill the process. */
+  readonly beforeEffect: (process: EmulatedProcess, effect: Effect) => void;
+}
+
+/** What an emulated process is created from. */
+export interface EmulatedProcessOptions {
+  readonly processId: string;
+  readonly availabilityZone: string;
+  readonly time: VirtualTime;
+  readonly seed: number;
+  readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
+  readonly ports: EmulatedPorts;
+}
+
+/** A process that can be killed, restarted, paused and drained. */
+export class EmulatedProcess {
+  readonly processId: string;
+
+  readonly availabilityZone: string;
+
+  #kernel: Kernel<Directory, Event, Effect> | undefined;
+
+  #startCount = 0;
+
+  #isPaused = false;
+
+  #isDrained = false;
+
+  #events: Event[] = [];
+
+  #effects: Effect[] = [];
+
+  readonly #timers = new Map<string, Scheduled>();
+
+  private constructor(private readonly options: EmulatedProcessOptions) {
+    this.processId = options.processId;
+    this.availabilityZone = options.availabilityZone;
+  }
+
+  /**
+   * Creates a process that is not running.
+   *
+   * @example
+   * const process = EmulatedProcess.create(options);
+   * process.start();
+   */
+  static create(options: EmulatedProcessOptions): EmulatedProcess {
+    return new EmulatedProcess(options);
+  }
+
+  /** Whether the process runs, perhaps paused. */
+  get isAlive(): boolean {
+    return this.#kernel !== undefined;
+  }
+
+  /** Times that the process was started; tells incarnations apart. */
+  get startCount(): number {
+    return this.#startCount;
+  }
+
+  /** Whether a drain has ended; the process has exited then. */
+  get isDrained(): boolean {
+    return this.#isDrained;
+  }
+
+  /** Finds a service of the running process. */
+  get find(): FindService {
+    const kernel = this.#kernel;
+    if (kernel === undefined) {
+      throw new Error(`${this.processId} is not running`);
+    }
+    return kernel.find;
+  }
+
+  /** Starts the process with empty memory. */
+  start(): void {
+    this.#startCount += 1;
+    this.#isDrained = false;
+    const { time, seed } = this.options;
+    const runtime: Runtime = {
+      nowMs: () => time.nowMs,
+      random: createRandom(seed * 1_000 + this.#startCount),
+    };
+    const kernel = Kernel.create<Directory, Event, Effect>({
+      services: this.options.createServices(runtime),
+      nowMs: runtime.nowMs,
+      perform: (effect) => this.#performIfCurrent(kernel, effect),
+      onDrained: () => this.#exit(),
+      onBroken: (error) => {
+        time.schedule(0, () => {
+          throw error;
+        });
+      },
+    });
+    this.#kernel = kernel;
+    kernel.start();
+  }
+
+  /** Ends the process at once. */
+  kill(): void {
+    this.#kernel?.kill();
+    this.#kernel = undefined;
+    this.#isPaused = false;
+    this.#events = [];
+    this.#effects = [];
+    this.#timers.forEach((scheduled) => this.options.time.cancel(scheduled));
+    this.#timers.clear();
+    this.options.ports.drop(this);
+  }
+
+  /** Stops the process until it is resumed; what arrives meanwhile waits. */
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  /** Lets a paused process go on where it was. */
+  resume(): void {
+    this.#isPaused = false;
+    const effects = this.#effects;
+    const events = this.#events;
+    this.#effects = [];
+    this.#events = [];
+    effects.forEach((effect) => this.#perform(effect));
+    events.forEach((event) => this.post(event));
+  }
+
+  /** Begins a graceful shutdown. */
+  drain(): void {
+    this.#kernel?.drain();
+  }
+
+  /** Hands an event to the process. */
+  post(event: Event): void {
+    if (this.#isPaused) {
+      this.#events.push(event);
+    } else {
+      this.#kernel?.post(event);
+    }
+  }
+
+  #exit(): void {
+    this.#isDrained = true;
+    this.options.time.schedule(0, () => this.kill());
+  }
+
+  #performIfCurrent(kernel: Kernel<Directory, Event, Effect>, effect: Effect): void {
+    if (this.#kernel === kernel) {
+      this.#perform(effect);
+    }
+  }
+
+  #perform(effect: Effect): void {
+    if (this.#isPaused) {
+      this.#effects.push(effect);
+      return;
+    }
+    this.options.ports.beforeEffect(this, effect);
+    if (this.#isPaused) {
+      this.#effects.push(effect);
+    } else if (this.isAlive) {
+      this.#performNow(effect);
+    }
+  }
+
+  #performNow(effect: Effect): void {
+    switch (effect.kind) {
+      case EffectKind.SetTimer:
+        this.#setTimer(effect.timer, effect.key, effect.delayMs);
+        return;
+      case EffectKind.ClearTimer:
+        this.#clearTimer(effect.timer, effect.key);
+        return;
+      case EffectKind.OpenLink:
+        this.options.ports.open(this, effect);
+        return;
+      case EffectKind.CloseLink:
+        this.options.ports.close(this, effect.linkId);
+        return;
+      default:
+        this.options.ports.perform(this, effect);
+    }
+  }
+
+  #setTimer(timer: TimerKind, key: string, delayMs: number): void {
+    this.#clearTimer(timer, key);
+    const name = `${timer}/${key}`;
+    const scheduled = this.options.time.schedule(delayMs, () => {
+      this.#timers.delete(name);
+      this.post({ kind: EventKind.Timer, timer, key });
+    });
+    this.#timers.set(name, scheduled);
+  }
+
+  #clearTimer(timer: TimerKind, key: string): void {
+    const name = `${timer}/${key}`;
+    const scheduled = this.#timers.get(name);
+    if (scheduled !== undefined) {
+      this.options.time.cancel(scheduled);
+      this.#timers.delete(name);
+    }
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/emulation.ts
@@ -0,0 +1,297 @@
+/** @module A whole fleet on virtual time, from a seed. */
+import {
+  EffectKind,
+  EventKind,
+  type AnyRegistration,
+  type CallerRequestEvent,
+  type Effect,
+  type Runtime,
+} from '@ebonysill/core';
+import { AnswerState, noAnswer, type CallerAnswer } from './caller-answer.js';
+import { createRandom, type Random } from './create-random.js';
+import { EmulatedNetwork, deliverAll, type NetworkRules } from './emulated-network.js';
+import { EmulatedProcess } from './emulated-process.js';
+import { FakeConfigurationService } from './fake-configuration-service.js';
+import { FakeTarget, type FakeTargetOptions } from './fake-target.js';
+import { Step, stepOf } from './step.js';
+import { VirtualTime } from './virtual-time.js';
+
+/** What an emulation is created from. */
+export interface EmulationOptions {
+  readonly seed: number;
+  readonly network?: Partial<NetworkRules>;
+  /** Told of each step before it is taken, with the process that takes it. */
+  readonly onStep?: (step: Step, processId: string) => void;
+  /** Told of each effect, as one line of text. */
+  readonly onTrace?: (line: string) => void;
+  /** Changes an effect before it is performed; for known-bad variants. */
+  readonly alterEffect?: (effect: Effect) => Effect;
+}
+
+/** What an emulated process is added with. */
+export interface ProcessPlan {
+  readonly processId: string;
+  readonly availabilityZone: string;
+  readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
+}
+
+/** How many times a body ran, and when it ran last. */
+export interface RunRecord {
+  readonly count: number;
+  readonly lastMs: number;
+}
+
+/** One-way delay between processes. */
+const LATENCY_MS = 0.5;
+
+const NEVER_RAN: RunRecord = { count: 0, lastMs: 0 };
+
+/** Posts to the present incarnation of a process only. */
+const postTo = (process: EmulatedProcess): EmulatedProcess['post'] => {
+  const { startCount } = process;
+  return (event) => {
+    if (process.startCount === startCount && process.isAlive) {
+      process.post(event);
+    }
+  };
+};
+
+/** Runs processes, targets, the configuration service and the network between them. */
+export class Emulation {
+  readonly time = VirtualTime.create();
+
+  readonly network: EmulatedNetwork;
+
+  readonly configurationService = FakeConfigurationService.create(this.time);
+
+  readonly #random: Random;
+
+  readonly #processes = new Map<string, EmulatedProcess>();
+
+  readonly #targets = new Map<string, FakeTarget>();
+
+  readonly #answers = new Map<string, CallerAnswer>();
+
+  readonly #entryOf = new Map<string, string>();
+
+  readonly #runs = new Map<string, RunRecord>();
+
+  #exchangeCount = 0;
+
+  private constructor(private readonly options: EmulationOptions) {
+    this.#random = createRandom(options.seed);
+    this.network = EmulatedNetwork.create(this.time, this.#random, {
+      fateOf: deliverAll,
+      isConnected: () => true,
+      latencyMs: () => LATENCY_MS,
+      ...options.network,
+    });
+  }
+
+  /**
+   * Creates an emulation at time zero, without processes.
+   *
+   * @example
+   * const emulation = Emulation.create({ seed: 1 });
+   */
+  static create(options: EmulationOptions): Emulation {
+    return new Emulation(options);
+  }
+
+  /** Adds a process that is not running. */
+  addProcess(plan: ProcessPlan): EmulatedProcess {
+    const process = EmulatedProcess.create({
+      ...plan,
+      time: this.time,
+      seed: this.options.seed + this.#processes.size + 1,
+      ports: {
+        open: (from, effect) => this.network.open(from, effect),
+        close: (from, linkId) => this.network.close(from, linkId),
+        drop: (dead) => this.#drop(dead),
+        perform: (from, effect) => this.#perform(from, this.#alter(effect)),
+        beforeEffect: (from, effect) => this.#beforeEffect(from, effect),
+      },
+    });
+    this.#processes.set(plan.processId, process);
+    return process;
+  }
+
+  /** Adds the target beside the process of the same name. */
+  addTarget(options: Omit<FakeTargetOptions, 'time' | 'onRan'>): FakeTarget {
+    const target = FakeTarget.create({
+      ...options,
+      time: this.time,
+      onRan: ({ targetId }, body) => this.#onRan(targetId, body),
+    });
+    this.#targets.set(options.targetId, target);
+    return target;
+  }
+
+  /** The process with this name. */
+  process(processId: string): EmulatedProcess {
+    const process = this.#processes.get(processId);
+    if (process === undefined) {
+      throw new Error(`there is no process "${processId}"`);
+    }
+    return process;
+  }
+
+  /** The target with this name. */
+  target(targetId: string): FakeTarget {
+    const target = this.#targets.get(targetId);
+    if (target === undefined) {
+      throw new Error(`there is no target "${targetId}"`);
+    }
+    return target;
+  }
+
+  /** Every process. */
+  get processes(): readonly EmulatedProcess[] {
+    return [...this.#processes.values()];
+  }
+
+  /** Every target. */
+  get targets(): readonly FakeTarget[] {
+    return [...this.#targets.values()];
+  }
+
+  /** How often a body ran, on all targets together. */
+  runsOf(body: string): RunRecord {
+    return this.#runs.get(body) ?? NEVER_RAN;
+  }
+
+  /** Sends a caller's request to an entry process; returns the exchange's name. */
+  request(entryId: string, event: Omit<CallerRequestEvent, 'kind' | 'exchangeId'>): string {
+    this.#exchangeCount += 1;
+    const exchangeId = `exchange-${this.#exchangeCount}`;
+    this.#answers.set(exchangeId, noAnswer(this.time.nowMs));
+    this.#entryOf.set(exchangeId, entryId);
+    const entry = this.process(entryId);
+    this.time.schedule(LATENCY_MS, () => {
+      if (entry.isAlive) {
+        entry.post({ kind: EventKind.CallerRequest, exchangeId, ...event });
+      } else {
+        this.#update(exchangeId, { state: AnswerState.Disconnected });
+      }
+    });
+    return exchangeId;
+  }
+
+  /** What came of an exchange so far. */
+  answer(exchangeId: string): CallerAnswer {
+    return this.#answers.get(exchangeId) ?? noAnswer(0);
+  }
+
+  /** Moves time on. */
+  runFor(durationMs: number): void {
+    this.time.runUntil(this.time.nowMs + durationMs);
+  }
+
+  #alter(effect: Effect): Effect {
+    return this.options.alterEffect?.(effect) ?? effect;
+  }
+
+  #beforeEffect({ processId }: EmulatedProcess, effect: Effect): void {
+    this.options.onTrace?.(`${this.time.nowMs} ${processId} ${JSON.stringify(effect)}`);
+    const step = stepOf(effect);
+    if (step !== undefined) {
+      this.options.onStep?.(step, processId);
+    }
+  }
+
+  #onRan(targetId: string, body: string): void {
+    const { count } = this.runsOf(body);
+    this.#runs.set(body, { count: count + 1, lastMs: this.time.nowMs });
+    this.options.onTrace?.(`${this.time.nowMs} ${targetId} ran ${body}`);
+    this.options.onStep?.(Step.TargetRan, targetId);
+  }
+
+  #drop(dead: EmulatedProcess): void {
+    this.network.drop(dead);
+    this.#entryOf.forEach((entryId, exchangeId) => {
+      if (entryId === dead.processId) {
+        this.#update(exchangeId, { state: AnswerState.Disconnected });
+      }
+    });
+  }
+
+  #perform(process: EmulatedProcess, effect: Effect): void {
+    switch (effect.kind) {
+      case EffectKind.AnswerChunk:
+        this.#onChunk(process, effect.exchangeId, effect.data);
+        return;
+      case EffectKind.AnswerEnd:
+        this.#update(effect.exchangeId, { state: AnswerState.Ended });
+        return;
+      case EffectKind.AnswerKey:
+        this.#update(effect.exchangeId, {
+          state: AnswerState.Ended,
+          idempotencyKey: effect.idempotencyKey,
+        });
+        return;
+      case EffectKind.AnswerProblem:
+        this.#update(effect.exchangeId, { state: AnswerState.Refused, problem: effect.problem });
+        return;
+      case EffectKind.Send:
+        this.network.send(process, effect.linkId, effect.message);
+        return;
+      case EffectKind.ReadConfiguration:
+        this.#readConfiguration(process, effect.aboveRevision);
+        return;
+      default:
+        this.#performOnTarget(process, effect);
+    }
+  }
+
+  #performOnTarget(process: EmulatedProcess, effect: Effect): void {
+    const target = this.#targets.get(process.processId);
+    const post = postTo(process);
+    switch (effect.kind) {
+      case EffectKind.CallTarget:
+        target?.call(effect, post);
+        return;
+      case EffectKind.AbortTarget:
+        target?.abort(effect.callId);
+        return;
+      case EffectKind.PauseTarget:
+        target?.pause(effect.callId);
+        return;
+      case EffectKind.ResumeTarget:
+        target?.resume(effect.callId);
+        return;
+      case EffectKind.ReadTargetHealth:
+        target?.readHealth(post);
+        break;
+      default:
+    }
+  }
+
+  #readConfiguration(process: EmulatedProcess, aboveRevision: number): void {
+    this.configurationService.read(aboveRevision, postTo(process));
+  }
+
+  #onChunk(process: EmulatedProcess, exchangeId: string, data: string): void {
+    const { text, firstChunkMs } = this.answer(exchangeId);
+    this.#update(exchangeId, {
+      text: text + data,
+      firstChunkMs: firstChunkMs ?? this.time.nowMs,
+    });
+    const post = postTo(process);
+    this.time.schedule(LATENCY_MS, () =>
+      post({ kind: EventKind.CallerFlushed, exchangeId, chunkCount: 1 }),
+    );
+  }
+
+  #update(exchangeId: string, change: Partial<CallerAnswer>): void {
+    const answer = this.answer(exchangeId);
+    if (answer.state !== AnswerState.Waiting) {
+      return;
+    }
+    const isOver = change.state !== undefined;
+    this.#answers.set(exchangeId, {
+      ...answer,
+      ...change,
+      endedMs: isOver ? this.time.nowMs : undefined,
+    });
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/expected-answer.ts
@@ -0,0 +1,18 @@
+/** @module The answer that a fake target gives to a request body. */
+
+/**
+ * One chunk of the answer to a body.
+ *
+ * @example
+ * chunkOf('blurb', 2); // 'blurb/2;'
+ */
+export const chunkOf = (body: string, sequence: number): string => `${body}/${sequence};`;
+
+/**
+ * The whole answer to a body.
+ *
+ * @example
+ * wholeAnswer('blurb', 2); // 'blurb/0;blurb/1;'
+ */
+export const wholeAnswer = (body: string, chunkCount: number): string =>
+  Array.from({ length: chunkCount }, (_, sequence) => chunkOf(body, sequence)).join('');
--- /dev/null
+++ b/packages/emulator/src/fake-configuration-service.ts
@@ -0,0 +1,111 @@
+/** @module A fake configuration service: read, watch, counted calls; may be down or stale. */
+import { EventKind, type Configuration, type Event } from '@ebonysill/core';
+import type { VirtualTime } from './virtual-time.js';
+
+/** Condition of the service. */
+export enum FakeConfigurationMode {
+  Up = 'up',
+  Down = 'down',
+  /** Answers with what it held when it became stale. */
+  Stale = 'stale',
+}
+
+const ANSWER_MS = 3;
+
+const WATCH_MS = 25_000;
+
+interface Watch {
+  readonly aboveRevision: number;
+  readonly post: (event: Event) => void;
+}
+
+/** Serves one value. */
+export class FakeConfigurationService {
+  #served: Configuration | undefined;
+
+  #newest: Configuration | undefined;
+
+  #mode = FakeConfigurationMode.Up;
+
+  #watches: readonly Watch[] = [];
+
+  /** Reads and watches since the start. */
+  callCount = 0;
+
+  private constructor(private readonly time: VirtualTime) {}
+
+  /**
+   * Creates a service that holds nothing.
+   *
+   * @example
+   * const service = FakeConfigurationService.create(time);
+   */
+  static create(time: VirtualTime): FakeConfigurationService {
+    return new FakeConfigurationService(time);
+  }
+
+  /** Holds a new value. */
+  publish(configuration: Configuration): void {
+    this.#newest = configuration;
+    if (this.#mode !== FakeConfigurationMode.Stale) {
+      this.#serve(configuration);
+    }
+  }
+
+  /** Changes the condition; a service that is up again serves the newest value. */
+  setMode(mode: FakeConfigurationMode): void {
+    this.#mode = mode;
+    if (mode === FakeConfigurationMode.Up && this.#newest !== undefined) {
+      this.#serve(this.#newest);
+    }
+    if (mode === FakeConfigurationMode.Down) {
+      const watches = this.#watches;
+      this.#watches = [];
+      watches.forEach(({ post }) => this.#fail(post));
+    }
+  }
+
+  /** Answers at once or waits for a higher revision. */
+  read(aboveRevision: number, post: (event: Event) => void): void {
+    this.callCount += 1;
+    if (this.#mode === FakeConfigurationMode.Down) {
+      this.#fail(post);
+      return;
+    }
+    if (this.#served !== undefined && this.#served.revision > aboveRevision) {
+      this.#answer(this.#served, post);
+      return;
+    }
+    const watch = { aboveRevision, post };
+    this.#watches = [...this.#watches, watch];
+    this.time.schedule(WATCH_MS, () => this.#renew(watch));
+  }
+
+  #serve(configuration: Configuration): void {
+    this.#served = configuration;
+    if (this.#mode !== FakeConfigurationMode.Up) {
+      return;
+    }
+    const due = this.#watches.filter(({ aboveRevision }) => configuration.revision > aboveRevision);
+    this.#watches = this.#watches.filter((watch) => !due.includes(watch));
+    due.forEach(({ post }) => this.#answer(configuration, post));
+  }
+
+  /** A watch that ends without news is begun again by the reader's port. */
+  #renew(watch: Watch): void {
+    if (this.#watches.includes(watch)) {
+      this.#watches = this.#watches.filter((other) => other !== watch);
+      this.read(watch.aboveRevision, watch.post);
+    }
+  }
+
+  #answer(configuration: Configuration, post: (event: Event) => void): void {
+    this.time.schedule(ANSWER_MS, () => post({ kind: EventKind.ConfigurationRead, configuration }));
+  }
+
+  #fail(post: (event: Event) => void): void {
+    this.time.schedule(ANSWER_MS, () =>
+      post({ kind: EventKind.ConfigurationUnavailable, detail: 'no answer' }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/fake-target.ts
@@ -0,0 +1,222 @@
+/** @module A fake target: runs calls on virtual time and counts how often each one ran. */
+import { EventKind, TargetErrorStage, type CallTargetEffect, type Event } from '@ebonysill/core';
+import { chunkOf } from './expected-answer.js';
+import type { VirtualTime } from './virtual-time.js';
+
+/** How a fake target behaves. */
+export interface FakeTargetOptions {
+  readonly targetId: string;
+  readonly time: VirtualTime;
+  /** Time that a call is held before it runs. */
+  readonly holdMs: number;
+  readonly chunkCount: number;
+  readonly chunkIntervalMs: number;
+  /** Keys that the service has run, shared by its targets; undefined if they do not check. */
+  readonly ranKeys: Set<string> | undefined;
+  /** Time after a start during which the target is cold. */
+  readonly coldMs: number;
+  /** Calls that it bears when cold; with more it crashes. */
+  readonly coldConcurrency: number;
+  /** Age of the health that it reports. */
+  readonly healthLagMs: number;
+  /** Told when a call runs. */
+  readonly onRan: (target: FakeTarget, body: string) => void;
+}
+
+/** A body that begins like this crashes the target that runs it. */
+export const POISON_PREFIX = 'poison';
+
+/** Time from the sidecar to the target or back. */
+const HOP_MS = 0.1;
+
+const STATUS_OK = 200;
+
+interface FakeCall {
+  readonly effect: CallTargetEffect;
+  readonly post: (event: Event) => void;
+  readonly epoch: number;
+}
+
+/** Serves calls of the sidecar beside it. */
+export class FakeTarget {
+  readonly targetId: string;
+
+  readonly #calls = new Map<string, FakeCall>();
+
+  readonly #paused = new Map<string, () => void>();
+
+  readonly #pausedIds = new Set<string>();
+
+  #isUp = true;
+
+  #epoch = 0;
+
+  #coldUntilMs: number;
+
+  /** Times that the target crashed. */
+  crashCount = 0;
+
+  /** Most calls that ran at once while the target was cold. */
+  maxColdCount = 0;
+
+  private constructor(private readonly options: FakeTargetOptions) {
+    this.targetId = options.targetId;
+    this.#coldUntilMs = options.time.nowMs + options.coldMs;
+  }
+
+  /**
+   * Creates a target that is up.
+   *
+   * @example
+   * const target = FakeTarget.create(options);
+   */
+  static create(options: FakeTargetOptions): FakeTarget {
+    return new FakeTarget(options);
+  }
+
+  /** Calls in progress. */
+  get callCount(): number {
+    return this.#calls.size;
+  }
+
+  /** Takes a call from the sidecar; the answer is posted as events. */
+  call(effect: CallTargetEffect, post: (event: Event) => void): void {
+    this.options.time.schedule(HOP_MS, () => this.#receive(effect, post));
+  }
+
+  /** Forgets a call; one that is held may still run. */
+  abort(callId: string): void {
+    this.#calls.delete(callId);
+  }
+
+  /** Stops sending an answer. */
+  pause(callId: string): void {
+    this.#pausedIds.add(callId);
+  }
+
+  /** Goes on sending an answer. */
+  resume(callId: string): void {
+    this.#pausedIds.delete(callId);
+    const next = this.#paused.get(callId);
+    this.#paused.delete(callId);
+    next?.();
+  }
+
+  /** Posts the target's health. */
+  readHealth(post: (event: Event) => void): void {
+    const isUp = this.#isUp;
+    const isCold = this.#isCold(this.options.healthLagMs);
+    this.options.time.schedule(2 * HOP_MS, () =>
+      post({ kind: EventKind.TargetHealth, isUp, isCold }),
+    );
+  }
+
+  /** Ends the target; calls in progress fail. */
+  crash(): void {
+    this.crashCount += 1;
+    this.#isUp = false;
+    this.#epoch += 1;
+    const calls = [...this.#calls.values()];
+    this.#calls.clear();
+    calls.forEach(({ effect, post }) =>
+      this.#fail(effect.callId, TargetErrorStage.AfterWrite, post),
+    );
+  }
+
+  /** Starts the target again, cold. */
+  restart(): void {
+    this.#isUp = true;
+    this.#coldUntilMs = this.options.time.nowMs + this.options.coldMs;
+  }
+
+  /** The target turns cold without a crash and without a word. */
+  turnCold(): void {
+    this.#coldUntilMs = this.options.time.nowMs + this.options.coldMs;
+  }
+
+  #isCold(lagMs: number): boolean {
+    return this.options.time.nowMs - lagMs < this.#coldUntilMs;
+  }
+
+  #receive(effect: CallTargetEffect, post: (event: Event) => void): void {
+    if (!this.#isUp) {
+      this.#fail(effect.callId, TargetErrorStage.BeforeWrite, post);
+      return;
+    }
+    const call = { effect, post, epoch: this.#epoch };
+    this.#calls.set(effect.callId, call);
+    this.#bearCold();
+    this.options.time.schedule(this.options.holdMs, () => this.#run(call));
+  }
+
+  #bearCold(): void {
+    if (!this.#isCold(0)) {
+      return;
+    }
+    this.maxColdCount = Math.max(this.maxColdCount, this.#calls.size);
+    if (this.#calls.size > this.options.coldConcurrency) {
+      this.crash();
+      this.options.time.schedule(this.options.coldMs, () => this.restart());
+    }
+  }
+
+  #run(call: FakeCall): void {
+    const { request, idempotencyKey, deliveredCount } = call.effect;
+    if (call.epoch !== this.#epoch) {
+      return;
+    }
+    if (!this.#isRepeated(idempotencyKey)) {
+      this.options.onRan(this, request.body);
+    }
+    if (request.body.startsWith(POISON_PREFIX)) {
+      this.crash();
+      this.options.time.schedule(this.options.coldMs, () => this.restart());
+      return;
+    }
+    const { callId } = call.effect;
+    this.#post(call, { kind: EventKind.TargetHead, callId, status: STATUS_OK, contentType: '' });
+    this.#stream(call, deliveredCount);
+  }
+
+  #isRepeated(key: string | undefined): boolean {
+    const { ranKeys } = this.options;
+    if (ranKeys === undefined || key === undefined) {
+      return false;
+    }
+    if (ranKeys.has(key)) {
+      return true;
+    }
+    ranKeys.add(key);
+    return false;
+  }
+
+  #stream(call: FakeCall, sequence: number): void {
+    const { callId, request } = call.effect;
+    if (this.#calls.get(callId) !== call) {
+      return;
+    }
+    if (this.#pausedIds.has(callId)) {
+      this.#paused.set(callId, () => this.#stream(call, sequence));
+      return;
+    }
+    if (sequence >= this.options.chunkCount) {
+      this.#calls.delete(callId);
+      this.#post(call, { kind: EventKind.TargetEnd, callId });
+      return;
+    }
+    const data = chunkOf(request.body, sequence);
+    this.#post(call, { kind: EventKind.TargetChunk, callId, data });
+    const { time, chunkIntervalMs } = this.options;
+    time.schedule(chunkIntervalMs, () => this.#stream(call, sequence + 1));
+  }
+
+  #post({ post }: FakeCall, event: Event): void {
+    this.options.time.schedule(HOP_MS, () => post(event));
+  }
+
+  #fail(callId: string, stage: TargetErrorStage, post: (event: Event) => void): void {
+    this.options.time.schedule(HOP_MS, () =>
+      post({ kind: EventKind.TargetError, callId, stage, detail: 'connection reset' }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/index.ts
@@ -0,0 +1,18 @@
+/** @module Public interface of the emulator. */
+export { AnswerState, type CallerAnswer } from './caller-answer.js';
+export { CallerAgent, type CallPlan } from './caller-agent.js';
+export { createRandom } from './create-random.js';
+export { Emulation, type EmulationOptions } from './emulation.js';
+export { EmulatedProcess } from './emulated-process.js';
+export { FakeTarget, POISON_PREFIX, type FakeTargetOptions } from './fake-target.js';
+export { FakeConfigurationService, FakeConfigurationMode } from './fake-configuration-service.js';
+export { MessageFate, type Fate, type NetworkRules } from './emulated-network.js';
+export { Step } from './step.js';
+export { chunkOf, wholeAnswer } from './expected-answer.js';
+export { createFleet, type FleetOptions, type Fleet } from './fleet.js';
+export {
+  buildFleetConfiguration,
+  modelService,
+  plainService,
+  type FleetShape,
+} from './fleet-configuration.js';
--- /dev/null
+++ b/packages/emulator/src/step.ts
@@ -0,0 +1,52 @@
+/** @module Steps of a request at which a fault may strike. */
+import { EffectKind, MessageKind, type Effect } from '@ebonysill/core';
+
+/** A step of some kind of request, named after what is about to happen. */
+enum Step {
+  MintAsked = 'mint-asked',
+  KeyMinted = 'key-minted',
+  RunSent = 'run-sent',
+  TargetCalled = 'target-called',
+  TargetRan = 'target-ran',
+  HeadSent = 'head-sent',
+  ChunkSent = 'chunk-sent',
+  EndSent = 'end-sent',
+  FailureSent = 'failure-sent',
+  TombstoneSent = 'tombstone-sent',
+  AnswerBegun = 'answer-begun',
+  AnswerEnded = 'answer-ended',
+}
+
+const STEP_OF_MESSAGE: Partial<Readonly<Record<MessageKind, Step>>> = {
+  [MessageKind.MintKey]: Step.MintAsked,
+  [MessageKind.KeyMinted]: Step.KeyMinted,
+  [MessageKind.Run]: Step.RunSent,
+  [MessageKind.RunHead]: Step.HeadSent,
+  [MessageKind.RunChunk]: Step.ChunkSent,
+  [MessageKind.RunEnd]: Step.EndSent,
+  [MessageKind.RunFailed]: Step.FailureSent,
+  [MessageKind.Tombstone]: Step.TombstoneSent,
+};
+
+/**
+ * The step that an effect is about to take, if any.
+ *
+ * @example
+ * stepOf(effect); // Step.RunSent
+ */
+export const stepOf = (effect: Effect): Step | undefined => {
+  switch (effect.kind) {
+    case EffectKind.Send:
+      return STEP_OF_MESSAGE[effect.message.kind];
+    case EffectKind.CallTarget:
+      return Step.TargetCalled;
+    case EffectKind.AnswerHead:
+      return Step.AnswerBegun;
+    case EffectKind.AnswerEnd:
+      return Step.AnswerEnded;
+    default:
+      return undefined;
+  }
+};
+
+export { Step };
