--- a/demo/src/demo-fleet.ts
+++ b/demo/src/demo-fleet.ts
@@ -2,7 +2,9 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 import { ServiceKind } from '@ebonysill/core';
+import { request } from 'undici';
 import {
   buildConfiguration,
   planTargets,
@@ -31,6 +33,10 @@
   readonly listening: { readonly servingPort: number; readonly adminPort: number };
 }
 
+const OK = 200;
+
+const READY_POLL_MS = 50;
+
 const HOST = '127.0.0.1';
 
 const portOf = (program: Program): number => Number(program.listening.split(' ').at(-1));
@@ -40,6 +46,16 @@
 
 const urlOf = (port: number): string => `http://${HOST}:${port}`;
 
+/** Asks a process until it says that it is ready. */
+const waitUntilReady = async (url: string): Promise<void> => {
+  const { statusCode, body } = await request(`${url}/readyz`);
+  await body.dump();
+  if (statusCode !== OK) {
+    await delay(READY_POLL_MS);
+    await waitUntilReady(url);
+  }
+};
+
 /** A running fleet. */
 export class DemoFleet {
   private constructor(
@@ -75,6 +91,7 @@
         DemoFleet.#startEntry(folder, zone, urlOf(portOf(configurationService))),
       ),
     );
+    await Promise.all(entries.map(({ url }) => waitUntilReady(url)));
     return new DemoFleet(folder, plan, targets, configurationService, entries);
   }
 
--- /dev/null
+++ b/demo/tests/faults.test.ts
@@ -0,0 +1,149 @@
+import { afterEach, beforeEach, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { expect } from 'earl';
+import { request } from 'undici';
+import { completionBody, mintKey, postCompletion, postKeyed, type Answer } from '../src/caller.js';
+import { DemoFleet, type RunningEntry, type RunningTarget } from '../src/demo-fleet.js';
+import { MODEL_SERVICE, PLAIN_SERVICE, credentialOf } from '../src/fleet-plan.js';
+
+const ORGANISATION = 'kochi-tea';
+
+const CREDENTIAL = credentialOf(ORGANISATION);
+
+const TOKENS = 200;
+
+let fleet: DemoFleet;
+
+const entryAt = (index: number): RunningEntry => {
+  const entry = fleet.entries[index];
+  if (entry === undefined) {
+    throw new Error('no such entry process');
+  }
+  return entry;
+};
+
+const targetsOf = (service: string): readonly RunningTarget[] =>
+  fleet.targets.filter((target) => target.service === service);
+
+/** Target that a key names. */
+const targetOfKey = (key: string): RunningTarget => {
+  const target = fleet.targets.find(({ targetId }) => targetId === key.split('.')[1]);
+  if (target === undefined) {
+    throw new Error('the key names no target');
+  }
+  return target;
+};
+
+const runsOf = async (body: string): Promise<number> => {
+  const counts = await Promise.all(
+    targetsOf(PLAIN_SERVICE).map(async ({ targetUrl }) => {
+      const response = await request(`${targetUrl}/runs`).catch(() => undefined);
+      const runs = ((await response?.body.json()) ?? {}) as Record<string, number>;
+      return runs[body] ?? 0;
+    }),
+  );
+  return counts.reduce((total, count) => total + count, 0);
+};
+
+const directAnswer = async (body: string): Promise<Answer> => {
+  const live = targetsOf(MODEL_SERVICE).find(({ target }) => target.child.signalCode === null);
+  return postCompletion(live?.targetUrl ?? '', '', body);
+};
+
+/** Starts streams and waits until they are under way. */
+const startStreams = async (count: number): Promise<readonly Promise<Answer>[]> => {
+  const streams = Array.from({ length: count }, (_, index) =>
+    postCompletion(entryAt(0).url, CREDENTIAL, completionBody(`stream ${index}`, TOKENS)),
+  );
+  await delay(400);
+  return streams;
+};
+
+const expectWhole = async (streams: readonly Promise<Answer>[]): Promise<void> => {
+  const answers = await Promise.all(streams);
+  const direct = await Promise.all(
+    answers.map((_, index) => directAnswer(completionBody(`stream ${index}`, TOKENS))),
+  );
+  answers.forEach(({ body }, index) => {
+    expect(body).toEqual(direct[index]?.body ?? '');
+  });
+};
+
+beforeEach(async () => {
+  fleet = await DemoFleet.create({
+    zones: ['kochi', 'thrissur', 'kozhikode'],
+    modelTargetsPerZone: 1,
+    plainTargetsPerZone: 1,
+    organisations: [ORGANISATION],
+    tokenIntervalMs: 5,
+  });
+});
+
+afterEach(() => fleet.stop());
+
+test('kill engine, streams whole', async () => {
+  const streams = await startStreams(9);
+  targetsOf(MODEL_SERVICE)[0]?.target.child.kill('SIGKILL');
+  await expectWhole(streams);
+});
+
+test('kill sidecar, streams whole', async () => {
+  const streams = await startStreams(9);
+  targetsOf(MODEL_SERVICE)[1]?.sidecar.child.kill('SIGKILL');
+  await expectWhole(streams);
+});
+
+test('freeze sidecar, streams whole', async () => {
+  const streams = await startStreams(9);
+  const frozen = targetsOf(MODEL_SERVICE)[2]?.sidecar.child;
+  frozen?.kill('SIGSTOP');
+  await expectWhole(streams);
+  frozen?.kill('SIGCONT');
+});
+
+test('drain entry, streams whole', async () => {
+  const streams = await startStreams(9);
+  const { program } = entryAt(0);
+  program.child.kill('SIGTERM');
+  await expectWhole(streams);
+  expect(await program.exited).toEqual(0);
+});
+
+test('drain sidecar, streams whole', async () => {
+  const streams = await startStreams(9);
+  const sidecar = targetsOf(MODEL_SERVICE)[0]?.sidecar;
+  sidecar?.child.kill('SIGTERM');
+  await expectWhole(streams);
+  expect(await sidecar?.exited).toEqual(0);
+});
+
+test('kill entry, key once', async () => {
+  const key = await mintKey(entryAt(0).url, CREDENTIAL);
+  const first = postKeyed(entryAt(0).url, CREDENTIAL, key, '{"seat":1}').catch(() => undefined);
+  entryAt(0).program.child.kill('SIGKILL');
+  await first;
+  const again = await postKeyed(entryAt(1).url, CREDENTIAL, key, '{"seat":1}');
+  expect(again.outcome).toEqual('done');
+  expect(await runsOf('{"seat":1}')).toEqual(1);
+});
+
+test('freeze sidecar, key once', async () => {
+  const key = await mintKey(entryAt(0).url, CREDENTIAL);
+  const { child } = targetOfKey(key).sidecar;
+  child.kill('SIGSTOP');
+  const first = await postKeyed(entryAt(0).url, CREDENTIAL, key, '{"seat":2}');
+  expect(first.outcome).toEqual('unknown');
+  child.kill('SIGCONT');
+  const again = await postKeyed(entryAt(1).url, CREDENTIAL, key, '{"seat":2}');
+  const runCount = await runsOf('{"seat":2}');
+  expect(runCount).toEqual(again.outcome === 'done' ? 1 : 0);
+});
+
+test('kill sidecar, key unknown', async () => {
+  const key = await mintKey(entryAt(0).url, CREDENTIAL);
+  await postKeyed(entryAt(0).url, CREDENTIAL, key, '{"seat":3}');
+  targetOfKey(key).sidecar.child.kill('SIGKILL');
+  const again = await postKeyed(entryAt(1).url, CREDENTIAL, key, '{"seat":3}');
+  expect(again.outcome).toEqual('unknown');
+  expect(await runsOf('{"seat":3}')).toEqual(1);
+});
--- a/packages/binaries/src/start-entry.ts
+++ b/packages/binaries/src/start-entry.ts
@@ -2,19 +2,13 @@
 import { ProcessRole } from '@ebonysill/core';
 import { createEntryServices } from '@ebonysill/entry';
 import type { EntrySettings } from '@ebonysill/settings';
-import { CallerPort, ConfigurationPort, type Page, type ProcessHost } from '@ebonysill/transport';
+import { CallerPort, ConfigurationPort, type ProcessHost } from '@ebonysill/transport';
+import readPage from './readPage.js';
 import { startProcess, type ProcessAddresses, type RunningProcess } from './running-process.js';
 
 /** Addresses of an entry process; callers are served on the serving port. */
 export type EntryAddresses = ProcessAddresses;
 
-const PLAIN_TEXT = 'text/plain';
-
-const OK = 200;
-
-const healthPage = (path: string): Page | undefined =>
-  path === '/healthz' ? { status: OK, contentType: PLAIN_TEXT, body: 'ok\n' } : undefined;
-
 const listenToCallers = async (settings: EntrySettings, process: ProcessHost): Promise<number> =>
   (await process.callers?.listen(settings.host, settings.callerPort)) ?? 0;
 
@@ -43,7 +37,8 @@
           maxInProgress,
           seeds: seedSidecars,
         }),
-      createCallerPort: (post) => CallerPort.create({ post, readPage: healthPage }),
+      createCallerPort: (post, find) =>
+        CallerPort.create({ post, readPage: (path) => readPage(path, find()) }),
       createConfigurationPort: (post) => ConfigurationPort.create(configurationUrl, post),
     },
     listen: (process) => listenToCallers(settings, process),
--- a/packages/entry/src/keyed-calls-service.ts
+++ b/packages/entry/src/keyed-calls-service.ts
@@ -41,8 +41,8 @@
 /** Time for a sidecar to void a key. */
 const VOID_TIMEOUT_MS = 1_000;
 
-/** Targets that are asked for a key. */
-const MAX_MINT_ATTEMPTS = 4;
+/** Time before the targets of a service are asked for a key once more. */
+const MINT_RETRY_MS = 100;
 
 /** What the keyed calls service is created from. */
 export interface KeyedCallsOptions {
@@ -51,9 +51,7 @@
 
 const MALFORMED = notRun(Reason.KeyMalformed, 'this is not an idempotency key of this system');
 
-const NO_TARGET = notRun(Reason.NoTarget, 'no target could mint a key');
-
-const MINT_TIMEOUT = notRun(Reason.DeadlinePassed, 'no key could be minted in time');
+const NO_KEY = notRun(Reason.NoTarget, 'no target could mint a key in time');
 
 const OVERLOADED = notRun(Reason.Overloaded, 'this process has no room for the request');
 
@@ -122,7 +120,7 @@
       case EventKind.CallerGone:
         return this.#onCallerGone(event.exchangeId);
       case EventKind.Timer:
-        return event.timer === TimerKind.RequestDeadline ? this.#onDeadline(event.key) : [];
+        return this.#onTimer(event.timer, event.key);
       default:
         return [];
     }
@@ -145,8 +143,8 @@
       excluded: askedTargets,
       fingerprint: call.fingerprint,
     });
-    if (peer === undefined || askedTargets.length >= MAX_MINT_ATTEMPTS) {
-      return this.#finish(exchange, exchange.refusal ?? NO_TARGET);
+    if (peer === undefined) {
+      return [setTimer(TimerKind.RetryDelay, call.exchangeId, MINT_RETRY_MS)];
     }
     exchange.ask(peer.processId);
     return this.#sendTo(exchange, peer, {
@@ -361,14 +359,26 @@
     ];
   }
 
-  #onDeadline(exchangeId: string): readonly Effect[] {
+  #onTimer(timer: TimerKind, exchangeId: string): readonly Effect[] {
     const exchange = this.#exchanges.get(exchangeId);
     if (exchange === undefined) {
       return [];
     }
+    switch (timer) {
+      case TimerKind.RequestDeadline:
+        return this.#onDeadline(exchange);
+      case TimerKind.RetryDelay:
+        exchange.askAgain();
+        return this.#askForKey(exchange);
+      default:
+        return [];
+    }
+  }
+
+  #onDeadline(exchange: KeyedExchange): readonly Effect[] {
     switch (exchange.phase) {
       case KeyedPhase.AwaitingKey:
-        return this.#finish(exchange, MINT_TIMEOUT);
+        return this.#finish(exchange, exchange.refusal ?? NO_KEY);
       case KeyedPhase.AwaitingLink:
       case KeyedPhase.AwaitingAnswer:
         return exchange.isHeadSent
@@ -394,7 +404,10 @@
     this.#exchangeIdByRun.delete(exchange.runId);
     this.#exchanges.delete(exchangeId);
     this.#admission.release(exchangeId);
-    return [clearTimer(TimerKind.RequestDeadline, exchangeId)];
+    return [
+      clearTimer(TimerKind.RequestDeadline, exchangeId),
+      clearTimer(TimerKind.RetryDelay, exchangeId),
+    ];
   }
 
   #deadlineTimer(call: Call): Effect {
--- a/packages/entry/src/keyed-exchange.ts
+++ b/packages/entry/src/keyed-exchange.ts
@@ -114,6 +114,11 @@
     this.#askedTargets = [...this.#askedTargets, targetId];
   }
 
+  /** Allows every target to be asked for a key again. */
+  askAgain(): void {
+    this.#askedTargets = [];
+  }
+
   /** Notes what to tell the caller if nothing better comes. */
   refuse(problem: Problem): void {
     this.#refusal = problem;
--- a/packages/transport/src/process-host.ts
+++ b/packages/transport/src/process-host.ts
@@ -20,7 +20,7 @@
 /** Ports that only some roles have, and what surrounds the process. */
 export interface ProcessHostOptions {
   readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
-  readonly createCallerPort?: (post: (event: Event) => void) => CallerPort;
+  readonly createCallerPort?: (post: (event: Event) => void, find: () => FindService) => CallerPort;
   readonly createTargetPort?: (post: (event: Event) => void) => TargetPort;
   readonly createConfigurationPort?: (post: (event: Event) => void) => ConfigurationPort;
   readonly onLog: (effect: LogEffect) => void;
@@ -56,7 +56,7 @@
     const post = (event: Event): void => this.#kernel.post(event);
     this.links = LinkPort.create(post);
     this.#timers = TimerPort.create(post);
-    this.callers = options.createCallerPort?.(post);
+    this.callers = options.createCallerPort?.(post, () => this.find);
     this.#target = options.createTargetPort?.(post);
     this.#configuration = options.createConfigurationPort?.(post);
     this.#kernel = Kernel.create<Directory, Event, Effect>({
