--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,6 +8,7 @@
 } from './admin-router.js';
 export { CallerPort, type CallerPortOptions, type Page } from './caller-port.js';
 export { default as ConfigurationPort } from './ConfigurationPort.js';
+export { FrameReader, frame } from './frame-reader.js';
 export { Journal, type JournalLine } from './journal.js';
 export { default as LinkPort } from './LinkPort.js';
 export { default as LogPort } from './LogPort.js';
