test(bench): strike every step of every kind of request with every fault

Cause: the promises had been tried with a handful of kills only. Change: fault matrix on virtual time: 25 faults, 12 steps, 7 kinds of request, single faults and random pairs, invariants over every answer and every run. Found by it: a call whose key targets check, re-sent after its target had crashed, was told "not run" when the gate was closed, although its first run had taken place. Ruled out: the ledger (its record said unknown). The gate's refusal was passed on as it was; runs now carry whether an earlier run may have taken place, and "not run" becomes "unknown" then. Pairs first showed 31 cases in which the second fault struck the probe that is sent after the fault phase; their traces show the fault after the heal, so faults that have not struck by then are void.

--- /dev/null
+++ b/packages/bench/src/faults/FaultInjector.ts
@@ -0,0 +1,298 @@
+/** @module Makes faults strike an emulated fleet at the planned steps. */
+import {
+  FakeConfigurationMode,
+  MessageFate,
+  type EmulatedProcess,
+  type Fate,
+  type Fleet,
+  type StepTaken,
+} from '@ebonysill/emulator';
+import type { PlannedFault } from './fault-case.js';
+import { FaultKind } from './fault-kind.js';
+
+/** Time until something that died is started again. */
+const RESTART_MS = 500;
+
+/** Length of a pause that ends before the deadline. */
+const PAUSE_MS = 4_000;
+
+/** Length of a pause that ends after the deadline. */
+const LONG_PAUSE_MS = 26_000;
+
+/** Length of a partition. */
+const PARTITION_MS = 6_000;
+
+/** Delay of a late message. */
+const LATE_MS = 3_000;
+
+/** Delay of a message that is overtaken, and between two copies of a doubled one. */
+const OVERTAKEN_MS = 60;
+
+/** Length of an outage of the configuration service. */
+const OUTAGE_MS = 10_000;
+
+/** Time until a zone comes back into service. */
+const ZONE_BACK_MS = 8_000;
+
+const DELIVERED: Fate = { kind: MessageFate.Delivered, delayMs: 0 };
+
+const FATES: Partial<Readonly<Record<FaultKind, Fate>>> = {
+  [FaultKind.MessageLost]: { kind: MessageFate.Lost, delayMs: 0 },
+  [FaultKind.MessageDoubled]: { kind: MessageFate.Doubled, delayMs: OVERTAKEN_MS },
+  [FaultKind.MessageReordered]: { kind: MessageFate.Reordered, delayMs: OVERTAKEN_MS },
+  [FaultKind.MessageLate]: { kind: MessageFate.Late, delayMs: LATE_MS },
+};
+
+interface Blocked {
+  readonly fromId: string;
+  readonly toId: string;
+}
+
+/** Whom a fault strikes. */
+interface Struck {
+  readonly entry: EmulatedProcess;
+  readonly sidecar: EmulatedProcess;
+}
+
+/** Watches the steps and strikes. */
+export default class FaultInjector {
+  #fleet: Fleet | undefined;
+
+  #pending: PlannedFault[];
+
+  #blocked: readonly Blocked[] = [];
+
+  #nextFate: Fate | undefined;
+
+  #isHealed = false;
+
+  #entryId = 'entry-1';
+
+  #sidecarId: string | undefined;
+
+  #revision = 1;
+
+  readonly #seen = new Map<string, number>();
+
+  private constructor(faults: readonly PlannedFault[]) {
+    this.#pending = [...faults];
+  }
+
+  /**
+   * Creates an injector; faults strike once it is armed.
+   *
+   * @example
+   * const injector = FaultInjector.create(faultCase.faults);
+   */
+  static create(faults: readonly PlannedFault[]): FaultInjector {
+    return new FaultInjector(faults);
+  }
+
+  /** Faults that have not struck, because their step was not taken. */
+  get pendingCount(): number {
+    return this.#pending.length;
+  }
+
+  /** Lets faults strike from now on. */
+  arm(fleet: Fleet): void {
+    this.#fleet = fleet;
+  }
+
+  /** Notes a step, and strikes if a fault is planned for it. */
+  readonly onStep = ({ step, processId, peerId }: StepTaken): void => {
+    if (this.#fleet === undefined || this.#isHealed) {
+      return;
+    }
+    this.#noteActors(processId, peerId);
+    const count = (this.#seen.get(step) ?? 0) + 1;
+    this.#seen.set(step, count);
+    const due = this.#pending.filter(
+      (planned) => planned.step === step && planned.occurrence === count,
+    );
+    this.#pending = this.#pending.filter((planned) => !due.includes(planned));
+    due.forEach(({ fault }) => this.#strike(fault));
+  };
+
+  /** Fate of the message that is being sent. */
+  readonly fateOf = (): Fate => {
+    const fate = this.#nextFate ?? DELIVERED;
+    this.#nextFate = undefined;
+    return fate;
+  };
+
+  /** Whether bytes pass from one process to another. */
+  readonly isConnected = (from: EmulatedProcess, to: EmulatedProcess): boolean =>
+    !this.#blocked.some(({ fromId, toId }) => fromId === from.processId && toId === to.processId);
+
+  /** Ends every fault that still goes on; those that have not struck never will. */
+  heal(): void {
+    const fleet = this.#fleet;
+    if (fleet === undefined) {
+      return;
+    }
+    this.#isHealed = true;
+    this.#blocked = [];
+    fleet.emulation.configurationService.setMode(FakeConfigurationMode.Up);
+    this.#publish([]);
+    [...fleet.sidecars, ...fleet.entries].forEach((process) => {
+      if (!process.isAlive) {
+        process.start();
+      }
+    });
+  }
+
+  #noteActors(processId: string, peerId: string | undefined): void {
+    [processId, peerId].forEach((id) => {
+      if (id?.startsWith('entry-') === true) {
+        this.#entryId = id;
+      } else if (id !== undefined) {
+        this.#sidecarId = id;
+      }
+    });
+  }
+
+  #strike(fault: FaultKind): void {
+    const fleet = this.#fleet;
+    if (fleet === undefined || this.#sidecarId === undefined) {
+      return;
+    }
+    const { emulation } = fleet;
+    const struck = {
+      entry: emulation.process(this.#entryId),
+      sidecar: emulation.process(this.#sidecarId),
+    };
+    const fate = FATES[fault];
+    if (fate !== undefined) {
+      this.#nextFate = fate;
+      return;
+    }
+    this.#strikeProcess(fault, fleet, struck);
+    this.#strikeNetwork(fault, fleet, struck);
+    this.#strikeConfiguration(fault, fleet, struck);
+  }
+
+  #strikeProcess(fault: FaultKind, fleet: Fleet, { entry, sidecar }: Struck): void {
+    const target = fleet.emulation.target(sidecar.processId);
+    switch (fault) {
+      case FaultKind.CrashEntry:
+        entry.kill();
+        return;
+      case FaultKind.RestartEntry:
+        entry.kill();
+        this.#startLater(entry);
+        return;
+      case FaultKind.CrashSidecar:
+        sidecar.kill();
+        return;
+      case FaultKind.RestartSidecar:
+        sidecar.kill();
+        this.#startLater(sidecar);
+        return;
+      case FaultKind.CrashTarget:
+        target.crash();
+        this.#after(RESTART_MS, () => target.restart());
+        return;
+      case FaultKind.ReplaceHost:
+        sidecar.kill();
+        target.crash();
+        this.#startLater(sidecar);
+        this.#after(RESTART_MS, () => target.restart());
+        return;
+      case FaultKind.PauseEntry:
+        this.#pause(entry, PAUSE_MS);
+        return;
+      case FaultKind.PauseSidecar:
+        this.#pause(sidecar, PAUSE_MS);
+        return;
+      case FaultKind.PauseSidecarPastDeadline:
+        this.#pause(sidecar, LONG_PAUSE_MS);
+        return;
+      case FaultKind.DrainEntry:
+        this.#after(0, () => entry.drain());
+        return;
+      case FaultKind.DrainSidecar:
+        this.#after(0, () => sidecar.drain());
+        return;
+      case FaultKind.TargetTurnsCold:
+        target.turnCold();
+        break;
+      default:
+    }
+  }
+
+  #strikeNetwork(fault: FaultKind, fleet: Fleet, { entry, sidecar }: Struck): void {
+    switch (fault) {
+      case FaultKind.PartitionToSidecar:
+        this.#block(entry, sidecar);
+        return;
+      case FaultKind.PartitionToEntry:
+        this.#block(sidecar, entry);
+        return;
+      case FaultKind.PartitionBoth:
+        this.#block(entry, sidecar);
+        this.#block(sidecar, entry);
+        return;
+      case FaultKind.SilentToSidecar:
+        fleet.emulation.network.silence(entry, sidecar);
+        return;
+      case FaultKind.SilentToEntry:
+        fleet.emulation.network.silence(sidecar, entry);
+        break;
+      default:
+    }
+  }
+
+  #strikeConfiguration(fault: FaultKind, fleet: Fleet, { entry, sidecar }: Struck): void {
+    const { configurationService } = fleet.emulation;
+    switch (fault) {
+      case FaultKind.ConfigurationDown:
+        configurationService.setMode(FakeConfigurationMode.Down);
+        this.#after(OUTAGE_MS, () => configurationService.setMode(FakeConfigurationMode.Up));
+        return;
+      case FaultKind.ConfigurationStale:
+        configurationService.setMode(FakeConfigurationMode.Stale);
+        this.#publish([sidecar.availabilityZone]);
+        this.#after(OUTAGE_MS, () => configurationService.setMode(FakeConfigurationMode.Up));
+        return;
+      case FaultKind.ZoneOut:
+        this.#publish([sidecar.availabilityZone]);
+        this.#after(ZONE_BACK_MS, () => this.#publish([]));
+        return;
+      case FaultKind.TwoOperators:
+        this.#publish([sidecar.availabilityZone]);
+        this.#publish([entry.availabilityZone]);
+        break;
+      default:
+    }
+  }
+
+  #pause(process: EmulatedProcess, durationMs: number): void {
+    process.pause();
+    this.#after(durationMs, () => process.resume());
+  }
+
+  #startLater(process: EmulatedProcess): void {
+    this.#after(RESTART_MS, () => {
+      if (!process.isAlive) {
+        process.start();
+      }
+    });
+  }
+
+  #block(from: EmulatedProcess, to: EmulatedProcess): void {
+    const blocked = { fromId: from.processId, toId: to.processId };
+    this.#blocked = [...this.#blocked, blocked];
+    this.#after(PARTITION_MS, () => {
+      this.#blocked = this.#blocked.filter((other) => other !== blocked);
+    });
+  }
+
+  #publish(zonesOut: readonly string[]): void {
+    this.#revision += 1;
+    this.#fleet?.publish(this.#revision, zonesOut);
+  }
+
+  #after(delayMs: number, act: () => void): void {
+    this.#fleet?.emulation.time.schedule(delayMs, act);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/faults/fault-kind.ts
@@ -0,0 +1,90 @@
+/** @module Kinds of faults and of requests in the fault matrix. */
+import { Step } from '@ebonysill/emulator';
+
+/** A fault that may strike at a step. */
+export enum FaultKind {
+  CrashEntry = 'crash-entry',
+  RestartEntry = 'restart-entry',
+  CrashSidecar = 'crash-sidecar',
+  RestartSidecar = 'restart-sidecar',
+  CrashTarget = 'crash-target',
+  ReplaceHost = 'replace-host',
+  PauseEntry = 'pause-entry',
+  PauseSidecar = 'pause-sidecar',
+  PauseSidecarPastDeadline = 'pause-sidecar-past-deadline',
+  PartitionToSidecar = 'partition-to-sidecar',
+  PartitionToEntry = 'partition-to-entry',
+  PartitionBoth = 'partition-both',
+  MessageLost = 'message-lost',
+  MessageDoubled = 'message-doubled',
+  MessageReordered = 'message-reordered',
+  MessageLate = 'message-late',
+  SilentToSidecar = 'silent-to-sidecar',
+  SilentToEntry = 'silent-to-entry',
+  ConfigurationDown = 'configuration-down',
+  ConfigurationStale = 'configuration-stale',
+  ZoneOut = 'zone-out',
+  TwoOperators = 'two-operators',
+  DrainEntry = 'drain-entry',
+  DrainSidecar = 'drain-sidecar',
+  TargetTurnsCold = 'target-turns-cold',
+}
+
+/** A kind of request with the behaviour of the targets that serve it. */
+export enum RequestKind {
+  /** Idempotent stream; engines resume. */
+  ResumedStream = 'resumed-stream',
+  /** Idempotent stream; engines are deterministic and start over. */
+  RestartedStream = 'restarted-stream',
+  /** Idempotent stream that cannot be continued. */
+  PlainStream = 'plain-stream',
+  /** Non-idempotent call; targets check nothing. */
+  KeyedCall = 'keyed-call',
+  /** Non-idempotent call, sent through two entry processes at once. */
+  RacedCall = 'raced-call',
+  /** Non-idempotent call that the target holds before it runs it. */
+  HeldCall = 'held-call',
+  /** Non-idempotent call; targets refuse to run a key twice. */
+  CheckedCall = 'checked-call',
+}
+
+/** Faults that strike one message, and so apply only to steps that send one. */
+export const MESSAGE_FAULTS: readonly FaultKind[] = [
+  FaultKind.MessageLost,
+  FaultKind.MessageDoubled,
+  FaultKind.MessageReordered,
+  FaultKind.MessageLate,
+];
+
+/** Steps that send no message between processes. */
+export const LOCAL_STEPS: readonly Step[] = [
+  Step.TargetCalled,
+  Step.TargetRan,
+  Step.AnswerBegun,
+  Step.AnswerEnded,
+];
+
+const STREAM_STEPS: readonly Step[] = [
+  Step.RunSent,
+  Step.TargetCalled,
+  Step.TargetRan,
+  Step.HeadSent,
+  Step.AnswerBegun,
+  Step.ChunkSent,
+  Step.EndSent,
+  Step.AnswerEnded,
+];
+
+/** Steps that each kind of request takes when nothing fails. */
+export const STEPS_OF: Readonly<Record<RequestKind, readonly Step[]>> = {
+  [RequestKind.ResumedStream]: STREAM_STEPS,
+  [RequestKind.RestartedStream]: STREAM_STEPS,
+  [RequestKind.PlainStream]: STREAM_STEPS,
+  [RequestKind.KeyedCall]: [Step.MintAsked, Step.KeyMinted, ...STREAM_STEPS],
+  [RequestKind.RacedCall]: [Step.MintAsked, Step.KeyMinted, ...STREAM_STEPS],
+  [RequestKind.HeldCall]: [Step.MintAsked, Step.KeyMinted, ...STREAM_STEPS],
+  [RequestKind.CheckedCall]: [Step.MintAsked, Step.KeyMinted, ...STREAM_STEPS],
+};
+
+/** Whether requests of a kind carry a key. */
+export const isKeyed = (kind: RequestKind): boolean => STEPS_OF[kind].includes(Step.MintAsked);
--- /dev/null
+++ b/packages/bench/src/faults/matrix-fleet.ts
@@ -0,0 +1,91 @@
+/** @module The fleet on which the fault matrix runs. */
+import { Continuation, DuplicateCheck, type ServiceConfiguration } from '@ebonysill/core';
+import {
+  createFleet,
+  modelService,
+  plainService,
+  type Fleet,
+  type FleetOptions,
+} from '@ebonysill/emulator';
+import type FaultInjector from './FaultInjector.js';
+import { RequestKind } from './fault-kind.js';
+
+/** Chunks of every answer. */
+export const CHUNK_COUNT = 6;
+
+/** Organisation of every caller. */
+export const ORGANISATION = 'caller';
+
+const CHUNK_INTERVAL_MS = 20;
+
+const HOLD_MS = 5;
+
+const LONG_HOLD_MS = 700;
+
+const COLD_MS = 300;
+
+const ZONES: readonly string[] = ['zone-a', 'zone-b', 'zone-c'];
+
+const serviceOf = (kind: RequestKind): ServiceConfiguration => {
+  switch (kind) {
+    case RequestKind.ResumedStream:
+      return modelService(kind, Continuation.Resume);
+    case RequestKind.RestartedStream:
+      return modelService(kind, Continuation.DeterministicRestart);
+    case RequestKind.PlainStream:
+      return modelService(kind, Continuation.None);
+    case RequestKind.KeyedCall:
+    case RequestKind.RacedCall:
+    case RequestKind.HeldCall:
+      return plainService(kind, DuplicateCheck.None);
+    case RequestKind.CheckedCall:
+      return plainService(kind, DuplicateCheck.Key);
+    default:
+      return kind satisfies never;
+  }
+};
+
+/** Changes to the fleet, for known-bad variants. */
+export type FleetVariant = Pick<FleetOptions, 'alterEffect' | 'alterServices'> & {
+  /** Whether targets that are said to check keys do so; they do unless told otherwise. */
+  readonly ignoresKeys?: boolean;
+};
+
+/**
+ * Starts the fleet for requests of one kind.
+ *
+ * @example
+ * const fleet = startMatrixFleet(RequestKind.KeyedCall, 1, injector, {});
+ */
+export const startMatrixFleet = (
+  kind: RequestKind,
+  seed: number,
+  injector: FaultInjector,
+  { ignoresKeys = false, ...variant }: FleetVariant,
+): Fleet => {
+  const ranKeys = kind === RequestKind.CheckedCall && !ignoresKeys ? new Set<string>() : undefined;
+  return createFleet({
+    seed,
+    ...variant,
+    entryCount: 2,
+    network: { fateOf: injector.fateOf, isConnected: injector.isConnected },
+    onStep: injector.onStep,
+    shape: {
+      zones: ZONES,
+      targetsPerZone: 1,
+      services: [serviceOf(kind)],
+      organisations: [ORGANISATION],
+      concurrency: 8,
+      coldConcurrency: 2,
+    },
+    targetOptions: () => ({
+      holdMs: kind === RequestKind.HeldCall ? LONG_HOLD_MS : HOLD_MS,
+      chunkCount: CHUNK_COUNT,
+      chunkIntervalMs: CHUNK_INTERVAL_MS,
+      ranKeys,
+      coldMs: COLD_MS,
+      coldConcurrency: 2,
+      healthLagMs: 0,
+    }),
+  });
+};
--- /dev/null
+++ b/packages/bench/src/faults/run-case.ts
@@ -0,0 +1,145 @@
+/** @module Runs one case of the fault matrix and checks what must always hold. */
+import { Outcome } from '@ebonysill/core';
+import { AnswerState, CallerAgent, wholeAnswer, type Fleet } from '@ebonysill/emulator';
+import type { FaultCase } from './fault-case.js';
+import FaultInjector from './FaultInjector.js';
+import { RequestKind, isKeyed } from './fault-kind.js';
+import { CHUNK_COUNT, ORGANISATION, startMatrixFleet, type FleetVariant } from './matrix-fleet.js';
+
+/** What must always hold. */
+export enum Invariant {
+  AtMostOnce = 'a keyed call ran more than once',
+  NotRunIsTrue = '"not run" was told of a call that ran',
+  WholeAnswer = 'an answer that ended was not whole',
+  RightAnswer = 'a part of an answer was not its own',
+  EveryCallEnds = 'a call was never answered',
+  Recovers = 'a call after the faults was not served',
+}
+
+/** What became of the call of a case. */
+export interface CaseResult {
+  readonly faultCase: FaultCase;
+  readonly violations: readonly Invariant[];
+  /** What the caller settled for. */
+  readonly outcome: Outcome;
+  /** Time from the first send until then. */
+  readonly durationMs: number;
+  /** Whether every fault struck. */
+  readonly hasStruck: boolean;
+}
+
+/** Time for faults and for every answer that may still come. */
+const FAULT_PHASE_MS = 60_000;
+
+/** Time for the fleet to recover. */
+const RECOVERY_MS = 15_000;
+
+/** Time in which a call after the faults must be served. */
+const PROBE_MS = 10_000;
+
+/** Time after which the caller sends again. */
+const PATIENCE_MS = 2_500;
+
+const MAX_SENDS = 8;
+
+const startCall = (fleet: Fleet, kind: RequestKind, body: string, key?: string): CallerAgent =>
+  CallerAgent.create(fleet.emulation, {
+    service: kind,
+    body,
+    organisationId: ORGANISATION,
+    isKeyed: isKeyed(kind),
+    entryIds: ['entry-1', 'entry-2'],
+    maxSends: MAX_SENDS,
+    patienceMs: PATIENCE_MS,
+    ...(key === undefined ? {} : { key }),
+  });
+
+/** Sends the same key through the other entry process as soon as it is known. */
+const raceWhenMinted = (fleet: Fleet, agent: CallerAgent, agents: CallerAgent[]): void => {
+  if (agent.key === undefined) {
+    fleet.emulation.time.schedule(1, () => raceWhenMinted(fleet, agent, agents));
+    return;
+  }
+  const { key, plan } = agent;
+  const rival = CallerAgent.create(fleet.emulation, {
+    ...plan,
+    key,
+    entryIds: [...plan.entryIds].reverse(),
+  });
+  agents.push(rival);
+};
+
+const checkSend = (fleet: Fleet, exchangeId: string, body: string): readonly Invariant[] => {
+  const { state, text, problem } = fleet.emulation.answer(exchangeId);
+  const whole = wholeAnswer(body, CHUNK_COUNT);
+  const toldNotRun = problem?.outcome === Outcome.RefusedNotRun;
+  return [
+    ...(state === AnswerState.Waiting ? [Invariant.EveryCallEnds] : []),
+    ...(state === AnswerState.Ended && text !== whole ? [Invariant.WholeAnswer] : []),
+    ...(whole.startsWith(text) ? [] : [Invariant.RightAnswer]),
+    ...(toldNotRun && fleet.emulation.runsOf(body).count > 0 ? [Invariant.NotRunIsTrue] : []),
+  ];
+};
+
+const checkAgent = (fleet: Fleet, agent: CallerAgent): readonly Invariant[] => {
+  const ranTwice = agent.plan.isKeyed && fleet.emulation.runsOf(agent.plan.body).count > 1;
+  return [
+    ...agent.sends.flatMap(({ exchangeId, body }) => checkSend(fleet, exchangeId, body)),
+    ...(ranTwice ? [Invariant.AtMostOnce] : []),
+  ];
+};
+
+const outcomeOf = (agent: CallerAgent): Outcome => {
+  if (agent.final?.state === AnswerState.Ended) {
+    return Outcome.Done;
+  }
+  return agent.final?.problem?.outcome ?? Outcome.Unknown;
+};
+
+const probe = (fleet: Fleet, kind: RequestKind): readonly Invariant[] => {
+  const agents = ['entry-1', 'entry-2'].map((entryId) =>
+    CallerAgent.create(fleet.emulation, {
+      service: kind,
+      body: `probe-${entryId}`,
+      organisationId: ORGANISATION,
+      isKeyed: isKeyed(kind),
+      entryIds: [entryId],
+      maxSends: 2,
+      patienceMs: PROBE_MS,
+    }),
+  );
+  fleet.emulation.runFor(PROBE_MS);
+  return agents.every(({ final }) => final?.state === AnswerState.Ended)
+    ? []
+    : [Invariant.Recovers];
+};
+
+/**
+ * Runs a case; the variant is empty for the system as it is.
+ *
+ * @example
+ * runCase(faultCase, {}).violations; // []
+ */
+export const runCase = (faultCase: FaultCase, variant: FleetVariant): CaseResult => {
+  const { kind, faults, seed } = faultCase;
+  const injector = FaultInjector.create(faults);
+  const fleet = startMatrixFleet(kind, seed, injector, variant);
+  injector.arm(fleet);
+  const startedMs = fleet.emulation.time.nowMs;
+  const agent = startCall(fleet, kind, 'call');
+  const agents = [agent, startCall(fleet, kind, 'bystander')];
+  if (kind === RequestKind.RacedCall) {
+    raceWhenMinted(fleet, agent, agents);
+  }
+  fleet.emulation.runFor(FAULT_PHASE_MS);
+  injector.heal();
+  fleet.emulation.runFor(RECOVERY_MS);
+  const violations = [...agents.flatMap((each) => checkAgent(fleet, each)), ...probe(fleet, kind)];
+  return {
+    faultCase,
+    violations: [...new Set(violations)],
+    outcome: outcomeOf(agent),
+    durationMs: (agent.final?.endedMs ?? fleet.emulation.time.nowMs) - startedMs,
+    hasStruck: injector.pendingCount === 0,
+  };
+};
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,4 @@
+/** @module Public interface of the benchmarks and the fault matrix. */
+export { faultsOf, nameOf, pairCases, singleCases, type FaultCase } from './faults/fault-case.js';
+export { FaultKind, RequestKind } from './faults/fault-kind.js';
+export { Invariant, runCase, type CaseResult } from './faults/run-case.js';
--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -209,17 +209,21 @@
   readonly limit: () => number;
 }
 
+/** What is known of a request from before a run. */
+export interface RunHistory {
+  /** Record in the key ledger; undefined where there is none. */
+  readonly recordId: number | undefined;
+  /** Whether an earlier run may have taken place, so that "not run" may not be told. */
+  readonly mayHaveRun: boolean;
+}
+
 /** Runs requests on the target. */
 export interface ExecutionApi {
   readonly load: () => LoadReport;
   /** Why the process takes no work at all at present. */
   readonly closedProblem: () => Problem | undefined;
-  /** Queues or refuses a run; a record id marks a non-idempotent one. */
-  readonly accept: (
-    linkId: string,
-    message: RunMessage,
-    recordId: number | undefined,
-  ) => readonly Effect[];
+  /** Queues or refuses a run. */
+  readonly accept: (linkId: string, message: RunMessage, history: RunHistory) => readonly Effect[];
   /** Adds a subscriber to the run of a record; undefined when there is none. */
   readonly attach: (
     linkId: string,
--- a/packages/emulator/src/caller-agent.ts
+++ b/packages/emulator/src/caller-agent.ts
@@ -9,6 +9,8 @@
   readonly body: string;
   readonly organisationId: string;
   readonly isKeyed: boolean;
+  /** Key to use, obtained earlier. */
+  readonly key?: string;
   /** Entry processes in the order in which it turns to them. */
   readonly entryIds: readonly string[];
   readonly maxSends: number;
@@ -16,6 +18,12 @@
   readonly patienceMs: number;
 }
 
+/** One send of a call. */
+export interface CallSend {
+  readonly exchangeId: string;
+  readonly body: string;
+}
+
 /** Time between looks at an answer. */
 const POLL_MS = 10;
 
@@ -30,13 +38,15 @@
 
   #final: CallerAnswer | undefined;
 
-  /** Every answer to the call itself, in the order of the sends. */
-  readonly exchangeIds: string[] = [];
+  /** Every send of the call itself, in order. */
+  readonly sends: CallSend[] = [];
 
   private constructor(
     private readonly emulation: Emulation,
     readonly plan: CallPlan,
-  ) {}
+  ) {
+    this.#key = plan.key;
+  }
 
   /**
    * Creates a caller and lets it begin.
@@ -64,19 +74,20 @@
     const isMint = this.plan.isKeyed && this.#key === undefined;
     const entryId = this.plan.entryIds[this.#sendCount % this.plan.entryIds.length] ?? '';
     this.#sendCount += 1;
+    const body = this.plan.isKeyed ? this.plan.body : `${this.plan.body}#${this.#sendCount}`;
     const exchangeId = this.emulation.request(entryId, {
       intent: isMint ? CallerIntent.MintKey : CallerIntent.Run,
       service: this.plan.service,
       method: 'POST',
       path: '/call',
       contentType: '',
-      body: isMint ? '' : this.plan.body,
+      body: isMint ? '' : body,
       credential: this.plan.organisationId,
       priority: 5,
       ...(this.#key === undefined ? {} : { idempotencyKey: this.#key }),
     });
     if (!isMint) {
-      this.exchangeIds.push(exchangeId);
+      this.sends.push({ exchangeId, body });
     }
     this.#watch(exchangeId, this.emulation.time.nowMs + this.plan.patienceMs);
   }
--- a/packages/emulator/src/emulated-network.ts
+++ b/packages/emulator/src/emulated-network.ts
@@ -149,6 +149,11 @@
     });
   }
 
+  /** The process at the other end of a link. */
+  peerOf(process: EmulatedProcess, linkId: string): string | undefined {
+    return this.#otherEnd(process, linkId)?.process.processId;
+  }
+
   /** Makes the links between two processes silent in one direction, for good. */
   silence(from: EmulatedProcess, to: EmulatedProcess): void {
     this.#endsOf(to)
--- a/packages/emulator/src/emulation.ts
+++ b/packages/emulator/src/emulation.ts
@@ -20,8 +20,8 @@
 export interface EmulationOptions {
   readonly seed: number;
   readonly network?: Partial<NetworkRules>;
-  /** Told of each step before it is taken, with the process that takes it. */
-  readonly onStep?: (step: Step, processId: string) => void;
+  /** Told of each step before it is taken. */
+  readonly onStep?: (taken: StepTaken) => void;
   /** Told of each effect, as one line of text. */
   readonly onTrace?: (line: string) => void;
   /** Changes an effect before it is performed; for known-bad variants. */
@@ -35,6 +35,15 @@
   readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
 }
 
+/** A step that is about to be taken. */
+export interface StepTaken {
+  readonly step: Step;
+  /** The process that takes it. */
+  readonly processId: string;
+  /** The process that it is directed to, if any. */
+  readonly peerId: string | undefined;
+}
+
 /** How many times a body ran, and when it ran last. */
 export interface RunRecord {
   readonly count: number;
@@ -191,11 +200,14 @@
     return this.options.alterEffect?.(effect) ?? effect;
   }
 
-  #beforeEffect({ processId }: EmulatedProcess, effect: Effect): void {
+  #beforeEffect(process: EmulatedProcess, effect: Effect): void {
+    const { processId } = process;
     this.options.onTrace?.(`${this.time.nowMs} ${processId} ${JSON.stringify(effect)}`);
     const step = stepOf(effect);
     if (step !== undefined) {
-      this.options.onStep?.(step, processId);
+      const peerId =
+        effect.kind === EffectKind.Send ? this.network.peerOf(process, effect.linkId) : undefined;
+      this.options.onStep?.({ step, processId, peerId });
     }
   }
 
@@ -203,7 +215,7 @@
     const { count } = this.runsOf(body);
     this.#runs.set(body, { count: count + 1, lastMs: this.time.nowMs });
     this.options.onTrace?.(`${this.time.nowMs} ${targetId} ran ${body}`);
-    this.options.onStep?.(Step.TargetRan, targetId);
+    this.options.onStep?.({ step: Step.TargetRan, processId: targetId, peerId: undefined });
   }
 
   #drop(dead: EmulatedProcess): void {
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,13 +1,13 @@
 /** @module Public interface of the emulator. */
 export { AnswerState, type CallerAnswer } from './caller-answer.js';
-export { CallerAgent, type CallPlan } from './caller-agent.js';
+export { CallerAgent, type CallPlan, type CallSend } from './caller-agent.js';
 export { createRandom } from './create-random.js';
-export { Emulation, type EmulationOptions } from './emulation.js';
+export { Emulation, type EmulationOptions, type StepTaken } from './emulation.js';
 export { EmulatedProcess } from './emulated-process.js';
 export { FakeTarget, POISON_PREFIX, type FakeTargetOptions } from './fake-target.js';
 export { FakeConfigurationService, FakeConfigurationMode } from './fake-configuration-service.js';
 export { MessageFate, type Fate, type NetworkRules } from './emulated-network.js';
-export { Step } from './step.js';
+export { Step, stepOf } from './step.js';
 export { chunkOf, wholeAnswer } from './expected-answer.js';
 export { createFleet, type FleetOptions, type Fleet } from './fleet.js';
 export {
--- a/packages/sidecar/src/keyedExecutionRegistration.ts
+++ b/packages/sidecar/src/keyedExecutionRegistration.ts
@@ -99,12 +99,15 @@
     const decision = this.#ledger.claim(key, message.organisationId, message.fingerprint);
     switch (decision.kind) {
       case KeyVerdict.Fresh:
-        return this.#execution.accept(linkId, message, decision.recordId);
+        return this.#execution.accept(linkId, message, {
+          recordId: decision.recordId,
+          mayHaveRun: false,
+        });
       case KeyVerdict.Known:
         return this.#runKnown(linkId, message, decision.recordId, decision.record);
       case KeyVerdict.Refused:
         return this.#mayRunForeign(decision.problem, message)
-          ? this.#execution.accept(linkId, message, undefined)
+          ? this.#execution.accept(linkId, message, { recordId: undefined, mayHaveRun: true })
           : [fail(linkId, message.runId, decision.problem)];
       default:
         return decision satisfies never;
@@ -119,7 +122,7 @@
   ): readonly Effect[] {
     if (record.state === KeyState.Unknown && this.#checksDuplicates(message)) {
       this.#ledger.finish(recordId, { state: KeyState.Running, fingerprint: record.fingerprint });
-      return this.#execution.accept(linkId, message, recordId);
+      return this.#execution.accept(linkId, message, { recordId, mayHaveRun: true });
     }
     return this.#execution.attach(linkId, message, recordId) ?? replay(linkId, message, record);
   }
--- a/packages/sidecar/src/run.ts
+++ b/packages/sidecar/src/run.ts
@@ -1,5 +1,5 @@
 /** @module One run of a request on the target, and those who wait for its answer. */
-import { Continuation, type Effect, type RunMessage } from '@ebonysill/core';
+import { Continuation, type Effect, type RunHistory, type RunMessage } from '@ebonysill/core';
 import { AnswerBuffer } from './answer-buffer.js';
 import { Subscriber, type AnswerHead } from './subscriber.js';
 
@@ -20,8 +20,7 @@
   readonly callId: string;
   readonly linkId: string;
   readonly message: RunMessage;
-  /** Record in the key ledger; undefined for idempotent requests. */
-  readonly recordId: number | undefined;
+  readonly history: RunHistory;
   readonly nowMs: number;
 }
 
@@ -31,7 +30,7 @@
 
   readonly message: RunMessage;
 
-  readonly recordId: number | undefined;
+  readonly history: RunHistory;
 
   readonly startedMs: number;
 
@@ -48,11 +47,12 @@
 
   #isPaused = false;
 
-  private constructor({ callId, linkId, message, recordId, nowMs }: RunOptions) {
+  private constructor({ callId, linkId, message, history, nowMs }: RunOptions) {
     this.callId = callId;
     this.message = message;
-    this.recordId = recordId;
+    this.history = history;
     this.startedMs = nowMs;
+    const { recordId } = history;
     this.resumeCount =
       message.continuation === Continuation.Resume && recordId === undefined
         ? message.deliveredCount
@@ -65,12 +65,17 @@
    * Creates a run that waits.
    *
    * @example
-   * const run = Run.create({ callId, linkId, message, recordId: undefined, nowMs });
+   * const run = Run.create({ callId, linkId, message, history, nowMs });
    */
   static create(options: RunOptions): Run {
     return new Run(options);
   }
 
+  /** Record in the key ledger; undefined where there is none. */
+  get recordId(): number | undefined {
+    return this.history.recordId;
+  }
+
   /** How far the run has come. */
   get state(): RunState {
     return this.#state;
