feat(fleet): find silent links sooner and let cancelled runs settle

Cause: scenario tests on virtual time failed in three places. 1. A sidecar kept an old configuration for up to 5 s: a link was asked at most once a second for any revision; now once a second for the same revision. 2. A target in cold start crashed: a cancelled run freed its place before the target had noticed the cancellation; now it counts for 250 ms more. 3. A one-way cut lost requests: work went on to a link that answered nothing until it was closed. A run is now acknowledged with the load, and a link with anything unanswered for 200 ms takes no new work.

--- /dev/null
+++ b/packages/bench/tests/promises.test.ts
@@ -0,0 +1,319 @@
+import { test } from 'node:test';
+import { EffectKind, LogLevel, LogTopic, Outcome, ServiceName, type Effect } from '@ebonysill/core';
+import {
+  AnswerState,
+  CallerAgent,
+  FakeConfigurationMode,
+  POISON_PREFIX,
+  Step,
+  wholeAnswer,
+  type Fleet,
+} from '@ebonysill/emulator';
+import { expect } from 'earl';
+import { MODEL, ZONES, sendStreams, startScenario } from './scenario.js';
+
+/** Stated bound on new work for a zone that was taken out. */
+const ZONE_OUT_BOUND_MS = 3_000;
+
+/** Stated bound on the detection of a silent busy link. */
+const SILENCE_BOUND_MS = 2_500;
+
+/** Stated bound on load under a full outage, as a multiple of the offered load. */
+const RETRY_BOUND = 1.1;
+
+/** Targets that one request may crash. */
+const CRASH_BOUND = 2;
+
+/** Chunks that may be held for a caller that takes nothing. */
+const BUFFER_BOUND = 64;
+
+const NOTHING: Effect = {
+  kind: EffectKind.Log,
+  level: LogLevel.Debug,
+  topic: LogTopic.LinkLost,
+  fields: {},
+};
+
+const allEnded = (agents: readonly CallerAgent[], count: number): void => {
+  expect(agents.length).toEqual(count);
+  expect(agents.filter(({ final }) => final?.state !== AnswerState.Ended)).toEqual([]);
+};
+
+const revisionsOf = ({ entries, sidecars }: Fleet): readonly number[] =>
+  [...entries, ...sidecars].map((process) => process.find(ServiceName.Configuration).revision());
+
+interface ZoneRun {
+  readonly lateCalls: number;
+  readonly agents: readonly CallerAgent[];
+  readonly callsAfterReturn: number;
+}
+
+/** Takes zone-a out under load and brings it back, while `disturb` strikes. */
+const runZoneOut = (disturb: (fleet: Fleet) => void): ZoneRun => {
+  const calls: { atMs: number; processId: string }[] = [];
+  let nowMs = (): number => 0;
+  const fleet = startScenario({
+    onStep: ({ step, processId }) => {
+      if (step === Step.TargetCalled) {
+        calls.push({ atMs: nowMs(), processId });
+      }
+    },
+  });
+  nowMs = () => fleet.emulation.time.nowMs;
+  const agents = sendStreams(fleet, 1_500, 10);
+  fleet.emulation.runFor(2_000);
+  const outMs = nowMs();
+  fleet.publish(2, ['zone-a']);
+  disturb(fleet);
+  fleet.emulation.runFor(6_000);
+  const backMs = nowMs();
+  fleet.emulation.configurationService.setMode(FakeConfigurationMode.Up);
+  fleet.publish(3, []);
+  fleet.emulation.runFor(30_000);
+  const inZone = calls.filter(({ processId }) => processId.includes('zone-a'));
+  return {
+    lateCalls: inZone.filter(({ atMs }) => atMs > outMs + ZONE_OUT_BOUND_MS && atMs < backMs)
+      .length,
+    agents,
+    callsAfterReturn: inZone.filter(({ atMs }) => atMs > backMs).length,
+  };
+};
+
+test('zone out', () => {
+  const { lateCalls, agents, callsAfterReturn } = runZoneOut(() => undefined);
+  expect(lateCalls).toEqual(0);
+  expect(callsAfterReturn > 0).toEqual(true);
+  allEnded(agents, 1_500);
+});
+
+test('zone out, service down', () => {
+  const { lateCalls, agents } = runZoneOut((fleet) => {
+    fleet.emulation.runFor(4);
+    fleet.emulation.configurationService.setMode(FakeConfigurationMode.Down);
+  });
+  expect(lateCalls).toEqual(0);
+  allEnded(agents, 1_500);
+});
+
+test('drain entry', () => {
+  const fleet = startScenario({});
+  const agents = sendStreams(fleet, 60, 1);
+  fleet.emulation.runFor(100);
+  fleet.entries[0]?.drain();
+  fleet.emulation.runFor(10_000);
+  expect(fleet.entries[0]?.isDrained).toEqual(true);
+  allEnded(agents, 60);
+});
+
+test('drain sidecars of a zone', () => {
+  const late: string[] = [];
+  let isDraining = false;
+  const fleet = startScenario({
+    onStep: ({ step, processId }) => {
+      if (isDraining && step === Step.TargetCalled && processId.includes('zone-b')) {
+        late.push(processId);
+      }
+    },
+  });
+  const agents = sendStreams(fleet, 300, 5);
+  fleet.emulation.runFor(500);
+  const leaving = fleet.sidecars.filter(({ availabilityZone }) => availabilityZone === 'zone-b');
+  leaving.forEach((sidecar) => sidecar.drain());
+  fleet.emulation.runFor(300);
+  isDraining = true;
+  fleet.emulation.runFor(10_000);
+  expect(leaving.every(({ isDrained }) => isDrained)).toEqual(true);
+  expect(late).toEqual([]);
+  allEnded(agents, 300);
+});
+
+test('no retry storm', () => {
+  let callCount = 0;
+  const fleet = startScenario({
+    alterEffect: (effect) => {
+      if (effect.kind !== EffectKind.CallTarget) {
+        return effect;
+      }
+      callCount += 1;
+      return NOTHING;
+    },
+  });
+  const agents = sendStreams(fleet, 1_000, 10);
+  fleet.emulation.runFor(60_000);
+  expect(agents.every(({ final }) => final?.problem !== undefined)).toEqual(true);
+  expect(callCount <= RETRY_BOUND * agents.length).toEqual(true);
+  expect(callCount > 0).toEqual(true);
+});
+
+test('retries lost targets in budget', () => {
+  let callCount = 0;
+  const fleet = startScenario({
+    onStep: ({ step }) => {
+      callCount += step === Step.TargetRan ? 1 : 0;
+    },
+    coldMs: 200,
+  });
+  const agents: CallerAgent[] = [];
+  Array.from({ length: 1_000 }, (_, index) =>
+    fleet.emulation.time.schedule(index * 10, () =>
+      agents.push(
+        CallerAgent.create(fleet.emulation, {
+          service: MODEL,
+          body: `${POISON_PREFIX}-${index}`,
+          organisationId: 'large',
+          isKeyed: false,
+          entryIds: ['entry-1', 'entry-2', 'entry-3'],
+          maxSends: 1,
+          patienceMs: 30_000,
+        }),
+      ),
+    ),
+  );
+  fleet.emulation.runFor(60_000);
+  expect(agents.length).toEqual(1_000);
+  expect(callCount <= RETRY_BOUND * agents.length).toEqual(true);
+});
+
+test('crashing request', () => {
+  const fleet = startScenario({ coldMs: 300 });
+  const bystanders = sendStreams(fleet, 200, 25);
+  const poison = CallerAgent.create(fleet.emulation, {
+    service: MODEL,
+    body: POISON_PREFIX,
+    organisationId: 'small',
+    isKeyed: true,
+    key: 'none',
+    entryIds: ['entry-1', 'entry-2', 'entry-3'],
+    maxSends: 10,
+    patienceMs: 5_000,
+  });
+  fleet.emulation.runFor(60_000);
+  const crashCount = fleet.targets.reduce((sum, target) => sum + target.crashCount, 0);
+  expect(poison.final?.problem?.outcome).toEqual(Outcome.RefusedNotRun);
+  expect(crashCount > 0 && crashCount <= CRASH_BOUND).toEqual(true);
+  allEnded(bystanders, 200);
+});
+
+test('silent link', () => {
+  let silencedMs = 0;
+  let replacedMs = 0;
+  const fleet = startScenario({
+    entryCount: 1,
+    onStep: ({ step }) => {
+      if (silencedMs > 0 && replacedMs === 0 && step === Step.RunSent) {
+        replacedMs = fleet.emulation.time.nowMs;
+      }
+    },
+    chunkCount: 500,
+  });
+  const agents = sendStreams(fleet, 1, 1);
+  fleet.emulation.runFor(500);
+  const [entry] = fleet.entries;
+  fleet.sidecars.forEach((sidecar) => {
+    if (entry !== undefined) {
+      fleet.emulation.network.silence(sidecar, entry);
+    }
+  });
+  silencedMs = fleet.emulation.time.nowMs;
+  fleet.emulation.runFor(30_000);
+  expect(replacedMs > 0 && replacedMs - silencedMs <= SILENCE_BOUND_MS).toEqual(true);
+  allEnded(agents, 1);
+  const [agent] = agents;
+  expect(agent?.final?.text).toEqual(wholeAnswer(agent?.sends[0]?.body ?? '', 500));
+});
+
+test('cold start', () => {
+  const fleet = startScenario({ coldMs: 3_000 });
+  const agents = sendStreams(fleet, 400, 2);
+  fleet.emulation.runFor(40_000);
+  expect(fleet.targets.map(({ crashCount }) => crashCount).filter((count) => count > 0)).toEqual(
+    [],
+  );
+  expect(fleet.targets.every(({ maxColdCount }) => maxColdCount <= 2)).toEqual(true);
+  allEnded(agents, 400);
+});
+
+test('cold zone returns', () => {
+  const fleet = startScenario({ coldMs: 2_000 });
+  fleet.emulation.runFor(3_000);
+  const agents = sendStreams(fleet, 1_000, 8);
+  fleet.emulation.runFor(1_000);
+  fleet.publish(2, ['zone-c']);
+  fleet.emulation.runFor(2_000);
+  fleet.targets
+    .filter(({ targetId }) => targetId.includes('zone-c'))
+    .forEach((target) => target.turnCold());
+  fleet.emulation.runFor(1_000);
+  fleet.publish(3, []);
+  fleet.emulation.runFor(40_000);
+  expect(fleet.targets.every(({ crashCount }) => crashCount === 0)).toEqual(true);
+  allEnded(agents, 1_000);
+});
+
+test('slow caller', () => {
+  const fleet = startScenario({ entryCount: 1, chunkCount: 1_000, isStalled: () => true });
+  const agents = sendStreams(fleet, 1, 1);
+  fleet.emulation.runFor(15_000);
+  const { text } = fleet.emulation.answer(agents[0]?.sends[0]?.exchangeId ?? '');
+  expect(text.split(';').length - 1).toEqual(BUFFER_BOUND);
+});
+
+test('fair shares', () => {
+  const fleet = startScenario({ entryCount: 1, maxInProgress: 10 });
+  const large = sendStreams(fleet, 200, 1, 'large');
+  fleet.emulation.runFor(150);
+  const small = sendStreams(fleet, 5, 1, 'small');
+  fleet.emulation.runFor(60_000);
+  allEnded(small, 5);
+  const lastSmallMs = Math.max(...small.map(({ final }) => final?.endedMs ?? Infinity));
+  const largeBefore = large.filter(({ final }) => (final?.endedMs ?? 0) < lastSmallMs);
+  expect(largeBefore.length < 60).toEqual(true);
+});
+
+test('revisions spread', () => {
+  const fleet = startScenario({});
+  fleet.publish(2, []);
+  fleet.emulation.runFor(1_000);
+  expect(new Set(revisionsOf(fleet))).toEqual(new Set([2]));
+});
+
+test('never reverts', () => {
+  const fleet = startScenario({});
+  fleet.publish(2, []);
+  fleet.emulation.runFor(1_000);
+  fleet.publish(1, ['zone-a']);
+  const [entry] = fleet.entries;
+  entry?.kill();
+  fleet.emulation.runFor(500);
+  entry?.start();
+  fleet.emulation.runFor(2_000);
+  expect(new Set(revisionsOf(fleet))).toEqual(new Set([2]));
+});
+
+test('starts without the service', () => {
+  const fleet = startScenario({});
+  fleet.emulation.configurationService.setMode(FakeConfigurationMode.Down);
+  const [entry] = fleet.entries;
+  entry?.kill();
+  fleet.emulation.runFor(500);
+  entry?.start();
+  fleet.emulation.runFor(2_000);
+  const agents = sendStreams(fleet, 6, 1);
+  fleet.emulation.runFor(5_000);
+  allEnded(agents, 6);
+});
+
+test('one-way cut', () => {
+  let isCut = false;
+  const fleet = startScenario({
+    network: {
+      isConnected: (from, to) =>
+        !isCut || from.processId !== 'entry-1' || to.availabilityZone !== ZONES[0],
+    },
+  });
+  const agents = sendStreams(fleet, 600, 10);
+  fleet.emulation.runFor(1_000);
+  isCut = true;
+  fleet.emulation.runFor(30_000);
+  allEnded(agents, 600);
+});
--- /dev/null
+++ b/packages/bench/tests/scenario.ts
@@ -0,0 +1,85 @@
+import { Continuation, DuplicateCheck, type Effect } from '@ebonysill/core';
+import {
+  CallerAgent,
+  createFleet,
+  modelService,
+  plainService,
+  type Fleet,
+  type FleetOptions,
+} from '@ebonysill/emulator';
+
+export const MODEL = 'assistant';
+
+export const PLAIN = 'enrolment';
+
+export const ZONES: readonly string[] = ['zone-a', 'zone-b', 'zone-c'];
+
+/** Options of a scenario; the rest is the same for all. */
+export interface ScenarioOptions {
+  readonly seed?: number;
+  readonly targetsPerZone?: number;
+  readonly entryCount?: number;
+  readonly chunkCount?: number;
+  readonly coldMs?: number;
+  readonly maxInProgress?: number;
+  readonly alterEffect?: (effect: Effect) => Effect;
+  readonly onStep?: NonNullable<FleetOptions['onStep']>;
+  readonly isStalled?: (exchangeId: string) => boolean;
+  readonly onTrace?: (line: string) => void;
+  readonly network?: NonNullable<FleetOptions['network']>;
+}
+
+export const startScenario = (options: ScenarioOptions): Fleet => {
+  const { seed = 5, targetsPerZone = 2, entryCount = 3, chunkCount = 10, coldMs = 0 } = options;
+  return createFleet({
+    ...options,
+    seed,
+    entryCount,
+    shape: {
+      zones: ZONES,
+      targetsPerZone,
+      services: [
+        modelService(MODEL, Continuation.Resume),
+        plainService(PLAIN, DuplicateCheck.None),
+      ],
+      organisations: ['large', 'small'],
+      concurrency: 8,
+      coldConcurrency: 2,
+    },
+    targetOptions: () => ({
+      holdMs: 5,
+      chunkCount,
+      chunkIntervalMs: 20,
+      ranKeys: undefined,
+      coldMs,
+      coldConcurrency: 2,
+      healthLagMs: 0,
+    }),
+  });
+};
+
+/** Lets callers begin, one after the other, through all entry processes in turn. */
+export const sendStreams = (
+  fleet: Fleet,
+  count: number,
+  intervalMs: number,
+  organisationId = 'large',
+): CallerAgent[] => {
+  const agents: CallerAgent[] = [];
+  Array.from({ length: count }, (_, index) =>
+    fleet.emulation.time.schedule(index * intervalMs, () => {
+      agents.push(
+        CallerAgent.create(fleet.emulation, {
+          service: MODEL,
+          body: `${organisationId}-${index}`,
+          organisationId,
+          isKeyed: false,
+          entryIds: [fleet.entries[index % fleet.entries.length]?.processId ?? ''],
+          maxSends: 1,
+          patienceMs: 30_000,
+        }),
+      );
+    }),
+  );
+  return agents;
+};
--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -57,6 +57,8 @@
   readonly peer: (processId: string) => Peer | undefined;
   readonly peerOfLink: (linkId: string) => Peer | undefined;
   readonly peers: () => readonly Peer[];
+  /** Whether a link has been silent for so long that it should take no new work. */
+  readonly isSuspect: (linkId: string) => boolean;
   /** Opens a link to a target's sidecar unless one exists. */
   readonly ensure: (targetId: string) => readonly Effect[];
   /** Counts work in progress on a link; busy links are checked often. */
--- a/packages/emulator/src/emulated-process.ts
+++ b/packages/emulator/src/emulated-process.ts
@@ -21,6 +21,8 @@
   readonly drop: (process: EmulatedProcess) => void;
   /** Everything else that a process does to the outside. */
   readonly perform: (process: EmulatedProcess, effect: Effect) => void;
+  /** Changes an effect before it is performed. */
+  readonly alter: (effect: Effect) => Effect;
   /** Told of each effect before it is performed; may pause or kill the process. */
   readonly beforeEffect: (process: EmulatedProcess, effect: Effect) => void;
 }
@@ -181,7 +183,7 @@
     if (this.#isPaused) {
       this.#effects.push(effect);
     } else if (this.isAlive) {
-      this.#performNow(effect);
+      this.#performNow(this.options.ports.alter(effect));
     }
   }
 
--- a/packages/emulator/src/emulation.ts
+++ b/packages/emulator/src/emulation.ts
@@ -24,6 +24,8 @@
   readonly onStep?: (taken: StepTaken) => void;
   /** Told of each effect, as one line of text. */
   readonly onTrace?: (line: string) => void;
+  /** Whether the caller of an exchange takes nothing more from its connection. */
+  readonly isStalled?: (exchangeId: string) => boolean;
   /** Changes an effect before it is performed; for known-bad variants. */
   readonly alterEffect?: (effect: Effect) => Effect;
 }
@@ -117,7 +119,8 @@
         open: (from, effect) => this.network.open(from, effect),
         close: (from, linkId) => this.network.close(from, linkId),
         drop: (dead) => this.#drop(dead),
-        perform: (from, effect) => this.#perform(from, this.#alter(effect)),
+        perform: (from, effect) => this.#perform(from, effect),
+        alter: (effect) => this.options.alterEffect?.(effect) ?? effect,
         beforeEffect: (from, effect) => this.#beforeEffect(from, effect),
       },
     });
@@ -196,10 +199,6 @@
     this.time.runUntil(this.time.nowMs + durationMs);
   }
 
-  #alter(effect: Effect): Effect {
-    return this.options.alterEffect?.(effect) ?? effect;
-  }
-
   #beforeEffect(process: EmulatedProcess, effect: Effect): void {
     const { processId } = process;
     this.options.onTrace?.(`${this.time.nowMs} ${processId} ${JSON.stringify(effect)}`);
@@ -288,6 +287,9 @@
       text: text + data,
       firstChunkMs: firstChunkMs ?? this.time.nowMs,
     });
+    if (this.options.isStalled?.(exchangeId) === true) {
+      return;
+    }
     const post = postTo(process);
     this.time.schedule(LATENCY_MS, () =>
       post({ kind: EventKind.CallerFlushed, exchangeId, chunkCount: 1 }),
--- a/packages/emulator/src/fake-target.ts
+++ b/packages/emulator/src/fake-target.ts
@@ -26,6 +26,9 @@
 /** A body that begins like this crashes the target that runs it. */
 export const POISON_PREFIX = 'poison';
 
+/** Time until a target notices that a call was given up. */
+const ABORT_LAG_MS = 50;
+
 /** Time from the sidecar to the target or back. */
 const HOP_MS = 0.1;
 
@@ -86,7 +89,7 @@
 
   /** Forgets a call; one that is held may still run. */
   abort(callId: string): void {
-    this.#calls.delete(callId);
+    this.options.time.schedule(ABORT_LAG_MS, () => this.#calls.delete(callId));
   }
 
   /** Stops sending an answer. */
--- a/packages/entry/src/RetryBudget.ts
+++ b/packages/entry/src/RetryBudget.ts
@@ -1,7 +1,7 @@
 /** @module A budget that keeps retries and hedges to a share of the requests. */
 
 /** Retries earned by each request. */
-const RETRIES_PER_REQUEST = 0.08;
+const RETRIES_PER_REQUEST = 0.05;
 
 /** Retries that may be saved up, and the budget of a new process. */
 const MAX_SAVED_RETRIES = 10;
--- a/packages/entry/src/routing-service.ts
+++ b/packages/entry/src/routing-service.ts
@@ -138,6 +138,9 @@
     if (load === undefined || load.limit === 0 || load.state === TargetState.Draining) {
       return false;
     }
+    if (this.links.isSuspect(peer.linkId)) {
+      return false;
+    }
     return this.#inProgressCount(peer) < load.limit * FULL_RATIO;
   }
 
--- a/packages/fleet/src/configuration-service.ts
+++ b/packages/fleet/src/configuration-service.ts
@@ -26,7 +26,7 @@
 /** Delay before the configuration service is asked again after a failure. */
 const RETRY_READ_MS = 1_000;
 
-/** A link is asked for a configuration at most once in this time. */
+/** A link is asked for one revision at most once in this time. */
 const REQUEST_INTERVAL_MS = 1_000;
 
 const TIMER_KEY = 'watch';
@@ -38,6 +38,12 @@
   readonly isReader: boolean;
 }
 
+/** A revision that the other end of a link was asked for. */
+interface RequestedRevision {
+  readonly revision: number;
+  readonly requestedMs: number;
+}
+
 const digestOf = (credential: string): Buffer => createHash('sha256').update(credential).digest();
 
 /** Keeps the highest accepted configuration. */
@@ -48,7 +54,7 @@
 
   #organisationsByDigest: ReadonlyMap<string, OrganisationConfiguration> = new Map();
 
-  readonly #requestedMs = new Map<string, number>();
+  readonly #requests = new Map<string, RequestedRevision>();
 
   private constructor(private readonly options: ConfigurationOptions) {}
 
@@ -85,7 +91,7 @@
       case EventKind.LinkMessage:
         return this.#onMessage(event);
       case EventKind.LinkClosed:
-        this.#requestedMs.delete(event.linkId);
+        this.#requests.delete(event.linkId);
         return [];
       default:
         return [];
@@ -119,11 +125,13 @@
       return [];
     }
     const nowMs = this.options.runtime.nowMs();
-    const requestedMs = this.#requestedMs.get(linkId);
-    if (requestedMs !== undefined && nowMs - requestedMs < REQUEST_INTERVAL_MS) {
+    const last = this.#requests.get(linkId);
+    const isAsked =
+      last?.revision === theirRevision && nowMs - last.requestedMs < REQUEST_INTERVAL_MS;
+    if (isAsked) {
       return [];
     }
-    this.#requestedMs.set(linkId, nowMs);
+    this.#requests.set(linkId, { revision: theirRevision, requestedMs: nowMs });
     return [send(linkId, { kind: MessageKind.ConfigurationRequest })];
   }
 
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -1,11 +1,6 @@
 /** @module State of one link. */
 import type { HelloMessage, LoadReport, Peer } from '@ebonysill/core';
-import {
-  BUSY_CHECK_MS,
-  IDLE_CHECK_MS,
-  IDLE_SILENCE_LIMIT_MS,
-  SILENCE_LIMIT_MS,
-} from './link-timing.js';
+import { BUSY_CHECK_MS, IDLE_CHECK_MS, SILENCE_LIMIT_MS, SUSPECT_MS } from './link-timing.js';
 
 /** How far a link has come. */
 export enum LinkState {
@@ -29,6 +24,9 @@
 
   #lastHeardMs: number;
 
+  /** When the first message was sent that has had no answer. */
+  #unansweredMs: number | undefined;
+
   #checkDueMs: number;
 
   #retainCount = 0;
@@ -91,6 +89,7 @@
   /** A message arrived, perhaps with a load report. */
   hear(nowMs: number, load: LoadReport | undefined): void {
     this.#lastHeardMs = nowMs;
+    this.#unansweredMs = undefined;
     if (load !== undefined) {
       this.#load = load;
       this.#loadHeardMs = nowMs;
@@ -99,12 +98,10 @@
 
   /** Counts one more piece of work; returns whether the link was idle before. */
   retain(nowMs: number): boolean {
+    const wasIdle = this.#isIdle;
     this.#retainCount += 1;
-    if (this.#retainCount > 1) {
-      return false;
-    }
-    this.#lastHeardMs = Math.max(this.#lastHeardMs, nowMs - BUSY_CHECK_MS);
-    return true;
+    this.#unansweredMs ??= nowMs;
+    return wasIdle;
   }
 
   /** Counts one piece of work less. */
@@ -122,19 +119,32 @@
   /** Whether the other end has been silent for too long; a pause of this process does not count. */
   isSilent(nowMs: number): boolean {
     if (nowMs - this.#checkDueMs > OWN_PAUSE_MS) {
-      this.#lastHeardMs = nowMs;
+      this.#unansweredMs = nowMs;
     }
-    const limitMs = this.#isIdle ? IDLE_SILENCE_LIMIT_MS : SILENCE_LIMIT_MS;
-    return nowMs - this.#lastHeardMs >= limitMs;
+    return this.#state !== LinkState.Up || this.#unansweredMs !== undefined
+      ? nowMs - (this.#unansweredMs ?? this.#lastHeardMs) >= SILENCE_LIMIT_MS
+      : false;
   }
 
-  /** Whether a heartbeat is wanted, because nothing else was heard lately. */
-  needsHeartbeat(nowMs: number): boolean {
+  /** Whether a message has been unanswered for so long that the link should take no new work. */
+  isSuspect(nowMs: number): boolean {
+    return this.#unansweredMs !== undefined && nowMs - this.#unansweredMs > SUSPECT_MS;
+  }
+
+  /** Whether a heartbeat is wanted, because nothing else was heard lately; notes that it is sent. */
+  takeHeartbeat(nowMs: number): boolean {
     const intervalMs = this.#isIdle ? IDLE_CHECK_MS : BUSY_CHECK_MS;
-    return this.#state === LinkState.Up && nowMs - this.#lastHeardMs >= intervalMs / 2;
+    const isWanted = this.#state === LinkState.Up && nowMs - this.#lastHeardMs >= intervalMs / 2;
+    if (isWanted) {
+      this.#unansweredMs ??= nowMs;
+    }
+    return isWanted;
   }
 
+  /** Up, without work, and with nothing unanswered. */
   get #isIdle(): boolean {
-    return this.#state === LinkState.Up && this.#retainCount === 0;
+    return (
+      this.#state === LinkState.Up && this.#retainCount === 0 && this.#unansweredMs === undefined
+    );
   }
 }
--- a/packages/fleet/src/links-service.ts
+++ b/packages/fleet/src/links-service.ts
@@ -99,6 +99,7 @@
     peer: (processId) => this.#table.peer(processId),
     peerOfLink: (linkId) => this.#table.peerOfLink(linkId),
     peers: () => this.#table.peers(),
+    isSuspect: (linkId) => this.#table.get(linkId)?.isSuspect(this.#nowMs()) ?? true,
     ensure: (targetId) => this.#ensure(targetId),
     retain: (linkId) => this.#retain(linkId),
     release: (linkId) => this.#release(linkId),
@@ -269,7 +270,7 @@
       return [{ kind: EffectKind.CloseLink, linkId }];
     }
     return [
-      ...(link.needsHeartbeat(nowMs) ? [send(linkId, this.#report(MessageKind.Heartbeat))] : []),
+      ...(link.takeHeartbeat(nowMs) ? [send(linkId, this.#report(MessageKind.Heartbeat))] : []),
       this.#scheduleCheck(link),
     ];
   }
--- a/packages/sidecar/src/execution-service.ts
+++ b/packages/sidecar/src/execution-service.ts
@@ -38,6 +38,9 @@
 import RunGate from './RunGate.js';
 import { Run, RunState } from './run.js';
 
+/** Time for a target to notice that a call was given up. */
+const ABORT_SETTLE_MS = 250;
+
 /** Status with which a target refuses for lack of capacity. */
 const SERVICE_UNAVAILABLE = 503;
 
@@ -61,6 +64,16 @@
 const tell = (problem: Problem, { mayHaveRun }: RunHistory): Problem =>
   mayHaveRun ? { ...problem, outcome: Outcome.Unknown } : problem;
 
+/** Gives a run up; it counts until the target has had time to notice. */
+const abort = (run: Run): readonly Effect[] => {
+  run.unsubscribe(() => true);
+  run.become(RunState.Aborting);
+  return [
+    { kind: EffectKind.AbortTarget, callId: run.callId },
+    setTimer(TimerKind.RunDeadline, run.callId, ABORT_SETTLE_MS),
+  ];
+};
+
 const pauseOrResume = (run: Run): readonly Effect[] => {
   if (!run.takePauseChange()) {
     return [];
@@ -175,7 +188,17 @@
     const callId = `${this.options.targetId}/${this.#callCount}`;
     const nowMs = this.options.runtime.nowMs();
     this.#runs.add(Run.create({ callId, linkId, message, history, nowMs }));
-    return [setTimer(TimerKind.RunDeadline, callId, message.timeLeftMs), ...this.#startWaiting()];
+    return [
+      setTimer(TimerKind.RunDeadline, callId, message.timeLeftMs),
+      ...this.#startWaiting(),
+      this.#acknowledge(linkId),
+    ];
+  }
+
+  /** Tells the load at once, so that the sender sees that the link works and what it added. */
+  #acknowledge(linkId: string): Effect {
+    const revision = this.#configuration.revision();
+    return send(linkId, { kind: MessageKind.HeartbeatAck, revision, load: this.#load() });
   }
 
   #refuse(linkId: string, message: RunMessage, history: RunHistory, problem: Problem): Effect {
@@ -248,7 +271,7 @@
     if (run.recordId !== undefined) {
       return this.#pump(run);
     }
-    return [{ kind: EffectKind.AbortTarget, callId: run.callId }, ...this.#forget(run)];
+    return abort(run);
   }
 
   #onCredit(linkId: string, { runId, chunkCount }: CreditMessage): readonly Effect[] {
@@ -261,22 +284,20 @@
   }
 
   #onHead({ callId, status, contentType }: TargetHeadEvent): readonly Effect[] {
-    const run = this.#runs.byCall(callId);
+    const run = this.#runs.wantedByCall(callId);
     if (run === undefined) {
       return [];
     }
     if (status === SERVICE_UNAVAILABLE && run.recordId === undefined) {
-      return [
-        { kind: EffectKind.AbortTarget, callId },
-        ...this.#end(run, unknown(Reason.TargetFailed, 'the target refused the request')),
-      ];
+      const problem = unknown(Reason.TargetFailed, 'the target refused the request');
+      return [...this.#failSubscribers(run, problem, []), ...abort(run)];
     }
     run.begin({ status, contentType });
     return this.#pump(run);
   }
 
   #onChunk(callId: string, data: string): readonly Effect[] {
-    const run = this.#runs.byCall(callId);
+    const run = this.#runs.wantedByCall(callId);
     if (run === undefined) {
       return [];
     }
@@ -285,7 +306,7 @@
   }
 
   #onEnd(callId: string): readonly Effect[] {
-    const run = this.#runs.byCall(callId);
+    const run = this.#runs.wantedByCall(callId);
     if (run === undefined) {
       return [];
     }
@@ -323,7 +344,7 @@
   }
 
   #onError({ callId, stage }: TargetErrorEvent): readonly Effect[] {
-    const run = this.#runs.byCall(callId);
+    const run = this.#runs.wantedByCall(callId);
     if (run === undefined) {
       return [];
     }
@@ -358,14 +379,13 @@
     if (run.state === RunState.Waiting) {
       return this.#end(run, LATE_IN_QUEUE);
     }
-    if (run.recordId === undefined) {
-      return [
-        { kind: EffectKind.AbortTarget, callId },
-        ...this.#end(run, LATE_AT_TARGET),
-        ...this.#startWaiting(),
-      ];
+    if (run.state === RunState.Aborting) {
+      return [...this.#forget(run), ...this.#startWaiting()];
     }
     const told = this.#failSubscribers(run, LATE_AT_TARGET, []);
+    if (run.recordId === undefined) {
+      return [...told, ...abort(run)];
+    }
     run.unsubscribe(() => true);
     return [...told, ...this.#pump(run)];
   }
--- a/packages/sidecar/src/run-table.ts
+++ b/packages/sidecar/src/run-table.ts
@@ -8,6 +8,13 @@
   readonly subscriber: Subscriber;
 }
 
+/** States in which a run occupies the target. */
+const OCCUPYING: readonly RunState[] = [
+  RunState.Running,
+  RunState.AwaitingHealth,
+  RunState.Aborting,
+];
+
 /** Keeps the runs. */
 export class RunTable {
   readonly #runs = new Map<string, Run>();
@@ -34,11 +41,17 @@
     this.#runs.delete(run.callId);
   }
 
-  /** The run of a call to the target. */
+  /** The run with this call. */
   byCall(callId: string): Run | undefined {
     return this.#runs.get(callId);
   }
 
+  /** The run with this call, unless it was given up. */
+  wantedByCall(callId: string): Run | undefined {
+    const run = this.#runs.get(callId);
+    return run?.state === RunState.Aborting ? undefined : run;
+  }
+
   /** The run of a record in the key ledger. */
   byRecord(recordId: number): Run | undefined {
     return this.all().find((run) => run.recordId === recordId);
@@ -72,8 +85,6 @@
 
   /** Number of runs that occupy the target. */
   runningCount(): number {
-    return this.all().filter(
-      ({ state }) => state === RunState.Running || state === RunState.AwaitingHealth,
-    ).length;
+    return this.all().filter(({ state }) => OCCUPYING.includes(state)).length;
   }
 }
--- a/packages/sidecar/src/run.ts
+++ b/packages/sidecar/src/run.ts
@@ -11,6 +11,8 @@
   Running = 'running',
   /** The call failed; the target's health decides what that means. */
   AwaitingHealth = 'awaiting-health',
+  /** Given up; the target may not have noticed yet. */
+  Aborting = 'aborting',
   /** The whole answer is here; parts of it may not have been sent on. */
   Answered = 'answered',
 }
