--- a/packages/emulator/src/emulated-process.ts
+++ b/packages/emulator/src/emulated-process.ts
@@ -112,9 +112,7 @@
       perform: (effect) => this.#performIfCurrent(kernel, effect),
       onDrained: () => this.#exit(),
       onBroken: (error) => {
-        time.schedule(0, () => {
-          throw error;
-        });
+        throw error;
       },
     });
     this.#kernel = kernel;
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,7 +1,7 @@
 /** @module Public interface of the emulator. */
 export { AnswerState, type CallerAnswer } from './caller-answer.js';
 export { CallerAgent, type CallPlan, type CallSend } from './caller-agent.js';
-export { createRandom } from './create-random.js';
+export { createRandom, type Random } from './create-random.js';
 export { Emulation, type EmulationOptions, type StepTaken } from './emulation.js';
 export { EmulatedProcess } from './emulated-process.js';
 export { FakeTarget, POISON_PREFIX, type FakeTargetOptions } from './fake-target.js';
--- a/packages/kernel/src/Inbox.ts
+++ b/packages/kernel/src/inbox.ts
@@ -1,8 +1,16 @@
 /** @module The single stream of events of a process. */
 import { Stream, type Scheduler, type Sink } from 'most';
 
+/** What an inbox is created from. */
+export interface InboxOptions {
+  /** Times of the events in the stream. */
+  readonly nowMs: () => number;
+  /** Called when answering an event failed; the stream has ended then. */
+  readonly onBroken: (error: unknown) => void;
+}
+
 /** Events that wait while an earlier event is being answered. */
-export default class Inbox<TEvent> {
+export class Inbox<TEvent> {
   /** The events, in the order in which they were posted. */
   readonly stream: Stream<TEvent>;
 
@@ -12,7 +20,7 @@
 
   #isDelivering = false;
 
-  private constructor(private readonly nowMs: () => number) {
+  private constructor(private readonly options: InboxOptions) {
     this.stream = new Stream<TEvent>({
       run: (sink: Sink<TEvent>, _scheduler: Scheduler) => {
         this.#sink = sink;
@@ -22,13 +30,13 @@
   }
 
   /**
-   * Creates an inbox whose stream times come from `nowMs`.
+   * Creates an inbox without events.
    *
    * @example
-   * const inbox = Inbox.create<string>(() => Date.now());
+   * const inbox = Inbox.create<string>({ nowMs: () => Date.now(), onBroken });
    */
-  static create<TEvent>(nowMs: () => number): Inbox<TEvent> {
-    return new Inbox<TEvent>(nowMs);
+  static create<TEvent>(options: InboxOptions): Inbox<TEvent> {
+    return new Inbox<TEvent>(options);
   }
 
   /** Delivers `event` now, or after the event that is being answered. */
@@ -44,12 +52,21 @@
     this.#sink = undefined;
   }
 
+  #emit(event: TEvent): void {
+    try {
+      this.#sink?.event(this.options.nowMs(), event);
+    } catch (error) {
+      this.close();
+      this.options.onBroken(error);
+    }
+  }
+
   #deliver(): void {
     this.#isDelivering = true;
     try {
       while (this.#waiting.length > 0) {
         const event = this.#waiting.shift() as TEvent;
-        this.#sink?.event(this.nowMs(), event);
+        this.#emit(event);
       }
     } finally {
       this.#isDelivering = false;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,5 +1,5 @@
 /** @module Public interface of the micro-kernel. */
-export { default as Inbox } from './Inbox.js';
+export { Inbox, type InboxOptions } from './inbox.js';
 export { Kernel, type KernelOptions } from './kernel.js';
 export { default as InvariantError } from './InvariantError.js';
 export {
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -1,5 +1,5 @@
 /** @module The micro-kernel: starts services, feeds them events, hands on their effects. */
-import Inbox from './Inbox.js';
+import { Inbox } from './inbox.js';
 import InvariantError from './InvariantError.js';
 import type { Find, ServiceInstance, ServiceRegistration } from './service.js';
 import { startOrder } from './start-order.js';
@@ -43,7 +43,7 @@
   #drainStartedCount = 0;
 
   private constructor(private readonly options: KernelOptions<TDirectory, TEvent, TEffect>) {
-    this.#inbox = Inbox.create<TEvent>(options.nowMs);
+    this.#inbox = Inbox.create<TEvent>(options);
     this.#running = Kernel.#createServices(options.services);
   }
 
@@ -75,10 +75,7 @@
     this.#inbox.stream
       .map((event) => this.#answer(event))
       .observe((effects) => this.#settle(effects))
-      .catch((error: unknown) => {
-        this.#inbox.close();
-        this.options.onBroken(error);
-      });
+      .catch((error: unknown) => this.options.onBroken(error));
     this.#running.forEach(({ instance }) => this.#performAll(instance.start()));
   }
 
--- /dev/null
+++ b/packages/kernel/tests/kernel.test.ts
@@ -0,0 +1,114 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { Kernel, createInstance, startOrder, type ServiceRegistration } from '../src/index.js';
+
+interface Names {
+  readonly first: string;
+  readonly second: string;
+}
+
+type Registration = ServiceRegistration<Names, string, string>;
+
+const second: Registration = {
+  name: 'second',
+  requires: ['first'],
+  create: (find) => {
+    const found = find('first');
+    return createInstance('api of second', {
+      start: () => ['second starts'],
+      handle: (event) => [`${found} told second ${event}`],
+      drain: () => ['second drains'],
+    });
+  },
+};
+
+const createFirst = (isDrained: () => boolean): Registration => ({
+  name: 'first',
+  requires: [],
+  create: () =>
+    createInstance('api of first', {
+      start: () => ['first starts'],
+      handle: (event) => [`first hears ${event}`],
+      drain: () => ['first drains'],
+      isDrained,
+    }),
+});
+
+interface Run {
+  readonly kernel: Kernel<Names, string, string>;
+  readonly performed: string[];
+}
+
+const startKernel = (services: readonly Registration[]): Run => {
+  const performed: string[] = [];
+  const kernel = Kernel.create<Names, string, string>({
+    services,
+    nowMs: () => 0,
+    perform: (effect) => performed.push(effect),
+    onDrained: () => performed.push('drained'),
+    onBroken: (error) => performed.push(String(error)),
+  });
+  kernel.start();
+  return { kernel, performed };
+};
+
+test('starts in order', () => {
+  expect(startKernel([second, createFirst(() => true)]).performed).toEqual([
+    'first starts',
+    'second starts',
+  ]);
+});
+
+test('answers events', () => {
+  const { kernel, performed } = startKernel([second, createFirst(() => true)]);
+  kernel.post('hello');
+  expect(performed.slice(2)).toEqual(['first hears hello', 'api of first told second hello']);
+});
+
+test('drains in reverse', () => {
+  let isDrained = false;
+  const { kernel, performed } = startKernel([second, createFirst(() => isDrained)]);
+  kernel.drain();
+  expect(performed.slice(2)).toEqual(['second drains', 'first drains']);
+  isDrained = true;
+  kernel.post('done');
+  expect(performed.at(-1)).toEqual('drained');
+});
+
+test('finds by name', () => {
+  expect(startKernel([createFirst(() => true), second]).kernel.find('second')).toEqual(
+    'api of second',
+  );
+});
+
+test('undeclared name', () => {
+  const curious: Registration = { ...second, requires: [] };
+  expect(() => startKernel([createFirst(() => true), curious])).toThrow('does not require');
+});
+
+test('missing service', () => {
+  expect(() => startKernel([second])).toThrow('required but not registered');
+});
+
+test('cycle', () => {
+  expect(() =>
+    startOrder([
+      { name: 'a', requires: ['b'] },
+      { name: 'b', requires: ['a'] },
+    ]),
+  ).toThrow('cycle');
+});
+
+test('broken invariant', () => {
+  const handle = (): never => {
+    throw new Error('broken');
+  };
+  const broken = {
+    ...createFirst(() => true),
+    create: () => createInstance<string, string, string>('', { handle }),
+  };
+  const { kernel, performed } = startKernel([broken]);
+  kernel.post('event');
+  kernel.post('event after');
+  expect(performed).toEqual(['Error: broken']);
+});
--- /dev/null
+++ b/packages/settings/tests/settings.test.ts
@@ -0,0 +1,115 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import {
+  SettingsVerdict,
+  describeProblem,
+  entrySettingsSchema,
+  parseConfiguration,
+  parseSettings,
+  sidecarSettingsSchema,
+} from '../src/index.js';
+
+const ENTRY = `{
+  // where it stands
+  "processId": "entry-1",
+  "availabilityZone": "kochi",
+  "host": "127.0.0.1",
+  "callerPort": 8080,
+  "adminPort": 9090,
+  "configurationUrl": "http://127.0.0.1:7000",
+}`;
+
+const linesOf = (text: string): readonly string[] => {
+  const result = parseSettings(entrySettingsSchema, text, 'entry.jsonc');
+  return result.kind === SettingsVerdict.Refused ? result.problems.map(describeProblem) : [];
+};
+
+test('accepts comments', () => {
+  expect(linesOf(ENTRY)).toEqual([]);
+});
+
+test('names line and field', () => {
+  expect(linesOf(ENTRY.replace('8080', '"8080"'))).toEqual([
+    'entry.jsonc:6: callerPort: Invalid input: expected number, received string',
+  ]);
+});
+
+test('refuses unknown field', () => {
+  expect(linesOf(ENTRY.replace('"host"', '"hots"'))).toEqual([
+    'entry.jsonc:1: host: expected an IP number',
+    'entry.jsonc:5: hots: no such field',
+  ]);
+});
+
+test('refuses host name', () => {
+  expect(linesOf(ENTRY.replace('127.0.0.1"', 'localhost"'))).toEqual([
+    'entry.jsonc:5: host: expected an IP number',
+  ]);
+});
+
+test('refuses broken json', () => {
+  expect(linesOf('{ "processId" }')[0]).toEqual(
+    'entry.jsonc:1: well-formed JSON with comments (ColonExpected)',
+  );
+});
+
+const CONFIGURATION = {
+  revision: 1,
+  availabilityZones: [{ name: 'kochi', state: 'in-service' }],
+  services: [
+    {
+      name: 'bookings',
+      kind: 'plain',
+      continuation: 'none',
+      duplicateCheck: 'none',
+      idempotentCalls: [],
+      deadlineMs: 1_000,
+    },
+  ],
+  targets: [
+    {
+      targetId: 'bookings-1',
+      service: 'bookings',
+      availabilityZone: 'kochi',
+      sidecarHost: '10.0.0.1',
+      sidecarPort: 7_001,
+      concurrency: 4,
+      coldConcurrency: 1,
+    },
+  ],
+  organisations: [],
+};
+
+const fieldsOf = (configuration: object): readonly string[] => {
+  const result = parseConfiguration(JSON.stringify(configuration), 'c');
+  return result.kind === SettingsVerdict.Refused ? result.problems.map(({ field }) => field) : [];
+};
+
+test('configuration passes', () => {
+  expect(fieldsOf(CONFIGURATION)).toEqual([]);
+});
+
+test('configuration contradictions', () => {
+  const [target] = CONFIGURATION.targets;
+  const targets = [
+    { ...target, availabilityZone: 'thrissur' },
+    { ...target, service: 'nothing', coldConcurrency: 9 },
+  ];
+  expect(fieldsOf({ ...CONFIGURATION, targets })).toEqual([
+    'targets.1.targetId',
+    'targets.0.availabilityZone',
+    'targets.1.service',
+    'targets.1.coldConcurrency',
+  ]);
+});
+
+test('any text is answered', () => {
+  fc.assert(
+    fc.property(fc.oneof(fc.string(), fc.json()), (text) => {
+      const result = parseSettings(sidecarSettingsSchema, text, 'f');
+      expect(result.kind).toEqual(SettingsVerdict.Refused);
+    }),
+    { seed: 5, numRuns: 500 },
+  );
+});
