perf(fleet): keep the control bytes of many links within a budget

Cause: slopes measured by npm run bench:capacity put an entry process with 640 idle links at 20,181 bytes/s for control, ten times the 2 KB/s budget, and credit for one answer of 50 chunks at 300 bytes. Change: the time between checks of idle links grows with their number, one end asks, a new revision is told to 16 peers in each of 4 rounds, credit is granted for 256 chunks at a time out of a window of 512.

--- /dev/null
+++ b/packages/bench/src/bin/capacity.ts
@@ -0,0 +1,39 @@
+#!/usr/bin/env node
+/** @module Prints the measured slopes, their fit and what they come to at the two-year size. */
+import { fitLine } from '../capacity/linear-fit.js';
+import measureSlopes from '../capacity/measureSlopes.js';
+
+/** Sizes at which the fleet is expected to run in two years, by slope. */
+const EXPECTED_SIZES: Readonly<Record<string, number>> = {
+  'entry: control sent on idle links': 640,
+  'entry: control sent for requests': 4.3,
+  'sidecar: control sent on idle links': 118,
+  'configuration value by organisations': 43_000,
+  'configuration value by targets': 2_000,
+  'organisations in memory': 43_000,
+  'targets in memory': 2_000,
+  'entry: links in memory': 640,
+  'entry: streams in memory, 100 chunks each': 173,
+  'sidecar: links in memory': 118,
+  'sidecar: keys in memory': 65_536,
+  'entry: decisions for requests': 4.3,
+  'entry: decisions for chunks': 2_162,
+  'sidecar: decisions for chunks': 400,
+  'codec: one chunk written and read': 2_162,
+  'decisions for heartbeats': 130,
+};
+
+const percent = (shareValue: number): string => `${(100 * shareValue).toFixed(1)} %`;
+
+measureSlopes().forEach(({ name, sizeUnit, valueUnit, points }) => {
+  const { slope, intercept, residualShare } = fitLine(points);
+  const expected = EXPECTED_SIZES[name] ?? 0;
+  const measured = points.map(({ size, value }) => `${size}: ${value.toFixed(1)}`).join(', ');
+  process.stdout.write(
+    `${name}\n` +
+      `  measured (${sizeUnit}: ${valueUnit})  ${measured}\n` +
+      `  slope ${slope.toPrecision(4)} ${valueUnit} per ${sizeUnit}, at zero ` +
+      `${intercept.toFixed(1)}, residual ${percent(residualShare)}\n` +
+      `  at ${expected} ${sizeUnit}: ${(intercept + slope * expected).toFixed(1)} ${valueUnit}\n`,
+  );
+});
--- /dev/null
+++ b/packages/bench/src/capacity/capacity-fleet.ts
@@ -0,0 +1,60 @@
+/** @module Fleets of chosen sizes for capacity measurements. */
+import { Continuation } from '@ebonysill/core';
+import { createFleet, modelService, type EmulationOptions, type Fleet } from '@ebonysill/emulator';
+
+/** Size of a fleet. */
+export interface CapacitySize {
+  readonly entryCount: number;
+  readonly serviceCount: number;
+  readonly targetsPerService: number;
+  readonly organisationCount: number;
+}
+
+/** Size from which one dimension at a time is varied. */
+export const BASE_SIZE: CapacitySize = {
+  entryCount: 2,
+  serviceCount: 1,
+  targetsPerService: 8,
+  organisationCount: 10,
+};
+
+const CONCURRENCY = 64;
+
+const CHUNK_COUNT = 500;
+
+const CHUNK_INTERVAL_MS = 79;
+
+/** Name of one service of the fleet. */
+export const capacityService = (index: number): string => `model-${index}`;
+
+/**
+ * Starts a fleet.
+ *
+ * @example
+ * const fleet = startCapacityFleet({ ...BASE_SIZE, entryCount: 16 }, {});
+ */
+export const startCapacityFleet = (size: CapacitySize, options: Partial<EmulationOptions>): Fleet =>
+  createFleet({
+    seed: 1,
+    ...options,
+    entryCount: size.entryCount,
+    shape: {
+      zones: ['zone-a'],
+      targetsPerZone: size.targetsPerService,
+      services: Array.from({ length: size.serviceCount }, (_, index) =>
+        modelService(capacityService(index), Continuation.Resume),
+      ),
+      organisations: Array.from({ length: size.organisationCount }, (_, index) => `org-${index}`),
+      concurrency: CONCURRENCY,
+      coldConcurrency: 2,
+    },
+    targetOptions: () => ({
+      holdMs: 50,
+      chunkCount: CHUNK_COUNT,
+      chunkIntervalMs: CHUNK_INTERVAL_MS,
+      ranKeys: undefined,
+      coldMs: 0,
+      coldConcurrency: 2,
+      healthLagMs: 0,
+    }),
+  });
--- a/packages/emulator/src/emulation.ts
+++ b/packages/emulator/src/emulation.ts
@@ -5,6 +5,7 @@
   type AnyRegistration,
   type CallerRequestEvent,
   type Effect,
+  type Message,
   type Runtime,
 } from '@ebonysill/core';
 import { AnswerState, noAnswer, type CallerAnswer } from './caller-answer.js';
@@ -24,6 +25,8 @@
   readonly onStep?: (taken: StepTaken) => void;
   /** Told of each effect, as one line of text. */
   readonly onTrace?: (line: string) => void;
+  /** Told of each message that a process sends. */
+  readonly onSend?: (processId: string, message: Message) => void;
   /** Whether the caller of an exchange takes nothing more from its connection. */
   readonly isStalled?: (exchangeId: string) => boolean;
   /** Changes an effect before it is performed; for known-bad variants. */
@@ -244,6 +247,7 @@
         this.#update(effect.exchangeId, { state: AnswerState.Refused, problem: effect.problem });
         return;
       case EffectKind.Send:
+        this.options.onSend?.(process.processId, effect.message);
         this.network.send(process, effect.linkId, effect.message);
         return;
       case EffectKind.ReadConfiguration:
--- a/packages/entry/src/CreditMeter.ts
+++ b/packages/entry/src/CreditMeter.ts
@@ -1,7 +1,7 @@
 /** @module Gathers flushed chunks into credit for the sender. */
 
 /** Flushed chunks that are granted as credit in one message. */
-const CREDIT_BATCH = 16;
+const CREDIT_BATCH = 256;
 
 /** Counts chunks that the caller's connection took over. */
 export default class CreditMeter {
--- a/packages/fleet/src/LinkTable.ts
+++ b/packages/fleet/src/LinkTable.ts
@@ -32,6 +32,18 @@
     return link;
   }
 
+  /** Number of links in any state. */
+  get size(): number {
+    return this.#links.size;
+  }
+
+  /** Links whose other end is known by name and may not hold a revision yet. */
+  below(revision: number): readonly Link[] {
+    return [...this.#links.values()].filter(
+      (link) => link.processId !== undefined && link.revision < revision,
+    );
+  }
+
   /** The link with this id. */
   get(linkId: string): Link | undefined {
     return this.#links.get(linkId);
--- a/packages/fleet/src/link-timing.ts
+++ b/packages/fleet/src/link-timing.ts
@@ -6,9 +6,33 @@
 /** Time between checks of a link with work in progress or something unanswered. */
 export const BUSY_CHECK_MS = 500;
 
-/** Time between checks of an idle link. */
+/** Shortest time between checks of an idle link. */
 export const IDLE_CHECK_MS = 5_000;
 
+/** Bytes that the check of one idle link costs this process, with headers. */
+const IDLE_CHECK_BYTES = 160;
+
+/** Bytes per second that a process spends on checks of idle links. */
+const IDLE_CHECK_BUDGET_BYTES_PER_SECOND = 500;
+
+/** The accepting end checks this many times less often, so that one end alone does the asking. */
+const ACCEPTING_END_RATIO = 3;
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Time between checks of an idle link; grows with the number of links, so that the bytes spent on
+ * all of them stay within the budget.
+ *
+ * @example
+ * idleCheckMs(12, true); // 5000
+ */
+export const idleCheckMs = (linkCount: number, isDialler: boolean): number => {
+  const sharedMs =
+    (linkCount * IDLE_CHECK_BYTES * MS_PER_SECOND) / IDLE_CHECK_BUDGET_BYTES_PER_SECOND;
+  return Math.max(IDLE_CHECK_MS, sharedMs) * (isDialler ? 1 : ACCEPTING_END_RATIO);
+};
+
 /** A link on which a message was unanswered for this long takes no new work. */
 export const SUSPECT_MS = 200;
 
@@ -21,5 +45,11 @@
 /** Longest delay before a lost link is opened again. */
 export const REOPEN_MAX_MS = 2_000;
 
-/** Peers that are told of a new configuration revision at once. */
+/** Peers that are told of a new configuration revision in one round. */
 export const SPREAD_COUNT = 16;
+
+/** Rounds in which peers are told of a new revision; later ones learn of it from heartbeats. */
+export const SPREAD_ROUNDS = 4;
+
+/** Time between rounds. */
+export const SPREAD_INTERVAL_MS = 1_000;
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -1,6 +1,12 @@
 /** @module State of one link. */
 import type { HelloMessage, LoadReport, Peer } from '@ebonysill/core';
-import { BUSY_CHECK_MS, IDLE_CHECK_MS, SILENCE_LIMIT_MS, SUSPECT_MS } from './link-timing.js';
+import {
+  BUSY_CHECK_MS,
+  IDLE_CHECK_MS,
+  SILENCE_LIMIT_MS,
+  SUSPECT_MS,
+  idleCheckMs,
+} from './link-timing.js';
 
 /** How far a link has come. */
 export enum LinkState {
@@ -31,6 +37,10 @@
 
   #retainCount = 0;
 
+  #idleCheckMs = IDLE_CHECK_MS;
+
+  #revision = 0;
+
   private constructor(
     readonly linkId: string,
     /** The sidecar that this process dialled; absent on inbound links. */
@@ -75,6 +85,16 @@
     };
   }
 
+  /** Highest configuration revision that the other end is known to hold. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** The other end told, or was told, a revision. */
+  noteRevision(revision: number): void {
+    this.#revision = Math.max(this.#revision, revision);
+  }
+
   /** The connection is there; hellos come next. */
   open(): void {
     this.#state = LinkState.Greeting;
@@ -110,8 +130,9 @@
   }
 
   /** Notes that a check is due; returns the delay until then. */
-  planCheck(nowMs: number): number {
-    const delayMs = this.#isIdle ? IDLE_CHECK_MS : BUSY_CHECK_MS;
+  planCheck(nowMs: number, linkCount: number): number {
+    this.#idleCheckMs = idleCheckMs(linkCount, this.dialledId !== undefined);
+    const delayMs = this.#isIdle ? this.#idleCheckMs : BUSY_CHECK_MS;
     this.#checkDueMs = nowMs + delayMs;
     return delayMs;
   }
@@ -133,7 +154,7 @@
 
   /** Whether a heartbeat is wanted, because nothing else was heard lately; notes that it is sent. */
   takeHeartbeat(nowMs: number): boolean {
-    const intervalMs = this.#isIdle ? IDLE_CHECK_MS : BUSY_CHECK_MS;
+    const intervalMs = this.#isIdle ? this.#idleCheckMs : BUSY_CHECK_MS;
     const isWanted = this.#state === LinkState.Up && nowMs - this.#lastHeardMs >= intervalMs / 2;
     if (isWanted) {
       this.#unansweredMs ??= nowMs;
--- a/packages/fleet/src/links-service.ts
+++ b/packages/fleet/src/links-service.ts
@@ -26,7 +26,13 @@
 import { clearTimer, send, setTimer } from './effects.js';
 import LinkTable from './LinkTable.js';
 import type { Link } from './link.js';
-import { REOPEN_BASE_MS, REOPEN_MAX_MS, SPREAD_COUNT } from './link-timing.js';
+import {
+  REOPEN_BASE_MS,
+  REOPEN_MAX_MS,
+  SPREAD_COUNT,
+  SPREAD_INTERVAL_MS,
+  SPREAD_ROUNDS,
+} from './link-timing.js';
 import log from './log.js';
 import sample from './sample.js';
 
@@ -48,6 +54,8 @@
   readonly seeds: readonly SeedSidecar[];
 }
 
+const SPREAD_KEY = 'spread';
+
 const noLoad = (): undefined => undefined;
 
 const loadIn = (message: Message): LoadReport | undefined => {
@@ -79,6 +87,8 @@
 
   #toldRevision = 0;
 
+  #spreadRounds = 0;
+
   #readLoad: () => LoadReport | undefined = noLoad;
 
   private constructor(
@@ -128,6 +138,9 @@
         if (event.timer === TimerKind.LinkCheck) {
           return this.#check(event.key);
         }
+        if (event.timer === TimerKind.ConfigurationSpread) {
+          return this.#tellSome();
+        }
         if (event.timer === TimerKind.LinkReopen) {
           this.#reopening.delete(event.key);
           return this.#ensure(event.key);
@@ -138,16 +151,29 @@
     }
   }
 
-  /** Tells a few peers of a new revision; they ask for the configuration if they lack it. */
+  /** Begins to tell peers of a new revision; they ask for the configuration if they lack it. */
   #spreadRevision(): readonly Effect[] {
     const revision = this.configuration.revision();
     if (revision === this.#toldRevision) {
       return [];
     }
     this.#toldRevision = revision;
-    return sample(this.#table.peers(), SPREAD_COUNT, this.options.runtime.random).map(
-      ({ linkId }) => send(linkId, this.#report(MessageKind.Heartbeat)),
-    );
+    this.#spreadRounds = SPREAD_ROUNDS;
+    return this.#tellSome();
+  }
+
+  /** One round: tells some of the peers that are not known to hold the revision. */
+  #tellSome(): readonly Effect[] {
+    const revision = this.configuration.revision();
+    const chosen = sample(this.#table.below(revision), SPREAD_COUNT, this.options.runtime.random);
+    this.#spreadRounds -= 1;
+    chosen.forEach((link) => link.noteRevision(revision));
+    return [
+      ...chosen.map(({ linkId }) => send(linkId, this.#report(MessageKind.Heartbeat))),
+      ...(this.#spreadRounds > 0
+        ? [setTimer(TimerKind.ConfigurationSpread, SPREAD_KEY, SPREAD_INTERVAL_MS)]
+        : []),
+    ];
   }
 
   #ensure(targetId: string): readonly Effect[] {
@@ -201,6 +227,7 @@
       return [];
     }
     link.hear(this.#nowMs(), loadIn(message));
+    link.noteRevision('revision' in message ? message.revision : 0);
     switch (message.kind) {
       case MessageKind.Hello:
         return this.#onHello(link, message);
@@ -276,7 +303,11 @@
   }
 
   #scheduleCheck(link: Link): Effect {
-    return setTimer(TimerKind.LinkCheck, link.linkId, link.planCheck(this.#nowMs()));
+    return setTimer(
+      TimerKind.LinkCheck,
+      link.linkId,
+      link.planCheck(this.#nowMs(), this.#table.size),
+    );
   }
 
   #retain(linkId: string): readonly Effect[] {
--- a/packages/sidecar/src/subscriber.ts
+++ b/packages/sidecar/src/subscriber.ts
@@ -4,7 +4,7 @@
 import type { AnswerBuffer } from './answer-buffer.js';
 
 /** Chunks that a subscriber may receive before it grants more credit. */
-const INITIAL_CREDIT = 64;
+const INITIAL_CREDIT = 512;
 
 /** Status and content type of an answer. */
 export interface AnswerHead {
