perf(fleet): let only the dialling end of a link ask

Cause: with 512 links an entry process still sent 2,929 bytes/s: the accepting ends, with few links each, asked every 15 s and were answered. Ruled out: the interval of the dialling end, which was as planned. Change: the accepting end asks nothing, and closes a link after 15 minutes of silence.

--- a/packages/fleet/src/link-timing.ts
+++ b/packages/fleet/src/link-timing.ts
@@ -15,8 +15,11 @@
 /** Bytes per second that a process spends on checks of idle links. */
 const IDLE_CHECK_BUDGET_BYTES_PER_SECOND = 500;
 
-/** The accepting end checks this many times less often, so that one end alone does the asking. */
-const ACCEPTING_END_RATIO = 3;
+/** Time between checks of a link that the other end opened; that end does the asking. */
+export const ACCEPTED_CHECK_MS = 60_000;
+
+/** A link that the other end opened is closed when nothing was heard for this long. */
+export const ACCEPTED_SILENCE_LIMIT_MS = 900_000;
 
 const MS_PER_SECOND = 1_000;
 
@@ -25,13 +28,13 @@
  * all of them stay within the budget.
  *
  * @example
- * idleCheckMs(12, true); // 5000
+ * idleCheckMs(12); // 5000
  */
-export const idleCheckMs = (linkCount: number, isDialler: boolean): number => {
-  const sharedMs =
-    (linkCount * IDLE_CHECK_BYTES * MS_PER_SECOND) / IDLE_CHECK_BUDGET_BYTES_PER_SECOND;
-  return Math.max(IDLE_CHECK_MS, sharedMs) * (isDialler ? 1 : ACCEPTING_END_RATIO);
-};
+export const idleCheckMs = (linkCount: number): number =>
+  Math.max(
+    IDLE_CHECK_MS,
+    (linkCount * IDLE_CHECK_BYTES * MS_PER_SECOND) / IDLE_CHECK_BUDGET_BYTES_PER_SECOND,
+  );
 
 /** A link on which a message was unanswered for this long takes no new work. */
 export const SUSPECT_MS = 200;
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -1,6 +1,8 @@
 /** @module State of one link. */
 import type { HelloMessage, LoadReport, Peer } from '@ebonysill/core';
 import {
+  ACCEPTED_CHECK_MS,
+  ACCEPTED_SILENCE_LIMIT_MS,
   BUSY_CHECK_MS,
   IDLE_CHECK_MS,
   SILENCE_LIMIT_MS,
@@ -131,8 +133,8 @@
 
   /** Notes that a check is due; returns the delay until then. */
   planCheck(nowMs: number, linkCount: number): number {
-    this.#idleCheckMs = idleCheckMs(linkCount, this.dialledId !== undefined);
-    const delayMs = this.#isIdle ? this.#idleCheckMs : BUSY_CHECK_MS;
+    this.#idleCheckMs = idleCheckMs(linkCount);
+    const delayMs = this.#checkIntervalMs;
     this.#checkDueMs = nowMs + delayMs;
     return delayMs;
   }
@@ -140,11 +142,16 @@
   /** Whether the other end has been silent for too long; a pause of this process does not count. */
   isSilent(nowMs: number): boolean {
     if (nowMs - this.#checkDueMs > OWN_PAUSE_MS) {
-      this.#unansweredMs = nowMs;
+      this.#lastHeardMs = nowMs;
+      this.#unansweredMs = this.#unansweredMs === undefined ? undefined : nowMs;
     }
-    return this.#state !== LinkState.Up || this.#unansweredMs !== undefined
-      ? nowMs - (this.#unansweredMs ?? this.#lastHeardMs) >= SILENCE_LIMIT_MS
-      : false;
+    if (this.#state !== LinkState.Up) {
+      return nowMs - this.#lastHeardMs >= SILENCE_LIMIT_MS;
+    }
+    if (this.#isAccepted) {
+      return nowMs - this.#lastHeardMs >= ACCEPTED_SILENCE_LIMIT_MS;
+    }
+    return this.#unansweredMs !== undefined && nowMs - this.#unansweredMs >= SILENCE_LIMIT_MS;
   }
 
   /** Whether a message has been unanswered for so long that the link should take no new work. */
@@ -154,14 +161,28 @@
 
   /** Whether a heartbeat is wanted, because nothing else was heard lately; notes that it is sent. */
   takeHeartbeat(nowMs: number): boolean {
-    const intervalMs = this.#isIdle ? this.#idleCheckMs : BUSY_CHECK_MS;
-    const isWanted = this.#state === LinkState.Up && nowMs - this.#lastHeardMs >= intervalMs / 2;
+    const isWanted =
+      this.#state === LinkState.Up &&
+      !this.#isAccepted &&
+      nowMs - this.#lastHeardMs >= this.#checkIntervalMs / 2;
     if (isWanted) {
       this.#unansweredMs ??= nowMs;
     }
     return isWanted;
   }
 
+  /** The end that dials does the asking; the other end only answers. */
+  get #isAccepted(): boolean {
+    return this.dialledId === undefined;
+  }
+
+  get #checkIntervalMs(): number {
+    if (!this.#isIdle) {
+      return BUSY_CHECK_MS;
+    }
+    return this.#isAccepted ? ACCEPTED_CHECK_MS : this.#idleCheckMs;
+  }
+
   /** Up, without work, and with nothing unanswered. */
   get #isIdle(): boolean {
     return (
