feat(fleet): send only what changed of a configuration

Change: processes keep the last 16 configurations and answer a request with the changes since the revision that the other side holds; entry processes read the service only if their settings say so; npm run bench:spread.

--- /dev/null
+++ b/packages/bench/src/bin/spread.ts
@@ -0,0 +1,83 @@
+#!/usr/bin/env node
+/** @module Measures how a new configuration revision reaches every process of a fleet. */
+import { ServiceName } from '@ebonysill/core';
+import type { Fleet } from '@ebonysill/emulator';
+import ByteMeter from '../capacity/ByteMeter.js';
+import { BASE_SIZE, startCapacityFleet } from '../capacity/capacity-fleet.js';
+import { fitLine, type Point } from '../capacity/linear-fit.js';
+
+const FLEET_SIZES: readonly number[] = [16, 64, 256, 512];
+
+const READERS = 2;
+
+const ENTRY_SHARE = 0.25;
+
+const POLL_MS = 5;
+
+const LIMIT_MS = 60_000;
+
+const CHANGES = 5;
+
+const CHANGE_INTERVAL_MS = 10_000;
+
+const hasEverywhere = ({ entries, sidecars }: Fleet, revision: number): boolean =>
+  [...entries, ...sidecars].every(
+    (process) => process.find(ServiceName.Configuration).revision() === revision,
+  );
+
+/** Time until the revision is in force in every process. */
+const waitEverywhere = (fleet: Fleet, revision: number, waitedMs: number): number => {
+  if (hasEverywhere(fleet, revision) || waitedMs >= LIMIT_MS) {
+    return waitedMs;
+  }
+  fleet.emulation.runFor(POLL_MS);
+  return waitEverywhere(fleet, revision, waitedMs + POLL_MS);
+};
+
+interface SpreadResult {
+  readonly worstMs: number;
+  readonly bytesPerChange: number;
+  readonly readsPerChange: number;
+}
+
+const measureSpread = (processCount: number): SpreadResult => {
+  const meter = ByteMeter.create(() => true);
+  const entryCount = processCount * ENTRY_SHARE;
+  const fleet = startCapacityFleet(
+    { ...BASE_SIZE, entryCount, targetsPerService: processCount - entryCount },
+    { onSend: meter.onSend },
+    READERS,
+  );
+  fleet.emulation.runFor(CHANGE_INTERVAL_MS);
+  const { configurationService } = fleet.emulation;
+  const readsBefore = configurationService.callCount;
+  meter.turnOn();
+  const times = Array.from({ length: CHANGES }, (_, index) => {
+    fleet.publish(index + 2, index % 2 === 0 ? ['zone-a'] : []);
+    const timeMs = waitEverywhere(fleet, index + 2, 0);
+    fleet.emulation.runFor(CHANGE_INTERVAL_MS - timeMs);
+    return timeMs;
+  });
+  return {
+    worstMs: Math.max(...times),
+    bytesPerChange: meter.controlBytes / CHANGES / processCount,
+    readsPerChange: (configurationService.callCount - readsBefore) / CHANGES,
+  };
+};
+
+const points: Point[] = [];
+FLEET_SIZES.forEach((processCount) => {
+  const { worstMs, bytesPerChange, readsPerChange } = measureSpread(processCount);
+  points.push({ size: Math.log2(processCount), value: worstMs });
+  process.stdout.write(
+    `${String(processCount).padStart(4)} processes: in force everywhere after ${worstMs} ms at ` +
+      `worst, ${bytesPerChange.toFixed(0)} control bytes per process and change, ` +
+      `${readsPerChange.toFixed(1)} reads of the service per change\n`,
+  );
+});
+const { slope, intercept, residualShare } = fitLine(points);
+process.stdout.write(
+  `slope ${slope.toFixed(1)} ms per doubling, at one process ${intercept.toFixed(1)} ms, ` +
+    `residual ${(100 * residualShare).toFixed(1)} %; at 2,370 processes ` +
+    `${(intercept + slope * Math.log2(2_370)).toFixed(0)} ms\n`,
+);
--- a/packages/bench/src/capacity/capacity-fleet.ts
+++ b/packages/bench/src/capacity/capacity-fleet.ts
@@ -33,9 +33,14 @@
  * @example
  * const fleet = startCapacityFleet({ ...BASE_SIZE, entryCount: 16 }, {});
  */
-export const startCapacityFleet = (size: CapacitySize, options: Partial<EmulationOptions>): Fleet =>
+export const startCapacityFleet = (
+  size: CapacitySize,
+  options: Partial<EmulationOptions>,
+  readerCount = size.entryCount,
+): Fleet =>
   createFleet({
     seed: 1,
+    readerCount,
     ...options,
     entryCount: size.entryCount,
     shape: {
--- a/packages/bench/src/capacity/process-costs.ts
+++ b/packages/bench/src/capacity/process-costs.ts
@@ -47,6 +47,7 @@
         runtime,
         processId: 'entry-1',
         availabilityZone: 'zone-a',
+        isReader: true,
         maxInProgress: ENOUGH,
         seeds: [],
       }),
--- a/packages/binaries/src/start-entry.ts
+++ b/packages/binaries/src/start-entry.ts
@@ -34,6 +34,7 @@
           runtime,
           processId,
           availabilityZone,
+          isReader: settings.readsConfiguration,
           maxInProgress,
           seeds: seedSidecars,
         }),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** @module Public interface of the core types. */
+export * from './configuration-delta.js';
 export * from './configuration.js';
 export * from './directory.js';
 export * from './effect.js';
--- a/packages/core/src/message.ts
+++ b/packages/core/src/message.ts
@@ -1,4 +1,5 @@
 /** @module Messages between the processes of the system, apart from their encoding. */
+import type { ConfigurationDelta } from './configuration-delta.js';
 import type { Configuration, Continuation } from './configuration.js';
 import type { Problem } from './outcome.js';
 
@@ -23,6 +24,7 @@
   HeartbeatAck = 'heartbeat-ack',
   ConfigurationRequest = 'configuration-request',
   ConfigurationValue = 'configuration-value',
+  ConfigurationChange = 'configuration-change',
   MintKey = 'mint-key',
   KeyMinted = 'key-minted',
   KeyRefused = 'key-refused',
@@ -92,6 +94,8 @@
 /** Asks for the configuration when the other side holds a higher revision. */
 export interface ConfigurationRequestMessage {
   readonly kind: MessageKind.ConfigurationRequest;
+  /** Revision that the asking side holds; 0 for none. */
+  readonly heldRevision: number;
 }
 
 /** Carries a configuration. */
@@ -100,6 +104,12 @@
   readonly configuration: Configuration;
 }
 
+/** Carries the changes from the revision that the other side holds. */
+export interface ConfigurationChangeMessage {
+  readonly kind: MessageKind.ConfigurationChange;
+  readonly delta: ConfigurationDelta;
+}
+
 /** Asks a sidecar for an idempotency key. */
 export interface MintKeyMessage {
   readonly kind: MessageKind.MintKey;
@@ -209,6 +219,7 @@
   | HeartbeatAckMessage
   | ConfigurationRequestMessage
   | ConfigurationValueMessage
+  | ConfigurationChangeMessage
   | MintKeyMessage
   | KeyMintedMessage
   | KeyRefusedMessage
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -16,6 +16,8 @@
     service: string,
   ) => Omit<FakeTargetOptions, 'time' | 'onRan' | 'targetId'>;
   readonly maxInProgress?: number;
+  /** Entry processes that read the configuration service; all unless told otherwise. */
+  readonly readerCount?: number;
   readonly ledgerLimits?: KeyLedgerLimits;
   /** Changes the services of a process; for known-bad variants. */
   readonly alterServices?: (services: readonly AnyRegistration[]) => readonly AnyRegistration[];
@@ -85,6 +87,7 @@
             runtime,
             processId,
             availabilityZone,
+            isReader: index < (options.readerCount ?? options.entryCount),
             maxInProgress: options.maxInProgress ?? MAX_IN_PROGRESS,
             seeds: seeds.slice(0, 1),
           }),
--- a/packages/entry/src/create-entry-services.ts
+++ b/packages/entry/src/create-entry-services.ts
@@ -17,6 +17,8 @@
   readonly runtime: Runtime;
   readonly processId: string;
   readonly availabilityZone: string;
+  /** Whether this process reads the configuration service; others learn from links. */
+  readonly isReader: boolean;
   /** Requests in progress in this process; more are queued. */
   readonly maxInProgress: number;
   /** Sidecars to learn the configuration from while the configuration service is down. */
@@ -32,7 +34,7 @@
 export const createEntryServices = (options: EntryOptions): readonly AnyRegistration[] => {
   const { runtime, processId, availabilityZone, maxInProgress, seeds } = options;
   return [
-    configurationRegistration({ runtime, isReader: true }),
+    configurationRegistration({ runtime, isReader: options.isReader }),
     suspectsRegistration({ runtime }),
     linksRegistration({
       runtime,
--- a/packages/fleet/src/configuration-service.ts
+++ b/packages/fleet/src/configuration-service.ts
@@ -9,7 +9,10 @@
   ServiceName,
   TimerKind,
   ZoneState,
+  applyDelta,
+  diffConfiguration,
   type Configuration,
+  type ConfigurationDelta,
   type ConfigurationApi,
   type Effect,
   type Event,
@@ -29,6 +32,9 @@
 /** A link is asked for one revision at most once in this time. */
 const REQUEST_INTERVAL_MS = 1_000;
 
+/** Configurations that are kept to tell what changed since. */
+const HISTORY_LENGTH = 16;
+
 const TIMER_KEY = 'watch';
 
 /** How the configuration is learnt. */
@@ -50,6 +56,11 @@
 class ConfigurationService {
   #current: Configuration | undefined;
 
+  /** Last configurations, the present one included, to tell what changed since. */
+  #history: readonly Configuration[] = [];
+
+  readonly #deltas = new Map<number, ConfigurationDelta>();
+
   #targetsById: ReadonlyMap<string, TargetConfiguration> = new Map();
 
   #organisationsByDigest: ReadonlyMap<string, OrganisationConfiguration> = new Map();
@@ -105,21 +116,44 @@
       case MessageKind.HeartbeatAck:
         return this.#compare(linkId, message.revision);
       case MessageKind.ConfigurationRequest:
-        return this.#current === undefined
-          ? []
-          : [
-              send(linkId, {
-                kind: MessageKind.ConfigurationValue,
-                configuration: this.#current,
-              }),
-            ];
+        return this.#serve(linkId, message.heldRevision);
       case MessageKind.ConfigurationValue:
         return this.#accept(message.configuration);
+      case MessageKind.ConfigurationChange:
+        return this.#applyChange(message.delta);
       default:
         return [];
     }
   }
 
+  /** Sends the changes since the revision that the other side holds, or the whole value. */
+  #serve(linkId: string, heldRevision: number): readonly Effect[] {
+    if (this.#current === undefined) {
+      return [];
+    }
+    const held = this.#history.find(({ revision }) => revision === heldRevision);
+    if (held === undefined) {
+      const configuration = this.#current;
+      return [send(linkId, { kind: MessageKind.ConfigurationValue, configuration })];
+    }
+    const delta = this.#deltaFrom(held);
+    return [send(linkId, { kind: MessageKind.ConfigurationChange, delta })];
+  }
+
+  /** The changes since a revision; many peers ask for the same ones. */
+  #deltaFrom(held: Configuration): ConfigurationDelta {
+    const known = this.#deltas.get(held.revision);
+    const delta = known ?? diffConfiguration(held, this.#current ?? held);
+    this.#deltas.set(held.revision, delta);
+    return delta;
+  }
+
+  #applyChange(delta: ConfigurationDelta): readonly Effect[] {
+    return this.#current?.revision === delta.baseRevision
+      ? this.#accept(applyDelta(this.#current, delta))
+      : [];
+  }
+
   #compare(linkId: string, theirRevision: number): readonly Effect[] {
     if (theirRevision <= this.#revision()) {
       return [];
@@ -132,13 +166,16 @@
       return [];
     }
     this.#requests.set(linkId, { revision: theirRevision, requestedMs: nowMs });
-    return [send(linkId, { kind: MessageKind.ConfigurationRequest })];
+    const heldRevision = this.#revision();
+    return [send(linkId, { kind: MessageKind.ConfigurationRequest, heldRevision })];
   }
 
   #accept(configuration: Configuration): readonly Effect[] {
     if (configuration.revision <= this.#revision()) {
       return [];
     }
+    this.#history = [...this.#history, configuration].slice(-HISTORY_LENGTH);
+    this.#deltas.clear();
     this.#current = configuration;
     this.#targetsById = new Map(configuration.targets.map((target) => [target.targetId, target]));
     this.#organisationsByDigest = new Map(
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -14,6 +14,7 @@
   callerPort: portField,
   adminPort: portField,
   configurationUrl: urlField,
+  readsConfiguration: z.boolean().default(true),
   maxInProgress: z.int().min(1).default(4_000),
   seedSidecars: z.array(seedField).default([]),
   logLevel: logLevelField,
--- a/packages/transport/src/messageSchema.ts
+++ b/packages/transport/src/messageSchema.ts
@@ -43,38 +43,52 @@
   body: z.string(),
 });
 
+const zone = z.object({ name: id, state: z.enum(ZoneState) });
+
+const service = z.object({
+  name: id,
+  kind: z.enum(ServiceKind),
+  continuation: z.enum(Continuation),
+  duplicateCheck: z.enum(DuplicateCheck),
+  idempotentCalls: z.array(z.object({ method: id, pathPrefix: z.string() })),
+  deadlineMs: count,
+});
+
+const target = z.object({
+  targetId: id,
+  service: id,
+  availabilityZone: id,
+  sidecarHost: id,
+  sidecarPort: count,
+  concurrency: count,
+  coldConcurrency: count,
+});
+
+const organisation = z.object({
+  organisationId: id,
+  credentialSha256: id,
+  maxInProgress: count,
+  weight: z.number(),
+});
+
 const configuration = z.object({
   revision: count,
-  availabilityZones: z.array(z.object({ name: id, state: z.enum(ZoneState) })),
-  services: z.array(
-    z.object({
-      name: id,
-      kind: z.enum(ServiceKind),
-      continuation: z.enum(Continuation),
-      duplicateCheck: z.enum(DuplicateCheck),
-      idempotentCalls: z.array(z.object({ method: id, pathPrefix: z.string() })),
-      deadlineMs: count,
-    }),
-  ),
-  targets: z.array(
-    z.object({
-      targetId: id,
-      service: id,
-      availabilityZone: id,
-      sidecarHost: id,
-      sidecarPort: count,
-      concurrency: count,
-      coldConcurrency: count,
-    }),
-  ),
-  organisations: z.array(
-    z.object({
-      organisationId: id,
-      credentialSha256: id,
-      maxInProgress: count,
-      weight: z.number(),
-    }),
-  ),
+  availabilityZones: z.array(zone),
+  services: z.array(service),
+  targets: z.array(target),
+  organisations: z.array(organisation),
+});
+
+const listDelta = <TItem extends z.ZodType>(item: TItem) =>
+  z.object({ upserts: z.array(item), removedIds: z.array(id) });
+
+const delta = z.object({
+  baseRevision: count,
+  revision: count,
+  availabilityZones: listDelta(zone),
+  services: listDelta(service),
+  targets: listDelta(target),
+  organisations: listDelta(organisation),
 });
 
 const report = {
@@ -112,7 +126,8 @@
   }),
   z.object({ kind: z.literal(MessageKind.Heartbeat), ...report }),
   z.object({ kind: z.literal(MessageKind.HeartbeatAck), ...report }),
-  z.object({ kind: z.literal(MessageKind.ConfigurationRequest) }),
+  z.object({ kind: z.literal(MessageKind.ConfigurationRequest), heldRevision: count }),
+  z.object({ kind: z.literal(MessageKind.ConfigurationChange), delta }),
   z.object({ kind: z.literal(MessageKind.ConfigurationValue), configuration }),
   z.object({ kind: z.literal(MessageKind.MintKey), runId: id, organisationId: id }),
   z.object({ kind: z.literal(MessageKind.KeyMinted), runId: id, key: id }),
