feat(cli): add init, check, status and explain

Cause: operators could neither set the system up nor ask it what it did. Change: questionnaire answers become a commented configuration; check says what a configuration changes; status and explain ask processes over control calls.

--- a/demo/src/demo-fleet.ts
+++ b/demo/src/demo-fleet.ts
@@ -19,6 +19,7 @@
   readonly target: Program;
   readonly targetUrl: string;
   readonly sidecar: Program;
+  readonly adminUrl: string;
 }
 
 /** An entry process of the fleet. */
@@ -100,6 +101,11 @@
     return urlOf(portOf(this.configurationService));
   }
 
+  /** Options that name every process of the fleet to the command line. */
+  get adminOptions(): readonly string[] {
+    return [...this.entries, ...this.targets].flatMap(({ adminUrl }) => ['--admin', adminUrl]);
+  }
+
   /** Ends every process of the fleet. */
   async stop(): Promise<void> {
     const programs = [
@@ -136,8 +142,15 @@
     };
     await writeFile(file, JSON.stringify(settings));
     const sidecar = await spawnProgram(programPath('binaries', 'sidecar'), [file]);
-    const { servingPort } = addressesOf(sidecar);
-    return { ...planned, target, targetUrl, sidecar, sidecarPort: servingPort };
+    const { servingPort, adminPort } = addressesOf(sidecar);
+    return {
+      ...planned,
+      target,
+      targetUrl,
+      sidecar,
+      sidecarPort: servingPort,
+      adminUrl: urlOf(adminPort),
+    };
   }
 
   static async #startEntry(
--- a/demo/src/program.ts
+++ b/demo/src/program.ts
@@ -51,3 +51,31 @@
     child.once('exit', (code) => reject(new Error(`${path} ended early with code ${code}`)));
   });
 };
+
+/** What a program that ran to its end printed. */
+export interface ProgramResult {
+  readonly output: string;
+  readonly errors: string;
+  readonly exitCode: number | null;
+}
+
+/**
+ * Runs a program to its end.
+ *
+ * @example
+ * const { output } = await runProgram(programPath('cli', 'ebonysill'), ['status', '--help']);
+ */
+export const runProgram = (path: string, args: readonly string[]): Promise<ProgramResult> => {
+  const child = spawn(process.execPath, [path, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+  let output = '';
+  let errors = '';
+  child.stdout.on('data', (bytes: Buffer) => {
+    output += bytes.toString('utf8');
+  });
+  child.stderr.on('data', (bytes: Buffer) => {
+    errors += bytes.toString('utf8');
+  });
+  return new Promise((resolve) => {
+    child.once('close', (exitCode) => resolve({ output, errors, exitCode }));
+  });
+};
--- a/demo/src/run-demo.ts
+++ b/demo/src/run-demo.ts
@@ -1,6 +1,7 @@
 /** @module The demo: a fleet on loopback, a few requests through it, and what became of them. */
 import { completionBody, mintKey, postCompletion, postKeyed } from './caller.js';
 import { DemoFleet } from './demo-fleet.js';
+import { programPath, runProgram } from './program.js';
 import { credentialOf, type FleetPlan } from './fleet-plan.js';
 
 const ORGANISATION = 'kochi-tea';
@@ -37,6 +38,11 @@
   const again = await postKeyed(second.url, credential, key, '{"seat":7}');
   say(`booking: ${booked.outcome} ${booked.body}`);
   say(`the same booking sent again through another entry process: ${again.outcome} ${again.body}`);
+  const cli = programPath('cli', 'ebonysill');
+  const explained = await runProgram(cli, ['explain', booked.requestId, ...fleet.adminOptions]);
+  say(explained.output.trimEnd());
+  const status = await runProgram(cli, ['status', ...fleet.adminOptions]);
+  say(status.output.trimEnd());
   return isSame && booked.outcome === 'done' && again.body === booked.body;
 };
 
--- a/demo/tests/path.test.ts
+++ b/demo/tests/path.test.ts
@@ -4,6 +4,7 @@
 import { request } from 'undici';
 import { completionBody, mintKey, postCompletion, postKeyed } from '../src/caller.js';
 import { DemoFleet, type RunningEntry } from '../src/demo-fleet.js';
+import { programPath, runProgram } from '../src/program.js';
 import { MODEL_SERVICE, PLAIN_SERVICE, credentialOf } from '../src/fleet-plan.js';
 
 const ORGANISATION = 'kochi-tea';
@@ -158,3 +159,45 @@
   const answer = await postCompletion(entryAt(0).url, CREDENTIAL, completionBody('after', 2));
   expect(answer.status).toEqual(200);
 });
+
+const runCli = (...args: readonly string[]): ReturnType<typeof runProgram> =>
+  runProgram(programPath('cli', 'ebonysill'), args);
+
+test('cli status', async () => {
+  const { output, exitCode } = await runCli('status', ...fleet.adminOptions);
+  expect(exitCode).toEqual(0);
+  expect(output.trimEnd().split('\n').length).toEqual(10);
+});
+
+test('cli status, nobody there', async () => {
+  const { errors, exitCode } = await runCli('status', '--admin', 'http://127.0.0.1:1');
+  expect([errors, exitCode]).toEqual(['http://127.0.0.1:1: no answer\n', 69]);
+});
+
+test('cli explain', async () => {
+  const answer = await postCompletion(entryAt(0).url, CREDENTIAL, completionBody('why', 2));
+  const { output } = await runCli('explain', answer.requestId, ...fleet.adminOptions);
+  expect(
+    ['attempt started', 'run started', 'request ended'].every((topic) => output.includes(topic)),
+  ).toEqual(true);
+});
+
+test('cli init and check', async () => {
+  const answers = new URL('../../../examples/thaalam.answers.jsonc', import.meta.url).pathname;
+  const { output, exitCode } = await runCli('init', '--answers', answers);
+  expect([output.includes('"revision": 1'), exitCode]).toEqual([true, 0]);
+  const refused = await runCli('check', answers);
+  expect(refused.exitCode).toEqual(78);
+  const missing = await runCli('check', 'nothing.jsonc');
+  expect([missing.errors, missing.exitCode]).toEqual([
+    'nothing.jsonc: the file cannot be read\n',
+    66,
+  ]);
+});
+
+test('bad settings file', async () => {
+  const answers = new URL('../../../examples/thaalam.answers.jsonc', import.meta.url).pathname;
+  const { errors, exitCode } = await runProgram(programPath('binaries', 'entry'), [answers]);
+  expect(exitCode).toEqual(78);
+  expect(errors.includes('processId')).toEqual(true);
+});
--- /dev/null
+++ b/packages/cli/src/admin-client.ts
@@ -0,0 +1,25 @@
+/** @module Asks processes for their status and their decisions. */
+import { createTRPCClient, httpBatchLink } from '@trpc/client';
+import type { AdminRouter, JournalLine, ProcessStatus } from '@ebonysill/transport';
+
+/** Asks one process. */
+export interface AdminClient {
+  readonly url: string;
+  readonly readStatus: () => Promise<ProcessStatus>;
+  readonly explain: (requestId: string) => Promise<readonly JournalLine[]>;
+}
+
+/**
+ * Creates a client for the admin address of one process.
+ *
+ * @example
+ * const status = await createAdminClient('http://127.0.0.1:9090').readStatus();
+ */
+export const createAdminClient = (url: string): AdminClient => {
+  const client = createTRPCClient<AdminRouter>({ links: [httpBatchLink({ url })] });
+  return {
+    url,
+    readStatus: async () => (await client.status.query()) as ProcessStatus,
+    explain: (requestId) => client.explain.query({ requestId }),
+  };
+};
--- /dev/null
+++ b/packages/cli/src/bin/ebonysill.ts
@@ -0,0 +1,17 @@
+#!/usr/bin/env node
+/** @module The operators' command line. */
+import { run, subcommands } from 'cmd-ts';
+import { checkCommand, explainCommand, initCommand, statusCommand } from '../commands.js';
+
+const ebonysill = subcommands({
+  name: 'ebonysill',
+  description: 'Operates ebonysill',
+  cmds: {
+    check: checkCommand,
+    explain: explainCommand,
+    init: initCommand,
+    status: statusCommand,
+  },
+});
+
+await run(ebonysill, process.argv.slice(2));
--- /dev/null
+++ b/packages/cli/src/format-explanation.ts
@@ -0,0 +1,39 @@
+/** @module Writes the decisions that processes kept about one request. */
+import type { JournalLine } from '@ebonysill/transport';
+
+/** What one process knows of a request. */
+export interface ProcessExplanation {
+  readonly processId: string;
+  readonly lines: readonly JournalLine[];
+}
+
+const describeFields = ({ fields }: JournalLine): string =>
+  Object.entries(fields)
+    .filter(([name]) => name !== 'requestId')
+    .map(([name, value]) => `${name}=${String(value)}`)
+    .join(' ');
+
+const describeLine = (line: JournalLine, firstMs: number): string =>
+  `  +${(line.atMs - firstMs).toFixed(1)} ms  ${line.topic}  ${describeFields(line)}`;
+
+/**
+ * Formats what the processes know; times count from each process's first decision, because clocks
+ * of different hosts are not comparable.
+ *
+ * @example
+ * process.stdout.write(formatExplanation('x1y2', explanations));
+ */
+export const formatExplanation = (
+  requestId: string,
+  explanations: readonly ProcessExplanation[],
+): string => {
+  const known = explanations.filter(({ lines }) => lines.length > 0);
+  if (known.length === 0) {
+    return `no process that was asked remembers request "${requestId}"\n`;
+  }
+  const blocks = known.map(({ processId, lines }) => {
+    const firstMs = lines[0]?.atMs ?? 0;
+    return [processId, ...lines.map((line) => describeLine(line, firstMs))].join('\n');
+  });
+  return `request ${requestId}\n${blocks.join('\n')}\n`;
+};
--- /dev/null
+++ b/packages/cli/src/read-file.ts
@@ -0,0 +1,41 @@
+/** @module Reads and checks files that are named on the command line. */
+import { readFile } from 'node:fs/promises';
+import type { Configuration } from '@ebonysill/core';
+import {
+  SettingsVerdict,
+  describeProblem,
+  parseConfiguration,
+  parseSettings,
+  type SettingsResult,
+} from '@ebonysill/settings';
+import { answersSchema, type Answers } from './answers.js';
+import { ExitCode, fail } from './output.js';
+
+const accept = <TValue>(result: SettingsResult<TValue>): TValue | undefined => {
+  if (result.kind === SettingsVerdict.Accepted) {
+    return result.value;
+  }
+  fail(ExitCode.Configuration, result.problems.map(describeProblem));
+  return undefined;
+};
+
+const readText = async (file: string): Promise<string | undefined> => {
+  try {
+    return await readFile(file, 'utf8');
+  } catch {
+    fail(ExitCode.NoInput, [`${file}: the file cannot be read`]);
+    return undefined;
+  }
+};
+
+/** Reads a configuration; complains and returns undefined when it is refused. */
+export const readConfiguration = async (file: string): Promise<Configuration | undefined> => {
+  const text = await readText(file);
+  return text === undefined ? undefined : accept(parseConfiguration(text, file));
+};
+
+/** Reads answers; complains and returns undefined when they are refused. */
+export const readAnswers = async (file: string): Promise<Answers | undefined> => {
+  const text = await readText(file);
+  return text === undefined ? undefined : accept(parseSettings(answersSchema, text, file));
+};
