feat(sidecar): void fresh keys while leaving, and tell changed limits at once

Ruled out: the credit window. Change: the key ledger stays up to 5 s after its last mint while draining; a sidecar tells every peer when its state or limit changes.

--- a/packages/bench/tests/promises.test.ts
+++ b/packages/bench/tests/promises.test.ts
@@ -10,7 +10,7 @@
   type Fleet,
 } from '@ebonysill/emulator';
 import { expect } from 'earl';
-import { MODEL, ZONES, sendStreams, startScenario } from './scenario.js';
+import { MODEL, PLAIN, ZONES, sendStreams, startScenario } from './scenario.js';
 
 /** Stated bound on new work for a zone that was taken out. */
 const ZONE_OUT_BOUND_MS = 3_000;
@@ -194,6 +194,44 @@
   allEnded(bystanders, 200);
 });
 
+test('hedged first token', () => {
+  const fleet = startScenario({
+    holdMsOf: (targetId) => (targetId === 'assistant-zone-a-1' ? 8_000 : 5),
+  });
+  const agents = sendStreams(fleet, 100, 100);
+  fleet.emulation.runFor(30_000);
+  allEnded(agents, 100);
+  const slow = agents.filter(
+    ({ final }) => (final?.firstChunkMs ?? 0) - (final?.sentMs ?? 0) > 420,
+  );
+  expect(slow.length <= 5).toEqual(true);
+});
+
+test('fresh key, leaving sidecar', () => {
+  const fleet = startScenario({});
+  const agent = CallerAgent.create(fleet.emulation, {
+    service: PLAIN,
+    body: 'seat',
+    organisationId: 'small',
+    isKeyed: true,
+    entryIds: ['entry-1', 'entry-2'],
+    maxSends: 4,
+    patienceMs: 5_000,
+  });
+  const drainOwner = (): void => {
+    const owner = agent.key?.split('.')[1];
+    if (owner === undefined) {
+      fleet.emulation.time.schedule(1, drainOwner);
+    } else {
+      fleet.emulation.process(owner).drain();
+    }
+  };
+  drainOwner();
+  fleet.emulation.runFor(20_000);
+  expect(agent.final?.problem?.outcome).toEqual(Outcome.RefusedNotRun);
+  expect(fleet.emulation.runsOf('seat').count).toEqual(0);
+});
+
 test('silent link', () => {
   let silencedMs = 0;
   let replacedMs = 0;
--- a/packages/bench/tests/scenario.ts
+++ b/packages/bench/tests/scenario.ts
@@ -24,13 +24,22 @@
   readonly maxInProgress?: number;
   readonly alterEffect?: (effect: Effect) => Effect;
   readonly onStep?: NonNullable<FleetOptions['onStep']>;
+  /** Time that a target holds each call. */
+  readonly holdMsOf?: (targetId: string) => number;
   readonly isStalled?: (exchangeId: string) => boolean;
   readonly onTrace?: (line: string) => void;
   readonly network?: NonNullable<FleetOptions['network']>;
 }
 
 export const startScenario = (options: ScenarioOptions): Fleet => {
-  const { seed = 5, targetsPerZone = 2, entryCount = 3, chunkCount = 10, coldMs = 0 } = options;
+  const {
+    seed = 5,
+    targetsPerZone = 2,
+    entryCount = 3,
+    chunkCount = 10,
+    coldMs = 0,
+    holdMsOf = () => 5,
+  } = options;
   return createFleet({
     ...options,
     seed,
@@ -46,8 +55,8 @@
       concurrency: 8,
       coldConcurrency: 2,
     },
-    targetOptions: () => ({
-      holdMs: 5,
+    targetOptions: (_service, targetId) => ({
+      holdMs: holdMsOf(targetId),
       chunkCount,
       chunkIntervalMs: 20,
       ranKeys: undefined,
--- a/packages/core/src/TimerKind.ts
+++ b/packages/core/src/TimerKind.ts
@@ -12,6 +12,7 @@
   RunDeadline = 'run-deadline',
   TargetHealth = 'target-health',
   Hedge = 'hedge',
+  KeyLinger = 'key-linger',
 }
 
 export default TimerKind;
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -14,6 +14,7 @@
   /** Behaviour of the targets of a service. */
   readonly targetOptions: (
     service: string,
+    targetId: string,
   ) => Omit<FakeTargetOptions, 'time' | 'onRan' | 'targetId'>;
   readonly maxInProgress?: number;
   /** Entry processes that read the configuration service; all unless told otherwise. */
@@ -67,7 +68,7 @@
         ),
     });
     emulation.network.listen(target.sidecarHost, target.sidecarPort, sidecar);
-    emulation.addTarget({ targetId, ...targetOptions(target.service) });
+    emulation.addTarget({ targetId, ...targetOptions(target.service, targetId) });
     return sidecar;
   });
   const seeds = configuration.targets.map(({ targetId, sidecarHost, sidecarPort }) => ({
--- a/packages/sidecar/src/create-sidecar-services.ts
+++ b/packages/sidecar/src/create-sidecar-services.ts
@@ -48,6 +48,7 @@
       seeds: NO_SEEDS,
     }),
     keyLedgerRegistration({
+      runtime,
       issuer: { targetId, incarnation, secret },
       limits: options.ledgerLimits ?? DEFAULT_KEY_LEDGER_LIMITS,
     }),
--- a/packages/sidecar/src/execution-service.ts
+++ b/packages/sidecar/src/execution-service.ts
@@ -102,6 +102,10 @@
 
   #isDraining = false;
 
+  #toldState = TargetState.Down;
+
+  #toldLimit = 0;
+
   private constructor(
     private readonly options: ExecutionOptions,
     find: FindService,
@@ -132,6 +136,10 @@
   };
 
   handle(event: Event): readonly Effect[] {
+    return [...this.#answer(event), ...this.#tellChange()];
+  }
+
+  #answer(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.LinkMessage:
         return this.#onMessage(event);
@@ -156,7 +164,7 @@
 
   drain(): readonly Effect[] {
     this.#isDraining = true;
-    return this.#tellLoad([]);
+    return this.#tellChange();
   }
 
   isDrained(): boolean {
@@ -461,6 +469,17 @@
     });
   }
 
+  /** Tells every peer at once when the target takes more or less than before. */
+  #tellChange(): readonly Effect[] {
+    const { state, limit } = this.#load();
+    if (state === this.#toldState && limit === this.#toldLimit) {
+      return [];
+    }
+    this.#toldState = state;
+    this.#toldLimit = limit;
+    return this.#tellLoad([]);
+  }
+
   #tellLoad(suspicions: readonly CrashSuspicion[]): readonly Effect[] {
     const load = this.#load();
     const revision = this.#configuration.revision();
--- a/packages/sidecar/src/key-ledger-service.ts
+++ b/packages/sidecar/src/key-ledger-service.ts
@@ -16,9 +16,13 @@
   type KeyLedgerApi,
   type KeyRecord,
   type MintDecision,
+  TimerKind,
+  type Effect,
   type Problem,
   type Registration,
+  type Runtime,
 } from '@ebonysill/core';
+import { setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
 import { KeyOrigin, checkKey, issueKey, type KeyIssuer } from './key-codec.js';
 
@@ -38,10 +42,16 @@
 
 /** What the key ledger is created from. */
 export interface KeyLedgerOptions {
+  readonly runtime: Runtime;
   readonly issuer: KeyIssuer;
   readonly limits: KeyLedgerLimits;
 }
 
+/** Time after the last mint during which a process that shuts down still tells what became of keys. */
+const LINGER_MS = 5_000;
+
+const TIMER_KEY = 'ledger';
+
 const REFUSALS: Readonly<Record<Exclude<KeyOrigin, KeyOrigin.Ours>, Problem>> = {
   [KeyOrigin.OtherIncarnation]: unknown(
     Reason.KeyFromLostProcess,
@@ -69,6 +79,8 @@
 
   #lastSequence = 0;
 
+  #lastMintMs = -Infinity;
+
   /** Keys up to this sequence number are honoured only as far as a record says. */
   #floor = 0;
 
@@ -85,6 +97,20 @@
     finish: (recordId, record) => this.#finish(recordId, record),
   };
 
+  /** Stays for a while, so that keys minted just before can be voided instead of lost. */
+  drain(): readonly Effect[] {
+    return this.isDrained() ? [] : [setTimer(TimerKind.KeyLinger, TIMER_KEY, this.#lingerMs())];
+  }
+
+  /** Whether no key is so fresh that its caller may be about to send it. */
+  isDrained(): boolean {
+    return this.#lingerMs() <= 0;
+  }
+
+  #lingerMs(): number {
+    return this.#lastMintMs + LINGER_MS - this.options.runtime.nowMs();
+  }
+
   #mint(organisationId: string): MintDecision {
     if (!this.#makeRoom()) {
       return {
@@ -93,6 +119,7 @@
       };
     }
     this.#lastSequence += 1;
+    this.#lastMintMs = this.options.runtime.nowMs();
     return {
       kind: KeyVerdict.Fresh,
       key: issueKey(this.options.issuer, organisationId, this.#lastSequence),
@@ -184,12 +211,18 @@
  * Registers the key ledger.
  *
  * @example
- * keyLedgerRegistration({ issuer, limits: DEFAULT_KEY_LEDGER_LIMITS });
+ * keyLedgerRegistration({ runtime, issuer, limits: DEFAULT_KEY_LEDGER_LIMITS });
  */
 export const keyLedgerRegistration = (
   options: KeyLedgerOptions,
 ): Registration<ServiceName.KeyLedger> => ({
   name: ServiceName.KeyLedger,
   requires: [],
-  create: () => createInstance(KeyLedgerService.create(options).api, {}),
+  create: () => {
+    const service = KeyLedgerService.create(options);
+    return createInstance(service.api, {
+      drain: () => service.drain(),
+      isDrained: () => service.isDrained(),
+    });
+  },
 });
--- a/packages/sidecar/tests/key-ledger.test.ts
+++ b/packages/sidecar/tests/key-ledger.test.ts
@@ -18,6 +18,7 @@
 
 const createLedger = (limits: KeyLedgerLimits, incarnation = 'first'): KeyLedgerApi =>
   keyLedgerRegistration({
+    runtime: { nowMs: () => 0, random: () => 0 },
     issuer: { targetId: 'enrolment-1', incarnation, secret: `secret of ${incarnation}` },
     limits,
   }).create(() => {
