test(demo): show that a dead target's call is never sent again

Cause: libraries that repeat by themselves, and old connection pools in front of a new process at an old address, break easy designs. Change: two process tests: a target killed while it holds a keyed call, and a new target at the address of an old one.

--- a/demo/src/demo-fleet.ts
+++ b/demo/src/demo-fleet.ts
@@ -118,17 +118,26 @@
     await rm(this.folder, { recursive: true });
   }
 
+  /** Starts a new target process at the address of one that ended. */
+  restartTarget({ target, kind }: RunningTarget): Promise<Program> {
+    return DemoFleet.#spawnTarget(this.plan, kind === ServiceKind.Model, portOf(target));
+  }
+
+  static #spawnTarget(plan: FleetPlan, isModel: boolean, port: number): Promise<Program> {
+    const options = isModel
+      ? ['--token-interval-ms', String(plan.tokenIntervalMs)]
+      : ['--hold-ms', String(plan.holdMs ?? 0)];
+    const program = programPath('stand-ins', isModel ? 'engine' : 'plain');
+    return spawnProgram(program, ['--port', String(port), ...options]);
+  }
+
   static async #startTarget(
     folder: string,
     plan: FleetPlan,
     planned: PlannedTarget,
   ): Promise<RunningTarget> {
     const isModel = planned.kind === ServiceKind.Model;
-    const target = await spawnProgram(programPath('stand-ins', isModel ? 'engine' : 'plain'), [
-      '--port',
-      '0',
-      ...(isModel ? ['--token-interval-ms', String(plan.tokenIntervalMs)] : []),
-    ]);
+    const target = await DemoFleet.#spawnTarget(plan, isModel, 0);
     const targetUrl = urlOf(portOf(target));
     const file = join(folder, `${planned.targetId}.jsonc`);
     const settings = {
--- a/demo/src/fleet-plan.ts
+++ b/demo/src/fleet-plan.ts
@@ -15,6 +15,8 @@
   readonly plainTargetsPerZone: number;
   readonly organisations: readonly string[];
   readonly tokenIntervalMs: number;
+  /** Time that a plain target holds a call before it runs. */
+  readonly holdMs?: number;
 }
 
 /** One target of the plan. */
--- a/demo/tests/faults.test.ts
+++ b/demo/tests/faults.test.ts
@@ -76,6 +76,7 @@
     plainTargetsPerZone: 1,
     organisations: [ORGANISATION],
     tokenIntervalMs: 5,
+    holdMs: 300,
   });
 });
 
@@ -147,3 +148,32 @@
   expect(again.outcome).toEqual('unknown');
   expect(await runsOf('{"seat":3}')).toEqual(1);
 });
+
+test('kill holding target, never sent again', async () => {
+  const key = await mintKey(entryAt(0).url, CREDENTIAL);
+  const held = targetOfKey(key);
+  const first = postKeyed(entryAt(0).url, CREDENTIAL, key, '{"seat":4}');
+  await delay(150);
+  held.target.child.kill('SIGKILL');
+  await held.target.exited;
+  const replacement = await fleet.restartTarget(held);
+  expect((await first).outcome).toEqual('unknown');
+  const again = await postKeyed(entryAt(1).url, CREDENTIAL, key, '{"seat":4}');
+  await delay(600);
+  expect(again.outcome).toEqual('unknown');
+  expect(await runsOf('{"seat":4}')).toEqual(0);
+  replacement.child.kill('SIGKILL');
+});
+
+test('new target, old address', async () => {
+  const firstKey = await mintKey(entryAt(0).url, CREDENTIAL);
+  await postKeyed(entryAt(0).url, CREDENTIAL, firstKey, '{"seat":5}');
+  const replaced = targetOfKey(firstKey);
+  replaced.target.child.kill('SIGKILL');
+  await replaced.target.exited;
+  const replacement = await fleet.restartTarget(replaced);
+  const again = await postKeyed(entryAt(1).url, CREDENTIAL, firstKey, '{"seat":5}');
+  expect(again.body).toEqual('{"licenceNumber":1}');
+  expect(await runsOf('{"seat":5}')).toEqual(0);
+  replacement.child.kill('SIGKILL');
+});
