feat(core): add groups of ranks, expert maps and the messages to change them

Cause: a change of expert map needs names for gates, fences and decisions. Change: types, messages with schemas, effects and events; groups in the configuration. Nothing drives them yet.

--- a/demo/src/fleet-plan.ts
+++ b/demo/src/fleet-plan.ts
@@ -123,4 +123,5 @@
     maxInProgress: MAX_IN_PROGRESS,
     weight: 1,
   })),
+  groups: [],
 });
--- a/packages/cli/src/generate-configuration.ts
+++ b/packages/cli/src/generate-configuration.ts
@@ -152,6 +152,7 @@
       ...plainServices.flatMap((service) => targetsOf(service, service.requestsAtOnce)),
     ],
     organisations: organisations.map(organisationOf),
+    groups: [],
   };
   return { configuration, text: write(answers.deployment, configuration) };
 };
--- a/packages/core/src/TimerKind.ts
+++ b/packages/core/src/TimerKind.ts
@@ -13,6 +13,8 @@
   TargetHealth = 'target-health',
   Hedge = 'hedge',
   KeyLinger = 'key-linger',
+  MapChange = 'map-change',
+  MapRecovery = 'map-recovery',
 }
 
 export default TimerKind;
--- a/packages/core/src/configuration-delta.ts
+++ b/packages/core/src/configuration-delta.ts
@@ -1,6 +1,7 @@
 /** @module What changes from one configuration to another. */
 import type {
   Configuration,
+  GroupConfiguration,
   OrganisationConfiguration,
   ServiceConfiguration,
   TargetConfiguration,
@@ -22,6 +23,7 @@
   readonly services: ListDelta<ServiceConfiguration>;
   readonly targets: ListDelta<TargetConfiguration>;
   readonly organisations: ListDelta<OrganisationConfiguration>;
+  readonly groups: ListDelta<GroupConfiguration>;
 }
 
 type IdOf<TItem> = (item: TItem) => string;
@@ -34,6 +36,8 @@
 
 const organisationIdOf: IdOf<OrganisationConfiguration> = ({ organisationId }) => organisationId;
 
+const groupIdOf: IdOf<GroupConfiguration> = ({ groupId }) => groupId;
+
 const isSame = <TItem>(left: TItem | undefined, right: TItem): boolean =>
   left === right || JSON.stringify(left) === JSON.stringify(right);
 
@@ -77,6 +81,7 @@
   services: diffList(base.services, next.services, serviceId),
   targets: diffList(base.targets, next.targets, targetIdOf),
   organisations: diffList(base.organisations, next.organisations, organisationIdOf),
+  groups: diffList(base.groups, next.groups, groupIdOf),
 });
 
 /**
@@ -91,4 +96,5 @@
   services: applyList(base.services, delta.services, serviceId),
   targets: applyList(base.targets, delta.targets, targetIdOf),
   organisations: applyList(base.organisations, delta.organisations, organisationIdOf),
+  groups: applyList(base.groups, delta.groups, groupIdOf),
 });
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -80,6 +80,21 @@
   readonly state: ZoneState;
 }
 
+/** One rank of a group, and the sidecar beside it. */
+export interface RankConfiguration {
+  readonly rankId: string;
+  /** IP number of the sidecar. */
+  readonly sidecarHost: string;
+  readonly sidecarPort: number;
+}
+
+/** Ranks that run in lock-step on one expert map. */
+export interface GroupConfiguration {
+  readonly groupId: string;
+  /** In the order of the ranks' numbers. */
+  readonly ranks: readonly RankConfiguration[];
+}
+
 /** The whole configuration at one revision. */
 export interface Configuration {
   readonly revision: number;
@@ -87,4 +102,5 @@
   readonly services: readonly ServiceConfiguration[];
   readonly targets: readonly TargetConfiguration[];
   readonly organisations: readonly OrganisationConfiguration[];
+  readonly groups: readonly GroupConfiguration[];
 }
--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -2,6 +2,7 @@
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type {
   Configuration,
+  GroupConfiguration,
   OrganisationConfiguration,
   ServiceConfiguration,
   TargetConfiguration,
@@ -25,6 +26,15 @@
   TargetMonitor = 'target-monitor',
   Execution = 'execution',
   KeyedExecution = 'keyed-execution',
+  RankGate = 'rank-gate',
+  GroupDriver = 'group-driver',
+}
+
+/** Where a sidecar accepts links. */
+export interface SidecarAddress {
+  /** IP number. */
+  readonly host: string;
+  readonly port: number;
 }
 
 /** The accepted configuration, and questions about it. */
@@ -33,6 +43,10 @@
   readonly current: () => Configuration | undefined;
   readonly service: (name: string) => ServiceConfiguration | undefined;
   readonly target: (targetId: string) => TargetConfiguration | undefined;
+  /** Address of a sidecar, of a target or of a rank. */
+  readonly address: (processId: string) => SidecarAddress | undefined;
+  /** The group that a rank belongs to. */
+  readonly groupOf: (rankId: string) => GroupConfiguration | undefined;
   /** Targets of one service, in every zone. */
   readonly targets: (service: string) => readonly TargetConfiguration[];
   readonly organisation: (credential: string) => OrganisationConfiguration | undefined;
@@ -236,6 +250,14 @@
   readonly endWaiting: (recordId: number, problem: Problem) => readonly Effect[] | undefined;
 }
 
+/** The gate before the steps of one rank. */
+export interface RankGateApi {
+  /** Highest fencing number seen. */
+  readonly promisedFence: () => number;
+  /** Whether the rank waits for the decision about a change, or for its state after a restart. */
+  readonly isHeld: () => boolean;
+}
+
 /** Every service's API by name. */
 export interface Directory {
   readonly [ServiceName.Configuration]: ConfigurationApi;
@@ -250,6 +272,8 @@
   readonly [ServiceName.TargetMonitor]: TargetMonitorApi;
   readonly [ServiceName.Execution]: ExecutionApi;
   readonly [ServiceName.KeyedExecution]: object;
+  readonly [ServiceName.RankGate]: RankGateApi;
+  readonly [ServiceName.GroupDriver]: object;
 }
 
 /** Finds a service of this system by name. */
--- a/packages/core/src/effect.ts
+++ b/packages/core/src/effect.ts
@@ -1,4 +1,5 @@
 /** @module Effects: everything that a process does to the outside, as data. */
+import type { ExpertMap } from './expert-map.js';
 import type { Message, TargetRequest } from './message.js';
 import type { Outcome, Problem, Reason } from './outcome.js';
 import type TimerKind from './TimerKind.js';
@@ -21,6 +22,8 @@
   PauseTarget = 'pause-target',
   ResumeTarget = 'resume-target',
   ReadTargetHealth = 'read-target-health',
+  AnswerRank = 'answer-rank',
+  LoadMap = 'load-map',
   Log = 'log',
 }
 
@@ -45,6 +48,8 @@
   ConfigurationRefused = 'configuration refused',
   ConfigurationUnavailable = 'configuration unavailable',
   TargetStateChanged = 'target state changed',
+  MapChangeStarted = 'map change started',
+  MapChangeEnded = 'map change ended',
 }
 
 /** Fields that a log line may carry. None holds content, keys or credentials. */
@@ -180,6 +185,19 @@
   readonly kind: EffectKind.ReadTargetHealth;
 }
 
+/** Lets a rank begin the step that it asked about, on a map. */
+export interface AnswerRankEffect {
+  readonly kind: EffectKind.AnswerRank;
+  readonly step: number;
+  readonly map: ExpertMap;
+}
+
+/** Has a rank load the weights of a map beside those in use. */
+export interface LoadMapEffect {
+  readonly kind: EffectKind.LoadMap;
+  readonly map: ExpertMap;
+}
+
 /** Writes a log line. */
 export interface LogEffect {
   readonly kind: EffectKind.Log;
@@ -206,4 +224,6 @@
   | PauseTargetEffect
   | ResumeTargetEffect
   | ReadTargetHealthEffect
+  | AnswerRankEffect
+  | LoadMapEffect
   | LogEffect;
--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -1,5 +1,6 @@
 /** @module Events: every input of a process, as data. */
 import type { Configuration } from './configuration.js';
+import type { ExpertMap } from './expert-map.js';
 import type { Message } from './message.js';
 import type TimerKind from './TimerKind.js';
 
@@ -19,6 +20,8 @@
   TargetEnd = 'target-end',
   TargetError = 'target-error',
   TargetHealth = 'target-health',
+  RankAsked = 'rank-asked',
+  RankLoaded = 'rank-loaded',
 }
 
 /** What a caller wants. */
@@ -143,6 +146,22 @@
   readonly isCold: boolean;
 }
 
+/** A rank stands at the barrier before a step and asks on which map to run it. */
+export interface RankAskedEvent {
+  readonly kind: EventKind.RankAsked;
+  readonly step: number;
+  /** Map of the last step that the rank began. */
+  readonly current: ExpertMap;
+  /** Tokens that each expert took at this rank since the last question, by layer. */
+  readonly counts: readonly (readonly number[])[];
+}
+
+/** A rank holds the weights of a map. */
+export interface RankLoadedEvent {
+  readonly kind: EventKind.RankLoaded;
+  readonly mapId: number;
+}
+
 /** Any input of a process. */
 export type Event =
   | CallerRequestEvent
@@ -158,4 +177,6 @@
   | TargetChunkEvent
   | TargetEndEvent
   | TargetErrorEvent
-  | TargetHealthEvent;
+  | TargetHealthEvent
+  | RankAskedEvent
+  | RankLoadedEvent;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './directory.js';
 export * from './effect.js';
 export * from './event.js';
+export * from './expert-map.js';
 export * from './idempotency-key.js';
 export * from './message.js';
 export * from './outcome.js';
--- a/packages/core/src/message.ts
+++ b/packages/core/src/message.ts
@@ -1,12 +1,14 @@
 /** @module Messages between the processes of the system, apart from their encoding. */
 import type { ConfigurationDelta } from './configuration-delta.js';
 import type { Configuration, Continuation } from './configuration.js';
+import type { GateState, MapChange } from './expert-map.js';
 import type { Problem } from './outcome.js';
 
 /** Role of a process. */
 export enum ProcessRole {
   Entry = 'entry',
   Sidecar = 'sidecar',
+  RankSidecar = 'rank-sidecar',
 }
 
 /** State of a target as its sidecar sees it. */
@@ -36,6 +38,14 @@
   RunChunk = 'run-chunk',
   RunEnd = 'run-end',
   RunFailed = 'run-failed',
+  MapQuery = 'map-query',
+  MapState = 'map-state',
+  MapPrepare = 'map-prepare',
+  MapPrepared = 'map-prepared',
+  MapDecide = 'map-decide',
+  MapDecided = 'map-decided',
+  MapRefused = 'map-refused',
+  ExpertCounts = 'expert-counts',
 }
 
 /** Load of one target. */
@@ -212,6 +222,58 @@
   readonly suspicions?: readonly CrashSuspicion[];
 }
 
+/** Asks a gate for its state; lower fencing numbers are refused from then on. */
+export interface MapQueryMessage {
+  readonly kind: MessageKind.MapQuery;
+  readonly fence: number;
+}
+
+/** Answers a query. */
+export interface MapStateMessage {
+  readonly kind: MessageKind.MapState;
+  readonly fence: number;
+  readonly gate: GateState;
+}
+
+/** Asks a gate to have its rank load a map, and to hold the step until the decision. */
+export interface MapPrepareMessage {
+  readonly kind: MessageKind.MapPrepare;
+  readonly fence: number;
+  readonly change: MapChange;
+}
+
+/** The rank holds the map and its gate will hold the step. */
+export interface MapPreparedMessage {
+  readonly kind: MessageKind.MapPrepared;
+  readonly fence: number;
+}
+
+/** Decides a change; absent means that no change takes place. */
+export interface MapDecideMessage {
+  readonly kind: MessageKind.MapDecide;
+  readonly fence: number;
+  readonly change?: MapChange;
+}
+
+/** The gate knows the decision. */
+export interface MapDecidedMessage {
+  readonly kind: MessageKind.MapDecided;
+  readonly fence: number;
+}
+
+/** The gate follows a higher fencing number, or the step has begun. */
+export interface MapRefusedMessage {
+  readonly kind: MessageKind.MapRefused;
+  readonly fence: number;
+  readonly promisedFence: number;
+}
+
+/** Tokens that each expert took at one rank since the last report, by layer. */
+export interface ExpertCountsMessage {
+  readonly kind: MessageKind.ExpertCounts;
+  readonly counts: readonly (readonly number[])[];
+}
+
 /** Any message between processes. */
 export type Message =
   | HelloMessage
@@ -230,4 +292,12 @@
   | RunHeadMessage
   | RunChunkMessage
   | RunEndMessage
-  | RunFailedMessage;
+  | RunFailedMessage
+  | MapQueryMessage
+  | MapStateMessage
+  | MapPrepareMessage
+  | MapPreparedMessage
+  | MapDecideMessage
+  | MapDecidedMessage
+  | MapRefusedMessage
+  | ExpertCountsMessage;
--- a/packages/core/tests/configuration-delta.test.ts
+++ b/packages/core/tests/configuration-delta.test.ts
@@ -44,6 +44,7 @@
       services: fc.constant([]),
       targets: fc.constant([]),
       organisations,
+      groups: fc.constant([]),
     },
     PLAIN,
   );
--- a/packages/emulator/src/fleet-configuration.ts
+++ b/packages/emulator/src/fleet-configuration.ts
@@ -101,5 +101,6 @@
       maxInProgress: MAX_IN_PROGRESS,
       weight: 1,
     })),
+    groups: [],
   };
 };
--- a/packages/fleet/src/configuration-service.ts
+++ b/packages/fleet/src/configuration-service.ts
@@ -20,6 +20,7 @@
   type OrganisationConfiguration,
   type Registration,
   type Runtime,
+  type SidecarAddress,
   type TargetConfiguration,
 } from '@ebonysill/core';
 import { createInstance } from '@ebonysill/kernel';
@@ -78,6 +79,9 @@
     current: () => this.#current,
     service: (name) => this.#current?.services.find((service) => service.name === name),
     target: (targetId) => this.#targetsById.get(targetId),
+    address: (processId) => this.#address(processId),
+    groupOf: (rankId) =>
+      this.#current?.groups.find(({ ranks }) => ranks.some((rank) => rank.rankId === rankId)),
     targets: (service) =>
       (this.#current?.targets ?? []).filter((target) => target.service === service),
     organisation: (credential) => this.#organisation(credential),
@@ -198,6 +202,17 @@
     return timingSafeEqual(digest, Buffer.from(found.credentialSha256, 'hex')) ? found : undefined;
   }
 
+  #address(processId: string): SidecarAddress | undefined {
+    const sidecar =
+      this.#targetsById.get(processId) ??
+      this.#current?.groups
+        .flatMap(({ ranks }) => ranks)
+        .find(({ rankId }) => rankId === processId);
+    return sidecar === undefined
+      ? undefined
+      : { host: sidecar.sidecarHost, port: sidecar.sidecarPort };
+  }
+
   #isInService(availabilityZone: string): boolean {
     return (this.#current?.availabilityZones ?? []).some(
       (zone) => zone.name === availabilityZone && zone.state === ZoneState.InService,
--- a/packages/fleet/src/links-service.ts
+++ b/packages/fleet/src/links-service.ts
@@ -20,6 +20,7 @@
   type ProcessRole,
   type Registration,
   type Runtime,
+  type SidecarAddress,
   type SuspectsApi,
 } from '@ebonysill/core';
 import { createInstance } from '@ebonysill/kernel';
@@ -70,11 +71,6 @@
   }
 };
 
-interface Address {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Keeps the links of one process. */
 class LinksService {
   readonly #table = LinkTable.create();
@@ -187,16 +183,15 @@
     this.#linkCount += 1;
     const linkId = `${this.options.processId}>${targetId}#${this.#linkCount}`;
     const link = this.#table.add(linkId, targetId, this.#nowMs());
-    return [{ kind: EffectKind.OpenLink, linkId, ...address }, this.#scheduleCheck(link)];
+    const { host, port } = address;
+    return [{ kind: EffectKind.OpenLink, linkId, host, port }, this.#scheduleCheck(link)];
   }
 
-  #addressOf(targetId: string): Address | undefined {
-    const target = this.configuration.target(targetId);
-    if (target !== undefined) {
-      return { host: target.sidecarHost, port: target.sidecarPort };
-    }
-    const seed = this.options.seeds.find((candidate) => candidate.targetId === targetId);
-    return seed === undefined ? undefined : { host: seed.host, port: seed.port };
+  #addressOf(targetId: string): SidecarAddress | undefined {
+    return (
+      this.configuration.address(targetId) ??
+      this.options.seeds.find((candidate) => candidate.targetId === targetId)
+    );
   }
 
   #onOpened(linkId: string, isInbound: boolean): readonly Effect[] {
--- a/packages/settings/src/parseConfiguration.ts
+++ b/packages/settings/src/parseConfiguration.ts
@@ -47,12 +47,20 @@
 
 const zoneSchema = z.strictObject({ name: nameField, state: z.enum(ZoneState) });
 
+const groupSchema = z.strictObject({
+  groupId: nameField,
+  ranks: z
+    .array(z.strictObject({ rankId: nameField, sidecarHost: ipField, sidecarPort: portField }))
+    .min(1),
+});
+
 const shapeSchema = z.strictObject({
   revision: z.int().min(1),
   availabilityZones: z.array(zoneSchema).min(1),
   services: z.array(serviceSchema),
   targets: z.array(targetSchema),
   organisations: z.array(organisationSchema),
+  groups: z.array(groupSchema).default([]),
 });
 
 type Shape = z.infer<typeof shapeSchema>;
@@ -78,6 +86,7 @@
   const serviceNames = shape.services.map(({ name }) => name);
   const targetIds = shape.targets.map(({ targetId }) => targetId);
   const organisationIds = shape.organisations.map(({ organisationId }) => organisationId);
+  const groupIds = shape.groups.map(({ groupId }) => groupId);
   const targetFaults = shape.targets.flatMap((target, index) => [
     ...(zoneNames.includes(target.availabilityZone)
       ? []
@@ -101,6 +110,7 @@
     ...duplicatesIn('services', 'name', serviceNames),
     ...duplicatesIn('targets', 'targetId', targetIds),
     ...duplicatesIn('organisations', 'organisationId', organisationIds),
+    ...duplicatesIn('groups', 'groupId', groupIds),
     ...targetFaults,
   ];
 };
--- a/packages/transport/src/messageSchema.ts
+++ b/packages/transport/src/messageSchema.ts
@@ -1,5 +1,6 @@
 /** @module Shapes of the messages between processes, checked on arrival. */
 import {
+  ChangeState,
   Continuation,
   DuplicateCheck,
   MessageKind,
@@ -71,12 +72,18 @@
   weight: z.number(),
 });
 
+const group = z.object({
+  groupId: id,
+  ranks: z.array(z.object({ rankId: id, sidecarHost: id, sidecarPort: count })),
+});
+
 const configuration = z.object({
   revision: count,
   availabilityZones: z.array(zone),
   services: z.array(service),
   targets: z.array(target),
   organisations: z.array(organisation),
+  groups: z.array(group),
 });
 
 const listDelta = <TItem extends z.ZodType>(item: TItem) =>
@@ -89,6 +96,18 @@
   services: listDelta(service),
   targets: listDelta(target),
   organisations: listDelta(organisation),
+  groups: listDelta(group),
+});
+
+const map = z.object({ mapId: count, layers: z.array(z.array(z.array(count))) });
+
+const change = z.object({ map, atStep: count });
+
+const gate = z.object({
+  state: z.enum(ChangeState),
+  change: z.union([change, z.undefined()]),
+  current: map,
+  lastStep: z.int(),
 });
 
 const report = {
@@ -150,6 +169,18 @@
     load: load.exactOptional(),
     suspicions: suspicions.exactOptional(),
   }),
+  z.object({ kind: z.literal(MessageKind.MapQuery), fence: count }),
+  z.object({ kind: z.literal(MessageKind.MapState), fence: count, gate }),
+  z.object({ kind: z.literal(MessageKind.MapPrepare), fence: count, change }),
+  z.object({ kind: z.literal(MessageKind.MapPrepared), fence: count }),
+  z.object({
+    kind: z.literal(MessageKind.MapDecide),
+    fence: count,
+    change: change.exactOptional(),
+  }),
+  z.object({ kind: z.literal(MessageKind.MapDecided), fence: count }),
+  z.object({ kind: z.literal(MessageKind.MapRefused), fence: count, promisedFence: count }),
+  z.object({ kind: z.literal(MessageKind.ExpertCounts), counts: z.array(z.array(count)) }),
 ]);
 
 export default messageSchema;
--- a/packages/transport/src/process-host.ts
+++ b/packages/transport/src/process-host.ts
@@ -2,11 +2,13 @@
 import { randomBytes } from 'node:crypto';
 import {
   EffectKind,
+  type AnswerRankEffect,
   type AnyRegistration,
   type Directory,
   type Effect,
   type Event,
   type FindService,
+  type LoadMapEffect,
   type LogEffect,
   type Runtime,
 } from '@ebonysill/core';
@@ -23,6 +25,10 @@
   readonly createCallerPort?: (post: (event: Event) => void, find: () => FindService) => CallerPort;
   readonly createTargetPort?: (post: (event: Event) => void) => TargetPort;
   readonly createConfigurationPort?: (post: (event: Event) => void) => ConfigurationPort;
+  /** Lets the rank beside this process begin a step. */
+  readonly onAnswerRank?: (effect: AnswerRankEffect) => void;
+  /** Has the rank beside this process load a map. */
+  readonly onLoadMap?: (effect: LoadMapEffect) => void;
   readonly onLog: (effect: LogEffect) => void;
   readonly onDrained: () => void;
   readonly onBroken: (error: unknown) => void;
@@ -146,6 +152,12 @@
       case EffectKind.ReadTargetHealth:
         this.#target?.readHealth();
         return;
+      case EffectKind.AnswerRank:
+        this.options.onAnswerRank?.(effect);
+        return;
+      case EffectKind.LoadMap:
+        this.options.onLoadMap?.(effect);
+        return;
       case EffectKind.Log:
         this.options.onLog(effect);
         return;
