feat(experts): change the expert map of a lock-step group on all ranks or none

Cause: in every step all ranks must use one map, with no consensus group. Change: a gate before each rank's steps and a driver beside each rank. A gate that prepared a change holds its step until the decision; a driver decides only after all gates answered its query; fencing numbers order drivers; a restarted gate waits for a driver. Planner for better maps. Fake ranks in lock-step.

--- a/packages/core/src/directory.ts
+++ b/packages/core/src/directory.ts
@@ -9,7 +9,8 @@
 } from './configuration.js';
 import type { Effect } from './effect.js';
 import type { CallerRequestEvent, Event } from './event.js';
-import type { CrashSuspicion, LoadReport, RunMessage, TargetState } from './message.js';
+import type { ExpertMap } from './expert-map.js';
+import type { CrashSuspicion, LoadReport, Message, RunMessage, TargetState } from './message.js';
 import type { Problem } from './outcome.js';
 
 /** Names that services register under and are found by. */
@@ -250,12 +251,20 @@
   readonly endWaiting: (recordId: number, problem: Problem) => readonly Effect[] | undefined;
 }
 
+/** Sends an answer of the gate to the driver that asked. */
+export type ReplyToDriver = (message: Message) => readonly Effect[];
+
 /** The gate before the steps of one rank. */
 export interface RankGateApi {
   /** Highest fencing number seen. */
   readonly promisedFence: () => number;
-  /** Whether the rank waits for the decision about a change, or for its state after a restart. */
+  /** Whether the rank waits for a decision, or for its state after a restart. */
   readonly isHeld: () => boolean;
+  /** Takes a driver's message. */
+  readonly receive: (message: Message, reply: ReplyToDriver) => readonly Effect[];
+  /** Tokens by layer and expert since the last call. */
+  readonly takeCounts: () => readonly (readonly number[])[] | undefined;
+  readonly current: () => ExpertMap | undefined;
 }
 
 /** Every service's API by name. */
--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -146,10 +146,13 @@
   readonly isCold: boolean;
 }
 
-/** A rank stands at the barrier before a step and asks on which map to run it. */
+/** A rank tells where it stands: at the barrier before a step, or within one. */
 export interface RankAskedEvent {
   readonly kind: EventKind.RankAsked;
+  /** The step that it asks to begin, or the one that it is in. */
   readonly step: number;
+  /** Whether it waits for an answer; told with false after its sidecar was restarted. */
+  readonly isWaiting: boolean;
   /** Map of the last step that the rank began. */
   readonly current: ExpertMap;
   /** Tokens that each expert took at this rank since the last question, by layer. */
--- a/packages/emulator/src/emulation.ts
+++ b/packages/emulator/src/emulation.ts
@@ -2,9 +2,11 @@
 import {
   EffectKind,
   EventKind,
+  type AnswerRankEffect,
   type AnyRegistration,
   type CallerRequestEvent,
   type Effect,
+  type LoadMapEffect,
   type Message,
   type Runtime,
 } from '@ebonysill/core';
@@ -27,6 +29,8 @@
   readonly onTrace?: (line: string) => void;
   /** Told of each message that a process sends. */
   readonly onSend?: (processId: string, message: Message) => void;
+  /** Told of effects on the rank beside a process. */
+  readonly onRankEffect?: (process: EmulatedProcess, effect: RankEffect) => void;
   /** Whether the caller of an exchange takes nothing more from its connection. */
   readonly isStalled?: (exchangeId: string) => boolean;
   /** Changes an effect before it is performed; for known-bad variants. */
@@ -40,6 +44,9 @@
   readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
 }
 
+/** An effect on a rank. */
+export type RankEffect = AnswerRankEffect | LoadMapEffect;
+
 /** A step that is about to be taken. */
 export interface StepTaken {
   readonly step: Step;
@@ -276,6 +283,10 @@
         return;
       case EffectKind.ReadTargetHealth:
         target?.readHealth(post);
+        return;
+      case EffectKind.AnswerRank:
+      case EffectKind.LoadMap:
+        this.options.onRankEffect?.(process, effect);
         break;
       default:
     }
--- /dev/null
+++ b/packages/emulator/src/fake-rank-group.ts
@@ -0,0 +1,164 @@
+/** @module Fake ranks that run in lock-step, each asking the process beside it before a step. */
+import { EffectKind, EventKind, type ExpertMap } from '@ebonysill/core';
+import type { EmulatedProcess } from './emulated-process.js';
+import type { RankEffect } from './emulation.js';
+import type { VirtualTime } from './virtual-time.js';
+
+/** How the fake ranks behave. */
+export interface FakeRankGroupOptions {
+  readonly time: VirtualTime;
+  /** In the order of the ranks. */
+  readonly processes: readonly EmulatedProcess[];
+  readonly initialMap: ExpertMap;
+  /** Time that a rank needs to load the weights of a map. */
+  readonly loadMs: number;
+  /** Tokens that each expert takes in a step, by layer. */
+  readonly countsAt: (step: number) => readonly (readonly number[])[];
+  /** Time of a step for a rank on a map. */
+  readonly stepMs: (rank: number, map: ExpertMap, step: number) => number;
+}
+
+interface FakeRank {
+  step: number;
+  isWaiting: boolean;
+  map: ExpertMap;
+  /** Incarnation of the process that was told where the rank stands. */
+  toldStartCount: number;
+}
+
+/** Time between looks at whether a process was restarted. */
+const RECONNECT_MS = 50;
+
+/** Runs the ranks of one group. */
+export class FakeRankGroup {
+  readonly #ranks: readonly FakeRank[];
+
+  #step = 0;
+
+  #mixedSteps = 0;
+
+  readonly #stepTimes: number[] = [];
+
+  private constructor(private readonly options: FakeRankGroupOptions) {
+    this.#ranks = options.processes.map(() => ({
+      step: 0,
+      isWaiting: true,
+      map: options.initialMap,
+      toldStartCount: 0,
+    }));
+  }
+
+  /**
+   * Creates the ranks; they begin once started.
+   *
+   * @example
+   * const group = FakeRankGroup.create(options);
+   * group.start();
+   */
+  static create(options: FakeRankGroupOptions): FakeRankGroup {
+    return new FakeRankGroup(options);
+  }
+
+  /** Steps that every rank has begun. */
+  get stepCount(): number {
+    return this.#step;
+  }
+
+  /** Steps in which ranks used different maps. */
+  get mixedStepCount(): number {
+    return this.#mixedSteps;
+  }
+
+  /** Time of each finished step. */
+  get stepTimes(): readonly number[] {
+    return this.#stepTimes;
+  }
+
+  /** Map of the last step, on the first rank. */
+  get map(): ExpertMap {
+    return this.#ranks[0]?.map ?? this.options.initialMap;
+  }
+
+  /** Lets the ranks ask, and tell again when a process was restarted. */
+  start(): void {
+    this.#ranks.forEach((_, rank) => this.#tell(rank));
+    this.options.time.schedule(RECONNECT_MS, () => this.#reconnect());
+  }
+
+  /** Performs an effect of the process beside a rank. */
+  readonly onEffect = (process: EmulatedProcess, effect: RankEffect): void => {
+    const rank = this.options.processes.indexOf(process);
+    const { startCount } = process;
+    if (effect.kind === EffectKind.AnswerRank) {
+      this.#onAnswer(rank, startCount, effect.step, effect.map);
+      return;
+    }
+    const { mapId } = effect.map;
+    this.options.time.schedule(this.options.loadMs, () => {
+      if (process.startCount === startCount) {
+        process.post({ kind: EventKind.RankLoaded, mapId });
+      }
+    });
+  };
+
+  /** A rank pulls: only the answer of the process that it last told counts, for that step. */
+  #onAnswer(rank: number, startCount: number, step: number, map: ExpertMap): void {
+    const state = this.#ranks[rank];
+    const isWanted =
+      state !== undefined &&
+      state.isWaiting &&
+      state.step === step &&
+      state.toldStartCount === startCount;
+    if (!isWanted) {
+      return;
+    }
+    state.isWaiting = false;
+    state.map = map;
+    if (this.#ranks.every((other) => !other.isWaiting && other.step === step)) {
+      this.#runStep(step);
+    }
+  }
+
+  #runStep(step: number): void {
+    this.#step = step + 1;
+    const mapIds = new Set(this.#ranks.map(({ map }) => map.mapId));
+    this.#mixedSteps += mapIds.size > 1 ? 1 : 0;
+    const { time, stepMs } = this.options;
+    const durationMs = Math.max(...this.#ranks.map(({ map }, rank) => stepMs(rank, map, step)));
+    this.#stepTimes.push(durationMs);
+    time.schedule(durationMs, () => {
+      this.#ranks.forEach((rank, index) => {
+        const state = rank;
+        state.step = step + 1;
+        state.isWaiting = true;
+        this.#tell(index);
+      });
+    });
+  }
+
+  #tell(rank: number): void {
+    const state = this.#ranks[rank];
+    const process = this.options.processes[rank];
+    if (state === undefined || process === undefined || !process.isAlive) {
+      return;
+    }
+    state.toldStartCount = process.startCount;
+    const { step, isWaiting, map } = state;
+    process.post({
+      kind: EventKind.RankAsked,
+      step,
+      isWaiting,
+      current: map,
+      counts: isWaiting ? this.options.countsAt(step) : [],
+    });
+  }
+
+  #reconnect(): void {
+    this.#ranks.forEach(({ toldStartCount }, rank) => {
+      if (this.options.processes[rank]?.startCount !== toldStartCount) {
+        this.#tell(rank);
+      }
+    });
+    this.options.time.schedule(RECONNECT_MS, () => this.#reconnect());
+  }
+}
--- /dev/null
+++ b/packages/experts/src/create-rank-services.ts
@@ -0,0 +1,53 @@
+/** @module The services that make up the process beside a rank. */
+import { ProcessRole, drawId, type AnyRegistration, type Runtime } from '@ebonysill/core';
+import {
+  configurationRegistration,
+  linksRegistration,
+  suspectsRegistration,
+} from '@ebonysill/fleet';
+import {
+  everyRank,
+  groupDriverRegistration,
+  type EnoughRule,
+  type Propose,
+} from './group-driver-service.js';
+import { holdUndecided, rankGateRegistration, type HoldRule } from './rank-gate-service.js';
+
+/** What the process beside a rank is created from. */
+export interface RankOptions {
+  readonly runtime: Runtime;
+  readonly rankId: string;
+  readonly availabilityZone: string;
+  /** Whether this process reads the configuration service. */
+  readonly isReader: boolean;
+  readonly propose: Propose;
+  /** Rules of the gate and the driver; others than the defaults are known to be bad. */
+  readonly mustHold?: HoldRule;
+  readonly waitsAfterRestart?: boolean;
+  readonly isEnough?: EnoughRule;
+}
+
+/**
+ * Lists the registrations of the services beside a rank.
+ *
+ * @example
+ * Kernel.create({ services: createRankServices(options), nowMs, perform, onDrained, onBroken });
+ */
+export const createRankServices = (options: RankOptions): readonly AnyRegistration[] => {
+  const { runtime, rankId, availabilityZone, isReader, propose } = options;
+  const { mustHold = holdUndecided, waitsAfterRestart = true, isEnough = everyRank } = options;
+  return [
+    configurationRegistration({ runtime, isReader }),
+    suspectsRegistration({ runtime }),
+    linksRegistration({
+      runtime,
+      processId: rankId,
+      incarnation: drawId(runtime.random),
+      role: ProcessRole.RankSidecar,
+      availabilityZone,
+      seeds: [],
+    }),
+    rankGateRegistration({ mustHold, waitsAfterRestart }),
+    groupDriverRegistration({ runtime, rankId, propose, isEnough }),
+  ];
+};
--- /dev/null
+++ b/packages/experts/src/group-driver-service.ts
@@ -0,0 +1,346 @@
+/**
+ * @module Drives changes of a group's expert map, and settles those that another driver left open.
+ *
+ * Every rank's sidecar has a driver. The one beside the first rank proposes changes; any may settle
+ * an open change when its gate is held. Fencing numbers order them: a gate follows the highest one
+ * that it has answered. A driver decides only after every gate of the group has answered its query,
+ * which costs nothing in availability, because a group without one of its ranks cannot step anyway.
+ */
+import {
+  EventKind,
+  LogLevel,
+  LogTopic,
+  MessageKind,
+  ServiceName,
+  TimerKind,
+  type Effect,
+  type Event,
+  type ExpertMap,
+  type FindService,
+  type LinkMessageEvent,
+  type MapChange,
+  type Message,
+  type Registration,
+  type Runtime,
+} from '@ebonysill/core';
+import { clearTimer, log, send, setTimer } from '@ebonysill/fleet';
+import { createInstance } from '@ebonysill/kernel';
+import { AttemptPhase, ChangeAttempt, findDecided } from './change-attempt.js';
+
+/** Proposes a map for the counted tokens; undefined to keep the present one. */
+export type Propose = (
+  counts: readonly (readonly number[])[],
+  current: ExpertMap,
+) => ExpertMap | undefined;
+
+/** Whether enough ranks have answered. */
+export type EnoughRule = (answeredCount: number, rankCount: number) => boolean;
+
+/** Every rank must answer. */
+export const everyRank: EnoughRule = (answeredCount, rankCount) => answeredCount === rankCount;
+
+/** What the driver is created from. */
+export interface GroupDriverOptions {
+  readonly runtime: Runtime;
+  readonly rankId: string;
+  readonly propose: Propose;
+  readonly isEnough: EnoughRule;
+}
+
+/** Time between looks at what is to be done. */
+const LOOK_INTERVAL_MS = 400;
+
+/** Time for one phase of an attempt. */
+const PHASE_TIMEOUT_MS = 1_500;
+
+/** Steps between the query and the step of a change; weights are loaded meanwhile. */
+const STEP_MARGIN = 100;
+
+/** Chance of an attempt at each look, so that drivers do not keep overtaking each other. */
+const SETTLE_CHANCE = 0.4;
+
+const TIMER_KEY = 'group';
+
+const NEXT_LOOK = setTimer(TimerKind.MapRecovery, TIMER_KEY, LOOK_INTERVAL_MS);
+
+const PHASE_TIMER = setTimer(TimerKind.MapChange, TIMER_KEY, PHASE_TIMEOUT_MS);
+
+/** Drives one group from one rank. */
+class GroupDriverService {
+  #attempt: ChangeAttempt | undefined;
+
+  #highestFence = 0;
+
+  #counts: readonly (readonly number[])[] | undefined;
+
+  readonly #configuration;
+
+  readonly #links;
+
+  readonly #gate;
+
+  private constructor(
+    private readonly options: GroupDriverOptions,
+    find: FindService,
+  ) {
+    this.#configuration = find(ServiceName.Configuration);
+    this.#links = find(ServiceName.Links);
+    this.#gate = find(ServiceName.RankGate);
+  }
+
+  static create(options: GroupDriverOptions, find: FindService): GroupDriverService {
+    return new GroupDriverService(options, find);
+  }
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.Timer:
+        return this.#onTimer(event.timer);
+      case EventKind.LinkMessage:
+        return this.#onLinkMessage(event);
+      default:
+        return [];
+    }
+  }
+
+  #onTimer(timer: TimerKind): readonly Effect[] {
+    switch (timer) {
+      case TimerKind.MapRecovery:
+        return [...this.#look(), NEXT_LOOK];
+      case TimerKind.MapChange:
+        return this.#onPhaseTimeout();
+      default:
+        return [];
+    }
+  }
+
+  /** Connects to the ranks, and starts an attempt if one is due. */
+  #look(): readonly Effect[] {
+    const connects = this.#rankIds()
+      .filter((rankId) => rankId !== this.options.rankId)
+      .flatMap((rankId) => this.#links.ensure(rankId));
+    if (this.#attempt !== undefined) {
+      return [...connects, ...this.#repeatDecision(this.#attempt)];
+    }
+    if (this.#gate.isHeld()) {
+      const mayTry = this.options.runtime.random() < SETTLE_CHANCE;
+      return mayTry ? [...connects, ...this.#begin(undefined)] : connects;
+    }
+    return [...connects, ...this.#shareCounts(), ...this.#propose()];
+  }
+
+  /** Sends this rank's counts to the first rank. */
+  #shareCounts(): readonly Effect[] {
+    const [firstId] = this.#rankIds();
+    const counts = this.#gate.takeCounts();
+    if (counts === undefined || firstId === undefined) {
+      return [];
+    }
+    if (firstId === this.options.rankId) {
+      this.#addCounts(counts);
+      return [];
+    }
+    const peer = this.#links.peer(firstId);
+    return peer === undefined
+      ? []
+      : [send(peer.linkId, { kind: MessageKind.ExpertCounts, counts })];
+  }
+
+  #addCounts(counts: readonly (readonly number[])[]): void {
+    const before = this.#counts;
+    this.#counts = counts.map((layer, index) =>
+      layer.map((count, expert) => count + (before?.[index]?.[expert] ?? 0)),
+    );
+  }
+
+  #propose(): readonly Effect[] {
+    const current = this.#gate.current();
+    if (this.#counts === undefined || current === undefined) {
+      return [];
+    }
+    const proposal = this.options.propose(this.#counts, current);
+    this.#counts = undefined;
+    return proposal === undefined ? [] : this.#begin(proposal);
+  }
+
+  #begin(proposal: ExpertMap | undefined): readonly Effect[] {
+    const rankIds = this.#rankIds();
+    const index = rankIds.indexOf(this.options.rankId);
+    if (index < 0) {
+      return [];
+    }
+    const highest = Math.max(this.#highestFence, this.#gate.promisedFence());
+    const fence = (Math.floor(highest / rankIds.length) + 1) * rankIds.length + index;
+    this.#highestFence = fence;
+    const attempt = ChangeAttempt.create(fence, proposal);
+    this.#attempt = attempt;
+    return [
+      log(LogLevel.Info, LogTopic.MapChangeStarted, { detail: `fence ${fence}` }),
+      PHASE_TIMER,
+      ...this.#sendAll(attempt, { kind: MessageKind.MapQuery, fence }),
+    ];
+  }
+
+  /** Sends to every rank that has not answered in this phase; to this rank's own gate directly. */
+  #sendAll(attempt: ChangeAttempt, message: Message): readonly Effect[] {
+    return this.#rankIds()
+      .filter((rankId) => !attempt.isDone(rankId))
+      .flatMap((rankId) => this.#sendOne(rankId, message));
+  }
+
+  #sendOne(rankId: string, message: Message): readonly Effect[] {
+    if (rankId === this.options.rankId) {
+      return this.#gate.receive(message, (answer) => this.#onAnswer(rankId, answer));
+    }
+    const peer = this.#links.peer(rankId);
+    return peer === undefined ? [] : [send(peer.linkId, message)];
+  }
+
+  #onLinkMessage({ linkId, message }: LinkMessageEvent): readonly Effect[] {
+    if (message.kind === MessageKind.ExpertCounts) {
+      this.#addCounts(message.counts);
+      return [];
+    }
+    const rankId = this.#links.peerOfLink(linkId)?.processId;
+    return rankId === undefined ? [] : this.#onAnswer(rankId, message);
+  }
+
+  #onAnswer(rankId: string, message: Message): readonly Effect[] {
+    const attempt = this.#attempt;
+    if (attempt === undefined || !('fence' in message) || message.fence !== attempt.fence) {
+      return [];
+    }
+    switch (message.kind) {
+      case MessageKind.MapState:
+        if (attempt.phase === AttemptPhase.Querying) {
+          attempt.noteState(rankId, message.gate);
+        }
+        return this.#advance(attempt);
+      case MessageKind.MapPrepared:
+        return this.#noteDone(attempt, rankId, AttemptPhase.Preparing);
+      case MessageKind.MapDecided:
+        return this.#noteDone(attempt, rankId, AttemptPhase.Deciding);
+      case MessageKind.MapRefused:
+        this.#highestFence = Math.max(this.#highestFence, message.promisedFence);
+        return this.#onRefused(attempt, message.promisedFence);
+      default:
+        return [];
+    }
+  }
+
+  #noteDone(attempt: ChangeAttempt, rankId: string, phase: AttemptPhase): readonly Effect[] {
+    if (attempt.phase !== phase) {
+      return [];
+    }
+    attempt.noteDone(rankId);
+    return this.#advance(attempt);
+  }
+
+  #advance(attempt: ChangeAttempt): readonly Effect[] {
+    if (!this.options.isEnough(attempt.doneCount, this.#rankIds().length)) {
+      return [];
+    }
+    switch (attempt.phase) {
+      case AttemptPhase.Querying:
+        return this.#onAllStates(attempt);
+      case AttemptPhase.Preparing:
+        return this.#decide(attempt, attempt.change);
+      case AttemptPhase.Deciding:
+        return this.#endAttempt();
+      default:
+        return attempt.phase satisfies never;
+    }
+  }
+
+  /**
+   * Finishes what another driver decided; otherwise prepares the proposal, if there is one. The
+   * fencing number names the map, so that no two proposals share a name.
+   */
+  #onAllStates(attempt: ChangeAttempt): readonly Effect[] {
+    const decided = findDecided(attempt.gates);
+    if (decided !== undefined || attempt.proposal === undefined) {
+      return this.#decide(attempt, decided);
+    }
+    const lastStep = Math.max(...attempt.gates.map((gate) => gate.lastStep));
+    const map = { ...attempt.proposal, mapId: attempt.fence };
+    const change = { map, atStep: lastStep + STEP_MARGIN };
+    attempt.advance(AttemptPhase.Preparing, change);
+    const { fence } = attempt;
+    return [
+      PHASE_TIMER,
+      ...this.#sendAll(attempt, { kind: MessageKind.MapPrepare, fence, change }),
+    ];
+  }
+
+  #decide(attempt: ChangeAttempt, change: MapChange | undefined): readonly Effect[] {
+    attempt.advance(AttemptPhase.Deciding, change);
+    return [PHASE_TIMER, ...this.#repeatDecision(attempt)];
+  }
+
+  #repeatDecision(attempt: ChangeAttempt): readonly Effect[] {
+    if (attempt.phase !== AttemptPhase.Deciding) {
+      return [];
+    }
+    const { fence, change } = attempt;
+    return this.#sendAll(attempt, {
+      kind: MessageKind.MapDecide,
+      fence,
+      ...(change === undefined ? {} : { change }),
+    });
+  }
+
+  /** A higher fencing number takes over; a refusal under this one means that it came too late. */
+  #onRefused(attempt: ChangeAttempt, promisedFence: number): readonly Effect[] {
+    if (promisedFence > attempt.fence || attempt.phase === AttemptPhase.Querying) {
+      return this.#endAttempt();
+    }
+    return attempt.phase === AttemptPhase.Preparing ? this.#decide(attempt, undefined) : [];
+  }
+
+  #onPhaseTimeout(): readonly Effect[] {
+    const attempt = this.#attempt;
+    switch (attempt?.phase) {
+      case AttemptPhase.Querying:
+        return this.#endAttempt();
+      case AttemptPhase.Preparing:
+        return this.#decide(attempt, undefined);
+      case AttemptPhase.Deciding:
+        return [PHASE_TIMER, ...this.#repeatDecision(attempt)];
+      default:
+        return [];
+    }
+  }
+
+  #endAttempt(): readonly Effect[] {
+    this.#attempt = undefined;
+    return [
+      clearTimer(TimerKind.MapChange, TIMER_KEY),
+      log(LogLevel.Info, LogTopic.MapChangeEnded, {}),
+    ];
+  }
+
+  #rankIds(): readonly string[] {
+    const group = this.#configuration.groupOf(this.options.rankId);
+    return group?.ranks.map(({ rankId }) => rankId) ?? [];
+  }
+}
+
+/**
+ * Registers the driver beside a rank.
+ *
+ * @example
+ * groupDriverRegistration({ runtime, rankId: 'group-1-rank-0', propose, isEnough: everyRank });
+ */
+export const groupDriverRegistration = (
+  options: GroupDriverOptions,
+): Registration<ServiceName.GroupDriver> => ({
+  name: ServiceName.GroupDriver,
+  requires: [ServiceName.Configuration, ServiceName.Links, ServiceName.RankGate],
+  create: (find) => {
+    const service = GroupDriverService.create(options, find);
+    return createInstance(
+      {},
+      { start: () => [NEXT_LOOK], handle: (event) => service.handle(event) },
+    );
+  },
+});
--- /dev/null
+++ b/packages/experts/src/index.ts
@@ -0,0 +1,7 @@
+/** @module Public interface of the services beside a rank. */
+export { createRankServices, type RankOptions } from './create-rank-services.js';
+export { loadOfRanks, skewOf, type ExpertCounts } from './map-load.js';
+export { initialMap } from './initial-map.js';
+export { planMap, type PlanOptions } from './plan-map.js';
+export { holdUndecided, type HoldRule } from './rank-gate-service.js';
+export { everyRank, type EnoughRule, type Propose } from './group-driver-service.js';
