test(experts): strike every step of a map change with every fault

Cause: the change protocol had been run without faults only. Found on the way: the accepting end of a silent link went on using it, since it asks nothing; it now checks links that carry work, and drivers mark theirs. The first choice of occurrences never struck the first decision of a change, so the variant that holds no step went uncaught; occurrences 1, 6, 9, 25 do.

--- /dev/null
+++ b/packages/bench/src/maps/map-case.ts
@@ -0,0 +1,88 @@
+/** @module Cases of the fault matrix for changes of the expert map. */
+import { Step } from '@ebonysill/emulator';
+
+/** A fault during a change of map. */
+export enum MapFault {
+  CrashSender = 'crash-sender',
+  RestartSender = 'restart-sender',
+  PauseSender = 'pause-sender',
+  RestartPeer = 'restart-peer',
+  PausePeer = 'pause-peer',
+  PartitionPair = 'partition-pair',
+  PartitionSender = 'partition-sender',
+  MessageLost = 'message-lost',
+  MessageDoubled = 'message-doubled',
+  MessageReordered = 'message-reordered',
+  MessageLate = 'message-late',
+}
+
+/** Who proposes changes. */
+export enum Proposers {
+  First = 'first rank',
+  FirstTwo = 'first two ranks at once',
+}
+
+/** One case. */
+export interface MapCase {
+  readonly fault: MapFault;
+  readonly step: Step;
+  /** Which occurrence of the step, from 1. */
+  readonly occurrence: number;
+  readonly proposers: Proposers;
+  readonly seed: number;
+}
+
+/** Steps of a change. */
+export const MAP_STEPS: readonly Step[] = [
+  Step.MapQueried,
+  Step.MapStateTold,
+  Step.MapPrepareSent,
+  Step.MapPrepared,
+  Step.MapDecideSent,
+  Step.MapDecided,
+  Step.RankAnswered,
+];
+
+/** The first message of a step, one in the middle of the group, and two of later changes. */
+const OCCURRENCES: readonly number[] = [1, 6, 9, 25];
+
+/** Faults that need a message. */
+const MESSAGE_FAULTS: readonly MapFault[] = [
+  MapFault.MessageLost,
+  MapFault.MessageDoubled,
+  MapFault.MessageReordered,
+  MapFault.MessageLate,
+  MapFault.RestartPeer,
+  MapFault.PausePeer,
+  MapFault.PartitionPair,
+];
+
+const appliesTo = (fault: MapFault, step: Step): boolean =>
+  step !== Step.RankAnswered || !MESSAGE_FAULTS.includes(fault);
+
+/** Names a map case. */
+export type NameMapCase = (mapCase: MapCase) => string;
+
+/**
+ * Names a case, so that it can be replayed.
+ *
+ * @example
+ * nameOfMapCase(mapCase); // 'pause-sender@map-decide-sent #3, first rank, seed 1'
+ */
+export const nameOfMapCase: NameMapCase = ({ fault, step, occurrence, proposers, seed }) =>
+  `${fault}@${step} #${occurrence}, ${proposers}, seed ${seed}`;
+
+/**
+ * Every fault at every step of a change.
+ *
+ * @example
+ * mapCases(1).length;
+ */
+export const mapCases = (seed: number): readonly MapCase[] =>
+  Object.values(Proposers).flatMap((proposers) =>
+    Object.values(MapFault).flatMap((fault) =>
+      MAP_STEPS.filter((step) => appliesTo(fault, step)).flatMap((step) =>
+        OCCURRENCES.map((occurrence) => ({ fault, step, occurrence, proposers, seed })),
+      ),
+    ),
+  );
--- /dev/null
+++ b/packages/bench/tests/maps.test.ts
@@ -0,0 +1,76 @@
+import { test } from 'node:test';
+import { initialMap, planMap, skewOf } from '@ebonysill/experts';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { mapCases, nameOfMapCase, runMapCase, type MapRules } from '../src/index.js';
+
+const SEED = 1;
+
+const failuresOf = (rules: MapRules): readonly string[] =>
+  mapCases(SEED)
+    .map((mapCase) => ({ mapCase, ...runMapCase(mapCase, rules) }))
+    .filter(({ violations, hasStruck }) => violations.length > 0 || !hasStruck)
+    .map(({ mapCase, violations }) => `${nameOfMapCase(mapCase)}: ${violations.join(', ')}`);
+
+const isCaught = (rules: MapRules): boolean =>
+  mapCases(SEED).some((mapCase) => runMapCase(mapCase, rules).violations.length > 0);
+
+test('one map per step', () => {
+  expect(failuresOf({})).toEqual([]);
+});
+
+test('catches no hold', () => {
+  expect(isCaught({ mustHold: () => false })).toEqual(true);
+});
+
+test('catches no wait after restart', () => {
+  expect(isCaught({ waitsAfterRestart: false })).toEqual(true);
+});
+
+test('catches majority', () => {
+  expect(isCaught({ isEnough: (answered, all) => answered > all / 2 })).toEqual(true);
+});
+
+const PLAN = { rankCount: 4, slotsPerRank: 4, skewThreshold: 1.1, maxMovesPerLayer: 8 };
+
+const counts = fc.array(fc.nat(1_000), { minLength: 8, maxLength: 8 });
+
+test('plan never worse', () => {
+  fc.assert(
+    fc.property(counts, (layer) => {
+      const current = initialMap({ rankCount: 4, layerCount: 1, expertCount: 8 });
+      const next = planMap(current, [layer], PLAN);
+      if (next !== undefined) {
+        expect(skewOf(next, [layer], 4) < skewOf(current, [layer], 4)).toEqual(true);
+      }
+    }),
+    { seed: 12, numRuns: 300 },
+  );
+});
+
+test('plan is valid', () => {
+  fc.assert(
+    fc.property(counts, (layer) => {
+      const next = planMap(
+        initialMap({ rankCount: 4, layerCount: 1, expertCount: 8 }),
+        [layer],
+        PLAN,
+      );
+      (next?.layers[0] ?? []).forEach((ranks) => {
+        expect(ranks.length > 0).toEqual(true);
+        expect(new Set(ranks).size).toEqual(ranks.length);
+      });
+      const used = Array.from(
+        { length: 4 },
+        (_, rank) => (next?.layers[0] ?? []).filter((ranks) => ranks.includes(rank)).length,
+      );
+      expect(Math.max(...used) <= PLAN.slotsPerRank).toEqual(true);
+    }),
+    { seed: 13, numRuns: 300 },
+  );
+});
+
+test('balanced map stays', () => {
+  const current = initialMap({ rankCount: 4, layerCount: 1, expertCount: 8 });
+  expect(planMap(current, [Array.from({ length: 8 }, () => 5)], PLAN)).toEqual(undefined);
+});
--- a/packages/emulator/src/step.ts
+++ b/packages/emulator/src/step.ts
@@ -15,6 +15,13 @@
   TombstoneSent = 'tombstone-sent',
   AnswerBegun = 'answer-begun',
   AnswerEnded = 'answer-ended',
+  MapQueried = 'map-queried',
+  MapStateTold = 'map-state-told',
+  MapPrepareSent = 'map-prepare-sent',
+  MapPrepared = 'map-prepared',
+  MapDecideSent = 'map-decide-sent',
+  MapDecided = 'map-decided',
+  RankAnswered = 'rank-answered',
 }
 
 const STEP_OF_MESSAGE: Partial<Readonly<Record<MessageKind, Step>>> = {
@@ -26,6 +33,12 @@
   [MessageKind.RunEnd]: Step.EndSent,
   [MessageKind.RunFailed]: Step.FailureSent,
   [MessageKind.Tombstone]: Step.TombstoneSent,
+  [MessageKind.MapQuery]: Step.MapQueried,
+  [MessageKind.MapState]: Step.MapStateTold,
+  [MessageKind.MapPrepare]: Step.MapPrepareSent,
+  [MessageKind.MapPrepared]: Step.MapPrepared,
+  [MessageKind.MapDecide]: Step.MapDecideSent,
+  [MessageKind.MapDecided]: Step.MapDecided,
 };
 
 /**
@@ -38,6 +51,8 @@
   switch (effect.kind) {
     case EffectKind.Send:
       return STEP_OF_MESSAGE[effect.message.kind];
+    case EffectKind.AnswerRank:
+      return Step.RankAnswered;
     case EffectKind.CallTarget:
       return Step.TargetCalled;
     case EffectKind.AnswerHead:
--- a/packages/experts/src/group-driver-service.ts
+++ b/packages/experts/src/group-driver-service.ts
@@ -73,6 +73,8 @@
 
   #counts: readonly (readonly number[])[] | undefined;
 
+  readonly #retained = new Set<string>();
+
   readonly #configuration;
 
   readonly #links;
@@ -193,7 +195,19 @@
       return this.#gate.receive(message, (answer) => this.#onAnswer(rankId, answer));
     }
     const peer = this.#links.peer(rankId);
-    return peer === undefined ? [] : [send(peer.linkId, message)];
+    if (peer === undefined) {
+      return [];
+    }
+    return [send(peer.linkId, message), ...this.#retain(peer.linkId)];
+  }
+
+  /** Links in use by an attempt are checked often. */
+  #retain(linkId: string): readonly Effect[] {
+    if (this.#retained.has(linkId)) {
+      return [];
+    }
+    this.#retained.add(linkId);
+    return this.#links.retain(linkId);
   }
 
   #onLinkMessage({ linkId, message }: LinkMessageEvent): readonly Effect[] {
@@ -313,6 +327,8 @@
 
   #endAttempt(): readonly Effect[] {
     this.#attempt = undefined;
+    this.#retained.forEach((linkId) => this.#links.release(linkId));
+    this.#retained.clear();
     return [
       clearTimer(TimerKind.MapChange, TIMER_KEY),
       log(LogLevel.Info, LogTopic.MapChangeEnded, {}),
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -148,10 +148,10 @@
     if (this.#state !== LinkState.Up) {
       return nowMs - this.#lastHeardMs >= SILENCE_LIMIT_MS;
     }
-    if (this.#isAccepted) {
-      return nowMs - this.#lastHeardMs >= ACCEPTED_SILENCE_LIMIT_MS;
+    if (this.#unansweredMs !== undefined) {
+      return nowMs - this.#unansweredMs >= SILENCE_LIMIT_MS;
     }
-    return this.#unansweredMs !== undefined && nowMs - this.#unansweredMs >= SILENCE_LIMIT_MS;
+    return this.#isAccepted && nowMs - this.#lastHeardMs >= ACCEPTED_SILENCE_LIMIT_MS;
   }
 
   /** Whether a message has been unanswered for so long that the link should take no new work. */
@@ -163,7 +163,7 @@
   takeHeartbeat(nowMs: number): boolean {
     const isWanted =
       this.#state === LinkState.Up &&
-      !this.#isAccepted &&
+      !(this.#isAccepted && this.#isIdle) &&
       nowMs - this.#lastHeardMs >= this.#checkIntervalMs / 2;
     if (isWanted) {
       this.#unansweredMs ??= nowMs;
@@ -171,7 +171,7 @@
     return isWanted;
   }
 
-  /** The end that dials does the asking; the other end only answers. */
+  /** On an idle link the end that dialled does the asking; the other end only answers. */
   get #isAccepted(): boolean {
     return this.dialledId === undefined;
   }
