perf(experts): take a change into force 40 steps ahead instead of 100

Cause: with drift every 300 steps, 100 steps of margin and the time to load spent a third of each period on an outdated map.

--- /dev/null
+++ b/packages/bench/src/bin/zone.ts
@@ -0,0 +1,150 @@
+#!/usr/bin/env node
+/** @module Measures service while a zone is lost, taken out and brought back. */
+import {
+  CallerAgent,
+  AnswerState,
+  createFleet,
+  modelService,
+  type Fleet,
+} from '@ebonysill/emulator';
+import { Continuation } from '@ebonysill/core';
+
+const ZONES: readonly string[] = ['kochi', 'thrissur', 'kozhikode'];
+
+const SERVICE = 'listing-writer';
+
+const SEED = 1;
+
+/** One request every so often, over all entry processes. */
+const INTERVAL_MS = 12;
+
+const DURATION_MS = 40_000;
+
+const CHANGE_MS = 10_000;
+
+const BACK_MS = 25_000;
+
+const WINDOW_MS = 500;
+
+const FIRST_TOKEN_TARGET_MS = 420;
+
+const COLD_MS = 4_000;
+
+/** What is done to the zone, and how it is undone. */
+interface ZoneChange {
+  readonly name: string;
+  readonly begin: (fleet: Fleet) => void;
+  readonly end: (fleet: Fleet) => void;
+}
+
+const inZone = (fleet: Fleet): Fleet['sidecars'] =>
+  fleet.sidecars.filter(({ availabilityZone }) => availabilityZone === ZONES[0]);
+
+const CHANGES: readonly ZoneChange[] = [
+  { name: 'no change', begin: () => undefined, end: () => undefined },
+  {
+    name: 'taken out by operators',
+    begin: (fleet) => fleet.publish(2, [ZONES[0] ?? '']),
+    end: (fleet) => {
+      inZone(fleet).forEach(({ processId }) => fleet.emulation.target(processId).turnCold());
+      fleet.emulation.runFor(600);
+      fleet.publish(3, []);
+    },
+  },
+  {
+    name: 'lost at once',
+    begin: (fleet) => {
+      inZone(fleet).forEach((sidecar) => {
+        sidecar.kill();
+        fleet.emulation.target(sidecar.processId).crash();
+      });
+    },
+    end: (fleet) => {
+      inZone(fleet).forEach((sidecar) => {
+        fleet.emulation.target(sidecar.processId).restart();
+        sidecar.start();
+      });
+    },
+  },
+];
+
+const startFleet = (): Fleet =>
+  createFleet({
+    seed: SEED,
+    entryCount: 3,
+    shape: {
+      zones: ZONES,
+      targetsPerZone: 4,
+      services: [modelService(SERVICE, Continuation.Resume)],
+      organisations: ['organiser'],
+      concurrency: 8,
+      coldConcurrency: 2,
+    },
+    targetOptions: () => ({
+      holdMs: 60,
+      chunkCount: 12,
+      chunkIntervalMs: 25,
+      ranKeys: undefined,
+      coldMs: COLD_MS,
+      coldConcurrency: 2,
+      healthLagMs: 0,
+    }),
+  });
+
+const percentile = (values: readonly number[], share: number): number => {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) * share)] ?? 0;
+};
+
+const firstTokenMs = ({ final }: CallerAgent): number =>
+  final?.firstChunkMs === undefined ? Infinity : final.firstChunkMs - final.sentMs;
+
+/** Time from the change until the last window in which a request missed the target. */
+const recoveryMs = (agents: readonly CallerAgent[], startMs: number, changeMs: number): number => {
+  const late = agents
+    .filter((agent) => firstTokenMs(agent) > FIRST_TOKEN_TARGET_MS)
+    .map(({ final }) => (final?.sentMs ?? 0) - startMs - changeMs)
+    .filter((sinceMs) => sinceMs >= 0 && sinceMs < BACK_MS - CHANGE_MS);
+  return late.length === 0 ? 0 : Math.ceil(Math.max(...late) / WINDOW_MS) * WINDOW_MS;
+};
+
+const measure = ({ name, begin, end }: ZoneChange): void => {
+  const fleet = startFleet();
+  const { emulation } = fleet;
+  emulation.runFor(COLD_MS + 1_000);
+  const startMs = emulation.time.nowMs;
+  const agents: CallerAgent[] = [];
+  Array.from({ length: DURATION_MS / INTERVAL_MS }, (_, index) =>
+    emulation.time.schedule(index * INTERVAL_MS, () => {
+      agents.push(
+        CallerAgent.create(emulation, {
+          service: SERVICE,
+          body: `blurb-${index}`,
+          organisationId: 'organiser',
+          isKeyed: false,
+          entryIds: [`entry-${(index % ZONES.length) + 1}`],
+          maxSends: 1,
+          patienceMs: 60_000,
+        }),
+      );
+    }),
+  );
+  emulation.runFor(CHANGE_MS);
+  begin(fleet);
+  emulation.runFor(BACK_MS - CHANGE_MS);
+  end(fleet);
+  emulation.runFor(DURATION_MS);
+  const served = agents.filter(({ final }) => final?.state === AnswerState.Ended);
+  const times = served.map(firstTokenMs);
+  const late = times.filter((timeMs) => timeMs > FIRST_TOKEN_TARGET_MS).length;
+  const crashes = fleet.targets.reduce((sum, { crashCount }) => sum + crashCount, 0);
+  process.stdout.write(
+    `${name.padEnd(24)} served ${((100 * served.length) / agents.length).toFixed(2)} % of ` +
+      `${agents.length}  first token p50 ${percentile(times, 0.5).toFixed(0)} ms  p99 ` +
+      `${percentile(times, 0.99).toFixed(0)} ms  over 420 ms ` +
+      `${((100 * late) / agents.length).toFixed(2)} %  recovered after ` +
+      `${recoveryMs(agents, startMs, CHANGE_MS)} ms  target crashes ${crashes}\n`,
+  );
+};
+
+CHANGES.forEach(measure);
--- a/packages/experts/src/group-driver-service.ts
+++ b/packages/experts/src/group-driver-service.ts
@@ -54,7 +54,7 @@
 const PHASE_TIMEOUT_MS = 1_500;
 
 /** Steps between the query and the step of a change; weights are loaded meanwhile. */
-const STEP_MARGIN = 100;
+const STEP_MARGIN = 40;
 
 /** Chance of an attempt at each look, so that drivers do not keep overtaking each other. */
 const SETTLE_CHANCE = 0.4;
