--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -1,6 +1,6 @@
 /** @module Builds an emulated fleet: entry processes, and targets with their sidecars. */
 import type { AnyRegistration } from '@ebonysill/core';
-import { createEntryServices } from '@ebonysill/entry';
+import { createEntryServices, type ChooseTarget } from '@ebonysill/entry';
 import { createSidecarServices, type KeyLedgerLimits } from '@ebonysill/sidecar';
 import type { EmulatedProcess } from './emulated-process.js';
 import { Emulation, type EmulationOptions } from './emulation.js';
@@ -16,6 +16,7 @@
     service: string,
     targetId: string,
   ) => Omit<FakeTargetOptions, 'time' | 'onRan' | 'targetId'>;
+  readonly chooseTarget?: ChooseTarget;
   readonly maxInProgress?: number;
   /** Entry processes that read the configuration service; all unless told otherwise. */
   readonly readerCount?: number;
@@ -50,7 +51,7 @@
  */
 export const createFleet = (options: FleetOptions): Fleet => {
   const emulation = Emulation.create(options);
-  const { shape, targetOptions, alterServices = keepServices } = options;
+  const { shape, targetOptions, chooseTarget, alterServices = keepServices } = options;
   const configuration = buildFleetConfiguration(shape, 1, []);
   const sidecars = configuration.targets.map(({ targetId, availabilityZone, ...target }) => {
     const { ledgerLimits } = options;
@@ -91,6 +92,7 @@
             isReader: index < (options.readerCount ?? options.entryCount),
             maxInProgress: options.maxInProgress ?? MAX_IN_PROGRESS,
             seeds: seeds.slice(0, 1),
+            ...(chooseTarget === undefined ? {} : { chooseTarget }),
           }),
         ),
     });
--- a/packages/entry/src/create-entry-services.ts
+++ b/packages/entry/src/create-entry-services.ts
@@ -7,6 +7,7 @@
   type SeedSidecar,
 } from '@ebonysill/fleet';
 import { admissionRegistration } from './admission-service.js';
+import { chooseCheapest, type ChooseTarget } from './choose-target.js';
 import { idempotentCallsRegistration } from './idempotent-calls-service.js';
 import { intakeRegistration } from './intake-service.js';
 import { keyedCallsRegistration } from './keyed-calls-service.js';
@@ -23,6 +24,8 @@
   readonly maxInProgress: number;
   /** Sidecars to learn the configuration from while the configuration service is down. */
   readonly seeds: readonly SeedSidecar[];
+  /** How one of several targets is chosen; the cheapest of almost all unless told otherwise. */
+  readonly chooseTarget?: ChooseTarget;
 }
 
 /**
@@ -33,6 +36,7 @@
  */
 export const createEntryServices = (options: EntryOptions): readonly AnyRegistration[] => {
   const { runtime, processId, availabilityZone, maxInProgress, seeds } = options;
+  const { chooseTarget = chooseCheapest } = options;
   return [
     configurationRegistration({ runtime, isReader: options.isReader }),
     suspectsRegistration({ runtime }),
@@ -45,7 +49,7 @@
       seeds,
     }),
     admissionRegistration({ runtime, maxInProgress }),
-    routingRegistration({ runtime, processId, availabilityZone }),
+    routingRegistration({ runtime, processId, availabilityZone, chooseTarget }),
     idempotentCallsRegistration({ runtime }),
     keyedCallsRegistration({ runtime }),
     intakeRegistration({ runtime }),
--- a/packages/entry/src/routing-service.ts
+++ b/packages/entry/src/routing-service.ts
@@ -1,4 +1,4 @@
-/** @module Chooses targets: two random candidates, reported load corrected by what was sent since. */
+/** @module Finds the targets that could take a request, with their cost, and has one chosen. */
 import { createHash } from 'node:crypto';
 import {
   EventKind,
@@ -15,15 +15,12 @@
   type Runtime,
   type TargetConfiguration,
 } from '@ebonysill/core';
-import { sample } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
+import type { Candidate, ChooseTarget } from './choose-target.js';
 
 /** Targets of one service that an entry process keeps links to. */
 const SUBSET_SIZE = 16;
 
-/** Candidates that are compared for each request. */
-const CHOICE_COUNT = 2;
-
 /** Added to the utilisation of targets in other zones. */
 const OTHER_ZONE_PENALTY = 0.25;
 
@@ -35,6 +32,7 @@
   readonly runtime: Runtime;
   readonly processId: string;
   readonly availabilityZone: string;
+  readonly chooseTarget: ChooseTarget;
 }
 
 /** Requests of this process on one target. */
@@ -127,10 +125,10 @@
       })
       .flatMap(({ targetId }) => this.links.peer(targetId) ?? [])
       .filter((peer) => this.#mayTake(peer));
-    return sample(candidates, CHOICE_COUNT, this.options.runtime.random).reduce<Peer | undefined>(
-      (best, peer) => (best === undefined || this.#cost(peer) < this.#cost(best) ? peer : best),
-      undefined,
-    );
+    return this.options.chooseTarget(
+      candidates.map((peer) => this.#candidateOf(peer)),
+      this.options.runtime.random,
+    )?.peer;
   }
 
   #mayTake(peer: Peer): boolean {
@@ -144,17 +142,25 @@
     return this.#inProgressCount(peer) < load.limit * FULL_RATIO;
   }
 
-  #cost(peer: Peer): number {
+  #candidateOf(peer: Peer): Candidate {
     const limit = peer.load?.limit ?? 1;
     const isLocal = peer.availabilityZone === this.options.availabilityZone;
-    return this.#inProgressCount(peer) / limit + (isLocal ? 0 : OTHER_ZONE_PENALTY);
+    const penalty = isLocal ? 0 : OTHER_ZONE_PENALTY;
+    return {
+      peer,
+      cost: this.#inProgressCount(peer) / limit + penalty,
+      reportedCost: RoutingService.#reportedCount(peer) / limit + penalty,
+    };
+  }
+
+  static #reportedCount({ load }: Peer): number {
+    return load === undefined ? 0 : load.runningCount + load.waitingCount;
   }
 
   /** Reported load without this process's part, plus this process's part of now. */
   #inProgressCount(peer: Peer): number {
-    const { load } = peer;
     const own = this.#ownLoad(peer.processId);
-    const reportedCount = load === undefined ? 0 : load.runningCount + load.waitingCount;
+    const reportedCount = RoutingService.#reportedCount(peer);
     return Math.max(reportedCount - own.atReportCount, 0) + own.inProgressCount;
   }
 
@@ -169,7 +175,7 @@
  * Registers the routing service.
  *
  * @example
- * routingRegistration({ runtime, processId: 'entry-1', availabilityZone: 'kochi' });
+ * routingRegistration({ runtime, processId: 'entry-1', availabilityZone: 'kochi', chooseTarget: chooseCheapest });
  */
 export const routingRegistration = (
   options: RoutingOptions,
