feat(cli): report service-level burn, and serve metrics

Cause: operators could not see how fast an error budget is spent, nor on what. Change: processes count ended requests by service and minute with bounded memory; burn adds up 5, 60 and 360 minutes of all processes as table, JSON or one HTML page; /metrics on the admin port in the usual text format. Figures: 4 unit and 2 process tests; callers' faults do not burn.

--- a/demo/tests/path.test.ts
+++ b/demo/tests/path.test.ts
@@ -201,3 +201,19 @@
   expect(exitCode).toEqual(78);
   expect(errors.includes('processId')).toEqual(true);
 });
+
+test('cli burn', async () => {
+  const { output, exitCode } = await runCli('burn', ...fleet.adminOptions);
+  expect(exitCode).toEqual(0);
+  expect(output.includes(MODEL_SERVICE)).toEqual(true);
+  const page = await runCli('burn', '--html', ...fleet.adminOptions);
+  expect(page.output.startsWith('<!doctype html>')).toEqual(true);
+  expect(page.output.includes('<script')).toEqual(false);
+});
+
+test('metrics', async () => {
+  const { body } = await request(`${entryAt(0).adminUrl}/metrics`);
+  const page = await body.text();
+  expect(page.includes('ebonysill_configuration_revision 1')).toEqual(true);
+  expect(page.includes(`quantile="0.99"`)).toEqual(true);
+});
--- a/packages/binaries/src/running-process.ts
+++ b/packages/binaries/src/running-process.ts
@@ -2,6 +2,7 @@
 import { ProcessRole, ServiceName, type FindService, type LoadReport } from '@ebonysill/core';
 import {
   AdminServer,
+  BurnMeter,
   Journal,
   LogPort,
   ProcessHost,
@@ -48,6 +49,7 @@
   options: ProcessOptions,
   process: ProcessHost,
   journal: Journal,
+  burn: BurnMeter,
 ): AdminServer =>
   AdminServer.create({
     readStatus: () => ({
@@ -61,6 +63,7 @@
       uptimeMs: globalThis.process.uptime() * 1_000,
     }),
     explain: (requestId) => journal.explain(requestId),
+    readBurn: () => burn.report(),
   });
 
 /**
@@ -74,6 +77,7 @@
 ): Promise<RunningProcess<ProcessAddresses>> => {
   const logs = LogPort.create(options.processId, options.logLevel);
   const journal = Journal.create(systemRuntime.nowMs);
+  const burn = BurnMeter.create(systemRuntime.nowMs);
   let onDrained = (): void => undefined;
   const drained = new Promise<void>((resolve) => {
     onDrained = resolve;
@@ -83,6 +87,7 @@
     onLog: (effect) => {
       logs.write(effect);
       journal.note(effect);
+      burn.note(effect);
     },
     onDrained: () => onDrained(),
     onBroken: (error) => {
@@ -92,7 +97,7 @@
     },
   });
   process.start();
-  const admin = createAdmin(options, process, journal);
+  const admin = createAdmin(options, process, journal, burn);
   const servingPort = await options.listen(process);
   const adminPort = await admin.listen(options.host, options.adminPort);
   const stop = async (): Promise<void> => {
--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -1,12 +1,13 @@
 /** @module Asks processes for their status and their decisions. */
 import { createTRPCClient, httpBatchLink } from '@trpc/client';
-import type { AdminRouter, JournalLine, ProcessStatus } from '@ebonysill/transport';
+import type { AdminRouter, JournalLine, ProcessStatus, ServiceBurn } from '@ebonysill/transport';
 
 /** Asks one process. */
 export interface AdminClient {
   readonly url: string;
   readonly readStatus: () => Promise<ProcessStatus>;
   readonly explain: (requestId: string) => Promise<readonly JournalLine[]>;
+  readonly readBurn: () => Promise<readonly ServiceBurn[]>;
 }
 
 /**
@@ -20,6 +21,7 @@
   return {
     url,
     readStatus: async () => (await client.status.query()) as ProcessStatus,
+    readBurn: () => client.burn.query(),
     explain: (requestId) => client.explain.query({ requestId }),
   };
 };
--- a/packages/cli/src/bin/ebonysill.ts
+++ b/packages/cli/src/bin/ebonysill.ts
@@ -1,12 +1,19 @@
 #!/usr/bin/env node
 /** @module The operators' command line. */
 import { run, subcommands } from 'cmd-ts';
-import { checkCommand, explainCommand, initCommand, statusCommand } from '../commands.js';
+import {
+  burnCommand,
+  checkCommand,
+  explainCommand,
+  initCommand,
+  statusCommand,
+} from '../commands.js';
 
 const ebonysill = subcommands({
   name: 'ebonysill',
   description: 'Operates ebonysill',
   cmds: {
+    burn: burnCommand,
     check: checkCommand,
     explain: explainCommand,
     init: initCommand,
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -15,7 +15,9 @@
 import { describeChanges, isAcceptable } from './describe-changes.js';
 import { formatExplanation, type ProcessExplanation } from './format-explanation.js';
 import formatStatus from './formatStatus.js';
+import { formatBurnPage, formatBurnTable } from './format-burn.js';
 import { generateConfiguration } from './generate-configuration.js';
+import { mergeBurn } from './merge-burn.js';
 import { ExitCode, fail, print } from './output.js';
 import { readAnswers, readConfiguration } from './read-file.js';
 
@@ -84,6 +86,38 @@
   },
 });
 
+const DEFAULT_OBJECTIVE = 0.999;
+
+/** `ebonysill burn`. */
+export const burnCommand = command({
+  name: 'burn',
+  description: 'Reports how fast services spend their error budgets, and on what',
+  args: {
+    admin: adminOption,
+    objective: option({
+      type: number,
+      long: 'objective',
+      description: 'Share of requests to be served, such as 0.999',
+      defaultValue: () => DEFAULT_OBJECTIVE,
+    }),
+    html: flag({ long: 'html', description: 'Print one HTML page with a plot' }),
+    json: jsonFlag,
+  },
+  handler: async ({ admin, objective, html, json }) => {
+    if (objective <= 0 || objective >= 1) {
+      fail(ExitCode.Usage, ['--objective: expected a share between 0 and 1']);
+      return;
+    }
+    const reports = await askAll(admin, (client) => client.readBurn());
+    const lines = mergeBurn(reports, objective);
+    if (json) {
+      printJson(lines);
+    } else {
+      print(html ? formatBurnPage(lines, objective) : formatBurnTable(lines));
+    }
+  },
+});
+
 /** `ebonysill check`. */
 export const checkCommand = command({
   name: 'check',
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -4,6 +4,8 @@
 export enum ExitCode {
   Ok = 0,
   Failed = 1,
+  /** Arguments that make no sense. */
+  Usage = 64,
   /** A file that cannot be read. */
   NoInput = 66,
   /** A process that does not answer. */
--- /dev/null
+++ b/packages/cli/tests/burn.test.ts
@@ -0,0 +1,51 @@
+import { test } from 'node:test';
+import { LogLevel, LogTopic, EffectKind, Outcome, Reason, type LogFields } from '@ebonysill/core';
+import { BurnMeter } from '@ebonysill/transport';
+import { expect } from 'earl';
+import { formatBurnPage, formatBurnTable, mergeBurn } from '../src/index.js';
+
+const MINUTE_MS = 60_000;
+
+let nowMs = 0;
+
+const note = (meter: BurnMeter, fields: LogFields): void =>
+  meter.note({
+    kind: EffectKind.Log,
+    level: LogLevel.Info,
+    topic: LogTopic.RequestEnded,
+    fields: { service: 'bookings', durationMs: 10, ...fields },
+  });
+
+const createMeter = (): BurnMeter => {
+  nowMs = 600 * MINUTE_MS;
+  const meter = BurnMeter.create(() => nowMs);
+  Array.from({ length: 99 }, () => note(meter, { outcome: Outcome.Done }));
+  note(meter, { outcome: Outcome.Unknown, reason: Reason.TargetLost });
+  return meter;
+};
+
+test('burn rate', () => {
+  const [line] = mergeBurn([createMeter().report(), createMeter().report()], 0.99);
+  expect([line?.totalCount, line?.badCount, line?.burnRate.toFixed(3)]).toEqual([200, 2, '1.000']);
+  expect(line?.reasons).toEqual([{ reason: Reason.TargetLost, count: 2 }]);
+});
+
+test('callers faults do not burn', () => {
+  const meter = createMeter();
+  note(meter, { outcome: Outcome.RefusedNotRun, reason: Reason.KeySpent });
+  expect(mergeBurn([meter.report()], 0.99)[0]?.badCount).toEqual(1);
+});
+
+test('windows pass', () => {
+  const meter = createMeter();
+  nowMs += 30 * MINUTE_MS;
+  const lines = mergeBurn([meter.report()], 0.99);
+  expect(lines.map(({ totalCount }) => totalCount)).toEqual([0, 100, 100]);
+});
+
+test('table and page', () => {
+  const lines = mergeBurn([createMeter().report()], 0.999);
+  expect(formatBurnTable(lines).includes('target-lost 1')).toEqual(true);
+  const page = formatBurnPage([{ ...lines[0]!, service: '<script>' }], 0.999);
+  expect(page.includes('<script>')).toEqual(false);
+});
--- a/packages/transport/src/AdminServer.ts
+++ b/packages/transport/src/AdminServer.ts
@@ -1,8 +1,13 @@
-/** @module Serves the control calls over HTTP. */
+/** @module Serves the control calls and the metrics page over HTTP. */
 import type { AddressInfo } from 'node:net';
-import type { Server } from 'node:http';
-import { createHTTPServer } from '@trpc/server/adapters/standalone';
+import { createServer, type Server } from 'node:http';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { adminRouter, type AdminFunctions } from './admin-router.js';
+import { formatMetrics } from './metrics-page.js';
+
+const METRICS_PATH = '/metrics';
+
+const METRICS_TYPE = 'text/plain; version=0.0.4';
 
 /** Serves operators. */
 export default class AdminServer {
@@ -12,10 +17,19 @@
    * Creates the server, not yet listening.
    *
    * @example
-   * const admin = AdminServer.create({ readStatus, explain });
+   * const admin = AdminServer.create({ readStatus, explain, readBurn });
    */
   static create(functions: AdminFunctions): AdminServer {
-    return new AdminServer(createHTTPServer({ router: adminRouter(functions) }));
+    const answer = createHTTPHandler({ router: adminRouter(functions) });
+    const server = createServer((request, response) => {
+      if (request.url === METRICS_PATH) {
+        response.writeHead(200, { 'content-type': METRICS_TYPE });
+        response.end(formatMetrics(functions.readStatus(), functions.readBurn()));
+      } else {
+        answer(request, response);
+      }
+    });
+    return new AdminServer(server);
   }
 
   /** Accepts operators; resolves with the port number in use. */
--- a/packages/transport/src/admin-router.ts
+++ b/packages/transport/src/admin-router.ts
@@ -2,6 +2,7 @@
 import type { LoadReport, Peer, ProcessRole } from '@ebonysill/core';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
+import type { ServiceBurn } from './burn-meter.js';
 import type { JournalLine } from './journal.js';
 
 /** What a process tells about itself. */
@@ -21,6 +22,7 @@
 export interface AdminFunctions {
   readonly readStatus: () => ProcessStatus;
   readonly explain: (requestId: string) => readonly JournalLine[];
+  readonly readBurn: () => readonly ServiceBurn[];
 }
 
 const trpc = initTRPC.create();
@@ -31,11 +33,12 @@
  * Builds the router of one process.
  *
  * @example
- * const router = adminRouter({ readStatus, explain });
+ * const router = adminRouter({ readStatus, explain, readBurn });
  */
-export const adminRouter = ({ readStatus, explain }: AdminFunctions) =>
+export const adminRouter = ({ readStatus, explain, readBurn }: AdminFunctions) =>
   trpc.router({
     status: trpc.procedure.query(() => readStatus()),
+    burn: trpc.procedure.query(() => readBurn()),
     explain: trpc.procedure
       .input(z.object({ requestId: z.string().max(MAX_REQUEST_ID_CHARS) }))
       .query(({ input }) => explain(input.requestId)),
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -15,3 +15,11 @@
 export { decodeMessage, encodeMessage } from './message-codec.js';
 export { ProcessHost, systemRuntime, type ProcessHostOptions } from './process-host.js';
 export { default as TargetPort } from './TargetPort.js';
+export {
+  BURN_WINDOWS_MINUTES,
+  BurnMeter,
+  type BurnWindow,
+  type ReasonCount,
+  type ServiceBurn,
+} from './burn-meter.js';
+export { formatMetrics } from './metrics-page.js';
--- /dev/null
+++ b/packages/transport/src/metrics-page.ts
@@ -0,0 +1,46 @@
+/** @module Metrics of a process in the usual text format. */
+import type { ProcessStatus } from './admin-router.js';
+import type { ServiceBurn } from './burn-meter.js';
+
+const MS_PER_SECOND = 1_000;
+
+const gauge = (name: string, help: string, value: number): string =>
+  `# HELP ${name} ${help}\n# TYPE ${name} gauge\n${name} ${value}\n`;
+
+const DURATION = 'ebonysill_request_duration_seconds';
+
+const REQUESTS = 'ebonysill_requests_last_six_hours';
+
+const NOT_SERVED = 'ebonysill_requests_not_served_last_six_hours';
+
+const serviceLines = ({ service, windows, p50Ms, p99Ms }: ServiceBurn): string => {
+  const longest = windows.at(-1);
+  return [
+    `${DURATION}{service="${service}",quantile="0.5"} ${p50Ms / MS_PER_SECOND}`,
+    `${DURATION}{service="${service}",quantile="0.99"} ${p99Ms / MS_PER_SECOND}`,
+    `${REQUESTS}{service="${service}"} ${longest?.totalCount ?? 0}`,
+    ...(longest?.badByReason ?? []).map(
+      ({ reason, count }) => `${NOT_SERVED}{service="${service}",reason="${reason}"} ${count}`,
+    ),
+  ].join('\n');
+};
+
+/** Writes the page. */
+export type FormatMetrics = (status: ProcessStatus, burn: readonly ServiceBurn[]) => string;
+
+/**
+ * Formats the metrics page; its size is bounded by the number of services and reasons.
+ *
+ * @example
+ * formatMetrics(status, burnMeter.report());
+ */
+export const formatMetrics: FormatMetrics = (status, burn) =>
+  [
+    gauge('ebonysill_configuration_revision', 'Accepted revision.', status.revision),
+    gauge('ebonysill_links', 'Links that are up.', status.peers.length),
+    gauge('ebonysill_resident_bytes', 'Resident memory.', status.residentBytes),
+    gauge('ebonysill_uptime_seconds', 'Time since the start.', status.uptimeMs / MS_PER_SECOND),
+    gauge('ebonysill_running', 'Requests on the target.', status.load?.runningCount ?? 0),
+    gauge('ebonysill_waiting', 'Requests that wait.', status.load?.waitingCount ?? 0),
+    ...burn.map((one) => `${serviceLines(one)}\n`),
+  ].join('');
