feat(transport): let only processes that know the fleet's secret open links

Cause: anybody who could reach a sidecar's port could have calls run. Change: a handshake of nonces and proofs under a secret from the settings before anything is read from a link; strangers are closed within 2 s. Weighed: TLS on links, which also hides content, costs certificates on hosts that keep nothing; left for later. The price of the handshake is one more exchange per link, none per message.

--- a/demo/src/demo-fleet.ts
+++ b/demo/src/demo-fleet.ts
@@ -38,6 +38,8 @@
 
 const READY_POLL_MS = 50;
 
+const LINK_SECRET = 'secret of the demo fleet';
+
 const HOST = '127.0.0.1';
 
 const portOf = (program: Program): number => Number(program.listening.split(' ').at(-1));
@@ -147,6 +149,7 @@
       linkPort: 0,
       adminPort: 0,
       targetUrl,
+      linkSecret: LINK_SECRET,
       logLevel: 'info',
     };
     await writeFile(file, JSON.stringify(settings));
@@ -176,6 +179,7 @@
       callerPort: 0,
       adminPort: 0,
       configurationUrl,
+      linkSecret: LINK_SECRET,
       logLevel: 'info',
     };
     await writeFile(file, JSON.stringify(settings));
--- a/packages/binaries/src/running-process.ts
+++ b/packages/binaries/src/running-process.ts
@@ -27,6 +27,8 @@
   readonly host: string;
   readonly adminPort: number;
   readonly logLevel: string;
+  /** Known to every process of the fleet. */
+  readonly linkSecret: string;
   /** Ports and services of the role. */
   readonly parts: Pick<
     ProcessHostOptions,
@@ -84,6 +86,7 @@
   });
   const process = ProcessHost.create({
     ...options.parts,
+    linkSecret: options.linkSecret,
     onLog: (effect) => {
       logs.write(effect);
       journal.note(effect);
--- a/packages/binaries/src/start-entry.ts
+++ b/packages/binaries/src/start-entry.ts
@@ -28,6 +28,7 @@
     host: settings.host,
     adminPort: settings.adminPort,
     logLevel: settings.logLevel,
+    linkSecret: settings.linkSecret,
     parts: {
       createServices: (runtime) =>
         createEntryServices({
--- a/packages/binaries/src/start-sidecar.ts
+++ b/packages/binaries/src/start-sidecar.ts
@@ -26,6 +26,7 @@
     host: settings.host,
     adminPort: settings.adminPort,
     logLevel: settings.logLevel,
+    linkSecret: settings.linkSecret,
     parts: {
       createServices: (runtime) => createSidecarServices({ runtime, targetId, availabilityZone }),
       createTargetPort: (post) => TargetPort.create(targetUrl, post),
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -4,6 +4,9 @@
 
 const logLevelField = z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info');
 
+/** Secret of the fleet, by which its processes know each other. */
+const linkSecretField = z.string().min(16, 'expected at least 16 characters').max(256);
+
 const seedField = z.strictObject({ targetId: nameField, host: ipField, port: portField });
 
 /** Settings of an entry process. */
@@ -17,6 +20,7 @@
   readsConfiguration: z.boolean().default(true),
   maxInProgress: z.int().min(1).default(4_000),
   seedSidecars: z.array(seedField).default([]),
+  linkSecret: linkSecretField,
   logLevel: logLevelField,
 });
 
@@ -31,6 +35,7 @@
   linkPort: portField,
   adminPort: portField,
   targetUrl: urlField,
+  linkSecret: linkSecretField,
   logLevel: logLevelField,
 });
 
--- a/packages/settings/tests/settings.test.ts
+++ b/packages/settings/tests/settings.test.ts
@@ -18,6 +18,7 @@
   "callerPort": 8080,
   "adminPort": 9090,
   "configurationUrl": "http://127.0.0.1:7000",
+  "linkSecret": "sixteen letters or more",
 }`;
 
 const linesOf = (text: string): readonly string[] => {
--- a/packages/transport/src/LinkPort.ts
+++ b/packages/transport/src/LinkPort.ts
@@ -2,11 +2,15 @@
 import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
 import { EventKind, type Event, type Message, type OpenLinkEffect } from '@ebonysill/core';
 import { FrameReader, frame } from './frame-reader.js';
+import { HandshakeStep, LinkEnd, LinkHandshake } from './link-handshake.js';
 import { decodeMessage, encodeMessage } from './message-codec.js';
 
 /** Inbound links of one process. */
 const MAX_INBOUND_LINKS = 2_048;
 
+/** Time for the other end to prove itself. */
+const HANDSHAKE_TIMEOUT_MS = 2_000;
+
 /** Opens, accepts, reads and writes links. */
 export default class LinkPort {
   readonly #sockets = new Map<string, Socket>();
@@ -15,16 +19,19 @@
 
   #inboundCount = 0;
 
-  private constructor(private readonly post: (event: Event) => void) {}
+  private constructor(
+    private readonly secret: string,
+    private readonly post: (event: Event) => void,
+  ) {}
 
   /**
    * Creates a port that posts link events.
    *
    * @example
-   * const links = LinkPort.create((event) => kernel.post(event));
+   * const links = LinkPort.create(secret, (event) => kernel.post(event));
    */
-  static create(post: (event: Event) => void): LinkPort {
-    return new LinkPort(post);
+  static create(secret: string, post: (event: Event) => void): LinkPort {
+    return new LinkPort(secret, post);
   }
 
   /** Accepts links; resolves with the port number in use. */
@@ -43,11 +50,7 @@
 
   /** Opens a link; the outcome is posted as an event. */
   open({ linkId, host, port }: OpenLinkEffect): void {
-    const socket = connect({ host, port });
-    socket.once('connect', () => {
-      this.post({ kind: EventKind.LinkOpened, linkId, isInbound: false });
-    });
-    this.#attach(linkId, socket);
+    this.#attach(linkId, connect({ host, port }), LinkEnd.Dialler);
   }
 
   /** Sends a message; lost silently if the link is closed, which is posted as an event. */
@@ -68,21 +71,28 @@
 
   #accept(socket: Socket): void {
     this.#inboundCount += 1;
-    const linkId = `inbound#${this.#inboundCount}`;
-    this.#attach(linkId, socket);
-    this.post({ kind: EventKind.LinkOpened, linkId, isInbound: true });
+    this.#attach(`inbound#${this.#inboundCount}`, socket, LinkEnd.Listener);
   }
 
-  #attach(linkId: string, socket: Socket): void {
+  /** Posts nothing about a link before both ends have proved that they know the secret. */
+  #attach(linkId: string, socket: Socket, end: LinkEnd): void {
     const reader = FrameReader.create();
+    const handshake = LinkHandshake.create(this.secret, end);
+    let receive = (payload: Buffer): void => {
+      if (this.#shake(linkId, socket, handshake, end, payload)) {
+        receive = (message) => this.#receive(linkId, socket, message);
+      }
+    };
     this.#sockets.set(linkId, socket);
     socket.setNoDelay(true);
+    socket.setTimeout(HANDSHAKE_TIMEOUT_MS, () => socket.destroy());
+    socket.write(frame(handshake.nonce));
     socket.on('data', (bytes) => {
       const frames = reader.push(bytes);
       if (frames === undefined) {
         socket.destroy();
       } else {
-        frames.forEach((payload) => this.#receive(linkId, socket, payload));
+        frames.forEach((payload) => receive(payload));
       }
     });
     socket.on('error', () => socket.destroy());
@@ -92,6 +102,31 @@
     });
   }
 
+  /** Takes one frame of the handshake; true when the link is open. */
+  #shake(
+    linkId: string,
+    socket: Socket,
+    handshake: LinkHandshake,
+    end: LinkEnd,
+    payload: Buffer,
+  ): boolean {
+    const step = handshake.receive(payload);
+    switch (step) {
+      case HandshakeStep.Prove:
+        socket.write(frame(handshake.prove()));
+        return false;
+      case HandshakeStep.Done:
+        socket.setTimeout(0);
+        this.post({ kind: EventKind.LinkOpened, linkId, isInbound: end === LinkEnd.Listener });
+        return true;
+      case HandshakeStep.Refuse:
+        socket.destroy();
+        return false;
+      default:
+        return step satisfies never;
+    }
+  }
+
   #receive(linkId: string, socket: Socket, payload: Buffer): void {
     const message = decodeMessage(payload);
     if (message === undefined) {
--- a/packages/transport/src/process-host.ts
+++ b/packages/transport/src/process-host.ts
@@ -21,6 +21,8 @@
 
 /** Ports that only some roles have, and what surrounds the process. */
 export interface ProcessHostOptions {
+  /** Known to every process of the fleet, and to nobody else. */
+  readonly linkSecret: string;
   readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
   readonly createCallerPort?: (post: (event: Event) => void, find: () => FindService) => CallerPort;
   readonly createTargetPort?: (post: (event: Event) => void) => TargetPort;
@@ -60,7 +62,7 @@
 
   private constructor(private readonly options: ProcessHostOptions) {
     const post = (event: Event): void => this.#kernel.post(event);
-    this.links = LinkPort.create(post);
+    this.links = LinkPort.create(options.linkSecret, post);
     this.#timers = TimerPort.create(post);
     this.callers = options.createCallerPort?.(post, () => this.find);
     this.#target = options.createTargetPort?.(post);
