refactor(entry): share the table of exchanges; split the execution service

Cause: read as a newcomer, two services kept the same two maps by hand, and the execution service still mixed running with telling loads. Change: ExchangeTable, LoadTeller and run-effects; no behaviour changes.

--- a/packages/entry/src/idempotent-calls-service.ts
+++ b/packages/entry/src/idempotent-calls-service.ts
@@ -28,6 +28,7 @@
 } from '@ebonysill/core';
 import { clearTimer, log, send, setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
+import ExchangeTable from './ExchangeTable.js';
 import { answerEnd, answerProblem, endLog } from './answers.js';
 import { Delivery, IdempotentExchange, type Attempt } from './idempotent-exchange.js';
 import { buildRun } from './run-message.js';
@@ -50,9 +51,7 @@
 
 /** Serves idempotent calls. */
 class IdempotentCallsService {
-  readonly #exchanges = new Map<string, IdempotentExchange>();
-
-  readonly #exchangeIdByRun = new Map<string, string>();
+  readonly #exchanges = ExchangeTable.create<IdempotentExchange>();
 
   readonly #admission;
 
@@ -110,10 +109,10 @@
     });
     switch (decision.kind) {
       case Admission.Admitted:
-        this.#exchanges.set(exchangeId, exchange);
+        this.#exchanges.add(exchange);
         return [this.#deadlineTimer(call), ...this.#attempt(exchange)];
       case Admission.Queued:
-        this.#exchanges.set(exchangeId, exchange);
+        this.#exchanges.add(exchange);
         return [
           this.#deadlineTimer(call),
           setTimer(TimerKind.QueueTimeout, exchangeId, decision.maxWaitMs),
@@ -185,7 +184,7 @@
     const { call, deliveredCount, deliveredText } = exchange;
     const runId = drawId(this.runtime.random);
     exchange.start(runId, peer);
-    this.#exchangeIdByRun.set(runId, call.exchangeId);
+    this.#exchanges.bind(runId, exchange);
     this.#routing.started(peer.processId);
     const message = buildRun(call, {
       runId,
@@ -221,7 +220,7 @@
     if (!('runId' in message)) {
       return [];
     }
-    const exchange = this.#exchanges.get(this.#exchangeIdByRun.get(message.runId) ?? '');
+    const exchange = this.#exchanges.ofMessage(message);
     const attempt = exchange?.attempt(message.runId);
     if (exchange === undefined || attempt === undefined) {
       return [];
@@ -312,11 +311,13 @@
   }
 
   #onLinkClosed(linkId: string): readonly Effect[] {
-    return [...this.#exchanges.values()].flatMap((exchange) =>
-      exchange
-        .attemptsOn(linkId)
-        .flatMap((attempt) => this.#onFailed(exchange, attempt, LINK_LOST)),
-    );
+    return this.#exchanges
+      .all()
+      .flatMap((exchange) =>
+        exchange
+          .attemptsOn(linkId)
+          .flatMap((attempt) => this.#onFailed(exchange, attempt, LINK_LOST)),
+      );
   }
 
   #onFlushed(exchangeId: string, chunkCount: number): readonly Effect[] {
@@ -380,7 +381,7 @@
 
   #endAttempt(exchange: IdempotentExchange, attempt: Attempt): void {
     exchange.end(attempt);
-    this.#exchangeIdByRun.delete(attempt.runId);
+    this.#exchanges.unbind(attempt.runId);
     this.#routing.ended(attempt.peer.processId);
     this.#links.release(attempt.peer.linkId);
   }
@@ -388,7 +389,7 @@
   #forget(exchange: IdempotentExchange): readonly Effect[] {
     const { exchangeId } = exchange.call;
     exchange.attempts.forEach((attempt) => this.#endAttempt(exchange, attempt));
-    this.#exchanges.delete(exchangeId);
+    this.#exchanges.remove(exchange);
     const admitted = this.#admission
       .release(exchangeId)
       .flatMap((nextId) => this.#exchanges.get(nextId) ?? []);
--- a/packages/entry/src/keyed-calls-service.ts
+++ b/packages/entry/src/keyed-calls-service.ts
@@ -34,6 +34,7 @@
 } from '@ebonysill/core';
 import { clearTimer, send, setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
+import ExchangeTable from './ExchangeTable.js';
 import { answerEnd, answerProblem, endLog } from './answers.js';
 import { KeyedExchange, KeyedPhase } from './keyed-exchange.js';
 import { buildRun } from './run-message.js';
@@ -78,9 +79,7 @@
 
 /** Serves keyed calls. */
 class KeyedCallsService {
-  readonly #exchanges = new Map<string, KeyedExchange>();
-
-  readonly #exchangeIdByRun = new Map<string, string>();
+  readonly #exchanges = ExchangeTable.create<KeyedExchange>();
 
   readonly #admission;
 
@@ -132,7 +131,7 @@
 
   #mint(call: Call): readonly Effect[] {
     const exchange = KeyedExchange.create(call, undefined, KeyedPhase.AwaitingKey);
-    this.#exchanges.set(call.exchangeId, exchange);
+    this.#exchanges.add(exchange);
     return [this.#deadlineTimer(call), ...this.#askForKey(exchange)];
   }
 
@@ -167,7 +166,7 @@
     });
     if (decision.kind === Admission.Admitted) {
       const exchange = KeyedExchange.create(call, key, KeyedPhase.AwaitingLink);
-      this.#exchanges.set(call.exchangeId, exchange);
+      this.#exchanges.add(exchange);
       return [this.#deadlineTimer(call), ...this.#dispatch(exchange)];
     }
     this.#admission.release(call.exchangeId);
@@ -180,7 +179,7 @@
       return answerProblem(call, MALFORMED, this.runtime.nowMs());
     }
     const exchange = KeyedExchange.create(call, key, KeyedPhase.AwaitingVoid);
-    this.#exchanges.set(call.exchangeId, exchange);
+    this.#exchanges.add(exchange);
     return this.#startVoid(exchange, problem);
   }
 
@@ -238,9 +237,9 @@
   }
 
   #newRun(exchange: KeyedExchange): string {
-    this.#exchangeIdByRun.delete(exchange.runId);
+    this.#exchanges.unbind(exchange.runId);
     exchange.start(drawId(this.runtime.random));
-    this.#exchangeIdByRun.set(exchange.runId, exchange.call.exchangeId);
+    this.#exchanges.bind(exchange.runId, exchange);
     return exchange.runId;
   }
 
@@ -258,7 +257,8 @@
   }
 
   #onPeerUp(processId: string): readonly Effect[] {
-    return [...this.#exchanges.values()]
+    return this.#exchanges
+      .all()
       .filter(({ key, linkId }) => key?.targetId === processId && linkId === undefined)
       .flatMap((exchange) => this.#dispatch(exchange));
   }
@@ -267,7 +267,7 @@
     if (!('runId' in message)) {
       return [];
     }
-    const exchange = this.#exchanges.get(this.#exchangeIdByRun.get(message.runId) ?? '');
+    const exchange = this.#exchanges.ofMessage(message);
     if (exchange?.runId !== message.runId) {
       return [];
     }
@@ -320,7 +320,8 @@
 
   /** A lost link is no outcome: the same process is asked again, and it knows the key. */
   #onLinkClosed(linkId: string): readonly Effect[] {
-    return [...this.#exchanges.values()]
+    return this.#exchanges
+      .all()
       .filter((exchange) => exchange.linkId === linkId)
       .flatMap((exchange) => {
         exchange.leaveLink();
@@ -401,8 +402,8 @@
   #forget(exchange: KeyedExchange): readonly Effect[] {
     const { exchangeId } = exchange.call;
     this.#leaveLink(exchange);
-    this.#exchangeIdByRun.delete(exchange.runId);
-    this.#exchanges.delete(exchangeId);
+    this.#exchanges.unbind(exchange.runId);
+    this.#exchanges.remove(exchange);
     this.#admission.release(exchangeId);
     return [
       clearTimer(TimerKind.RequestDeadline, exchangeId),
--- a/packages/sidecar/src/execution-service.ts
+++ b/packages/sidecar/src/execution-service.ts
@@ -34,13 +34,12 @@
 } from '@ebonysill/core';
 import { clearTimer, log, send, setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
+import LoadTeller from './LoadTeller.js';
+import { abortRun, pauseOrResume, startRun } from './run-effects.js';
 import { RunTable } from './run-table.js';
 import RunGate from './RunGate.js';
 import { Run, RunState } from './run.js';
 
-/** Time for a target to notice that a call was given up. */
-const ABORT_SETTLE_MS = 250;
-
 /** Status with which a target refuses for lack of capacity. */
 const SERVICE_UNAVAILABLE = 503;
 
@@ -64,24 +63,6 @@
 const tell = (problem: Problem, { mayHaveRun }: RunHistory): Problem =>
   mayHaveRun ? { ...problem, outcome: Outcome.Unknown } : problem;
 
-/** Gives a run up; it counts until the target has had time to notice. */
-const abort = (run: Run): readonly Effect[] => {
-  run.unsubscribe(() => true);
-  run.become(RunState.Aborting);
-  return [
-    { kind: EffectKind.AbortTarget, callId: run.callId },
-    setTimer(TimerKind.RunDeadline, run.callId, ABORT_SETTLE_MS),
-  ];
-};
-
-const pauseOrResume = (run: Run): readonly Effect[] => {
-  if (!run.takePauseChange()) {
-    return [];
-  }
-  const kind = run.isPaused ? EffectKind.PauseTarget : EffectKind.ResumeTarget;
-  return [{ kind, callId: run.callId }];
-};
-
 /** Runs requests. */
 class ExecutionService {
   readonly #runs = RunTable.create();
@@ -98,14 +79,12 @@
 
   readonly #gate;
 
+  readonly #teller;
+
   #callCount = 0;
 
   #isDraining = false;
 
-  #toldState = TargetState.Down;
-
-  #toldLimit = 0;
-
   private constructor(
     private readonly options: ExecutionOptions,
     find: FindService,
@@ -120,7 +99,13 @@
       suspects: this.#suspects,
       monitor: this.#monitor,
     });
-    this.#links.provideLoad(() => this.#load());
+    const readLoad = (): LoadReport => this.#load();
+    this.#teller = LoadTeller.create({
+      configuration: this.#configuration,
+      links: this.#links,
+      readLoad,
+    });
+    this.#links.provideLoad(readLoad);
   }
 
   static create(options: ExecutionOptions, find: FindService): ExecutionService {
@@ -136,7 +121,7 @@
   };
 
   handle(event: Event): readonly Effect[] {
-    return [...this.#answer(event), ...this.#tellChange()];
+    return [...this.#answer(event), ...this.#teller.tellChange()];
   }
 
   #answer(event: Event): readonly Effect[] {
@@ -164,7 +149,7 @@
 
   drain(): readonly Effect[] {
     this.#isDraining = true;
-    return this.#tellChange();
+    return this.#teller.tellChange();
   }
 
   isDrained(): boolean {
@@ -199,16 +184,10 @@
     return [
       setTimer(TimerKind.RunDeadline, callId, message.timeLeftMs),
       ...this.#startWaiting(),
-      this.#acknowledge(linkId),
+      this.#teller.acknowledge(linkId),
     ];
   }
 
-  /** Tells the load at once, so that the sender sees that the link works and what it added. */
-  #acknowledge(linkId: string): Effect {
-    const revision = this.#configuration.revision();
-    return send(linkId, { kind: MessageKind.HeartbeatAck, revision, load: this.#load() });
-  }
-
   #refuse(linkId: string, message: RunMessage, history: RunHistory, problem: Problem): Effect {
     const { runId, fingerprint } = message;
     const told = tell(problem, history);
@@ -279,7 +258,7 @@
     if (run.recordId !== undefined) {
       return this.#pump(run);
     }
-    return abort(run);
+    return abortRun(run);
   }
 
   #onCredit(linkId: string, { runId, chunkCount }: CreditMessage): readonly Effect[] {
@@ -298,7 +277,7 @@
     }
     if (status === SERVICE_UNAVAILABLE && run.recordId === undefined) {
       const problem = unknown(Reason.TargetFailed, 'the target refused the request');
-      return [...this.#failSubscribers(run, problem, []), ...abort(run)];
+      return [...this.#failSubscribers(run, problem, []), ...abortRun(run)];
     }
     run.begin({ status, contentType });
     return this.#pump(run);
@@ -375,7 +354,7 @@
     const problem = unknown(Reason.TargetLost, 'the target failed while it ran the request');
     return [
       ...failed.flatMap((run) => this.#end(run, problem, suspicions)),
-      ...(suspicions.length > 0 ? this.#tellLoad(suspicions) : []),
+      ...(suspicions.length > 0 ? this.#teller.tellAll(suspicions) : []),
     ];
   }
 
@@ -392,7 +371,7 @@
     }
     const told = this.#failSubscribers(run, LATE_AT_TARGET, []);
     if (run.recordId === undefined) {
-      return [...told, ...abort(run)];
+      return [...told, ...abortRun(run)];
     }
     run.unsubscribe(() => true);
     return [...told, ...this.#pump(run)];
@@ -434,24 +413,7 @@
     return this.#runs
       .waiting()
       .slice(0, freeCount)
-      .flatMap((run) => this.#startRun(run));
-  }
-
-  #startRun(run: Run): readonly Effect[] {
-    run.become(RunState.Running);
-    const { requestId, request, key, deliveredText } = run.message;
-    return [
-      log(LogLevel.Info, LogTopic.RunStarted, { requestId, targetId: this.options.targetId }),
-      {
-        kind: EffectKind.CallTarget,
-        callId: run.callId,
-        requestId,
-        request,
-        deliveredCount: run.resumeCount,
-        ...(key === undefined ? {} : { idempotencyKey: key }),
-        ...(deliveredText === undefined ? {} : { deliveredText }),
-      },
-    ];
+      .flatMap((run) => startRun(run, this.options.targetId));
   }
 
   #fail(
@@ -469,27 +431,6 @@
     });
   }
 
-  /** Tells every peer at once when the target takes more or less than before. */
-  #tellChange(): readonly Effect[] {
-    const { state, limit } = this.#load();
-    if (state === this.#toldState && limit === this.#toldLimit) {
-      return [];
-    }
-    this.#toldState = state;
-    this.#toldLimit = limit;
-    return this.#tellLoad([]);
-  }
-
-  #tellLoad(suspicions: readonly CrashSuspicion[]): readonly Effect[] {
-    const load = this.#load();
-    const revision = this.#configuration.revision();
-    return this.#links
-      .peers()
-      .map(({ linkId }) =>
-        send(linkId, { kind: MessageKind.HeartbeatAck, revision, load, suspicions }),
-      );
-  }
-
   #load(): LoadReport {
     return {
       targetId: this.options.targetId,
--- /dev/null
+++ b/packages/sidecar/src/run-effects.ts
@@ -0,0 +1,59 @@
+/** @module Effects of a run on the target. */
+import { EffectKind, LogLevel, LogTopic, TimerKind, type Effect } from '@ebonysill/core';
+import { log, setTimer } from '@ebonysill/fleet';
+import { RunState, type Run } from './run.js';
+
+/** Time for a target to notice that a call was given up. */
+const ABORT_SETTLE_MS = 250;
+
+/**
+ * Hands a run to the target.
+ *
+ * @example
+ * startRun(run, 'assistant-1');
+ */
+export const startRun = (run: Run, targetId: string): readonly Effect[] => {
+  run.become(RunState.Running);
+  const { requestId, request, key, deliveredText } = run.message;
+  return [
+    log(LogLevel.Info, LogTopic.RunStarted, { requestId, targetId }),
+    {
+      kind: EffectKind.CallTarget,
+      callId: run.callId,
+      requestId,
+      request,
+      deliveredCount: run.resumeCount,
+      ...(key === undefined ? {} : { idempotencyKey: key }),
+      ...(deliveredText === undefined ? {} : { deliveredText }),
+    },
+  ];
+};
+
+/**
+ * Gives a run up; it counts until the target has had time to notice.
+ *
+ * @example
+ * abortRun(run);
+ */
+export const abortRun = (run: Run): readonly Effect[] => {
+  run.unsubscribe(() => true);
+  run.become(RunState.Aborting);
+  return [
+    { kind: EffectKind.AbortTarget, callId: run.callId },
+    setTimer(TimerKind.RunDeadline, run.callId, ABORT_SETTLE_MS),
+  ];
+};
+
+/**
+ * Stops or resumes reading the target's answer when the subscribers' credit asks for it.
+ *
+ * @example
+ * pauseOrResume(run);
+ */
+export const pauseOrResume = (run: Run): readonly Effect[] => {
+  if (!run.takePauseChange()) {
+    return [];
+  }
+  const kind = run.isPaused ? EffectKind.PauseTarget : EffectKind.ResumeTarget;
+  return [{ kind, callId: run.callId }];
+};
