--- a/packages/bench/src/bin/capacity.ts
+++ b/packages/bench/src/bin/capacity.ts
@@ -8,6 +8,7 @@
   'entry: control sent on idle links': 640,
   'entry: control sent for requests': 4.3,
   'sidecar: control sent on idle links': 118,
+  'driver: control sent for a change of map, 32 ranks': 60,
   'configuration value by organisations': 43_000,
   'configuration value by targets': 2_000,
   'organisations in memory': 43_000,
--- a/packages/bench/src/capacity/measureSlopes.ts
+++ b/packages/bench/src/capacity/measureSlopes.ts
@@ -3,6 +3,7 @@
 import {
   buildFleetConfiguration,
   createRandom,
+  createRankFleet,
   modelService,
   type Fleet,
 } from '@ebonysill/emulator';
@@ -106,6 +107,33 @@
     );
   });
 
+const RANKS = 32;
+
+const EXPERTS = 64;
+
+/** Control bytes that the driver beside the first rank sends for one change of map. */
+const bytesPerMapChange = (layerCount: number): number => {
+  const meter = ByteMeter.create((senderId) => senderId === 'rank-0');
+  const mapIds = new Set<number>();
+  const { emulation } = createRankFleet({
+    seed: 1,
+    rankCount: RANKS,
+    layerCount,
+    expertCount: EXPERTS,
+    loadMs: 500,
+    propose: (rank) => (_counts, current) => (rank === 0 ? { ...current, mapId: 0 } : undefined),
+    countsAt: () => [],
+    stepMs: (_rank, map) => {
+      mapIds.add(map.mapId);
+      return 30;
+    },
+    onSend: meter.onSend,
+  });
+  meter.turnOn();
+  emulation.runFor(MINUTE_MS);
+  return meter.controlBytes / mapIds.size;
+};
+
 const controlSlopes = (): readonly Slope[] => [
   measureSlope({
     name: 'entry: control sent on idle links',
@@ -141,6 +169,16 @@
   }),
 ];
 
+const mapSlopes = (): readonly Slope[] => [
+  measureSlope({
+    name: 'driver: control sent for a change of map, 32 ranks',
+    sizeUnit: 'layers',
+    valueUnit: 'bytes',
+    sizes: [2, 4, 8, 16],
+    read: bytesPerMapChange,
+  }),
+];
+
 const valueSlopes = (): readonly Slope[] => [
   measureSlope({
     name: 'configuration value by organisations',
@@ -250,6 +288,7 @@
 const measureSlopes = (): readonly Slope[] => [
   ...memorySlopes(),
   ...controlSlopes(),
+  ...mapSlopes(),
   ...valueSlopes(),
   ...processorSlopes(),
 ];
