test: compare with a naive system, and wake an entry process too late

Cause: the whole system had no naive counterpart, a pause past the expiry of a key's record was tried in the ledger only, and the stand-in for the configuration service served new values while it was stale and had no host list. Change: property test against a one-map system; scenario with a paused entry process; the stand-in serves configuration and hosts, up, down, stale or slow; the path benchmark compares keyed with idempotent calls; unused names removed.

--- a/demo/src/bench/bench-path.ts
+++ b/demo/src/bench/bench-path.ts
@@ -1,5 +1,5 @@
 /** @module Measures the whole path against direct calls to the engine, in turns in one run. */
-import { completionBody, mintKey, postCompletion, postKeyed } from '../caller.js';
+import { completionBody, mintKey, postCompletion, postIdempotent, postKeyed } from '../caller.js';
 import { DemoFleet } from '../demo-fleet.js';
 import { MODEL_SERVICE, PLAIN_SERVICE, credentialOf } from '../fleet-plan.js';
 import { LatencySample, type LatencySummary } from './latency-sample.js';
@@ -73,6 +73,9 @@
     createSide('plain direct', async (index) => {
       await postKeyed(plainUrl, '', '', `{"seat":${index}}`);
     }),
+    createSide('idempotent through', async (index) => {
+      await postIdempotent(entryUrl, CREDENTIAL, `{"seat":${index}}`);
+    }),
     createSide('keyed through', async (index) => {
       const key = await mintKey(entryUrl, CREDENTIAL);
       await postKeyed(entryUrl, CREDENTIAL, key, `{"seat":${index}}`);
@@ -91,10 +94,11 @@
       say(row(name, summary));
     }
   });
-  const [engine, model, plain, keyed] = summaries;
-  if (engine !== undefined && model !== undefined && plain !== undefined && keyed !== undefined) {
+  const [engine, model, plain, idempotent, keyed] = summaries;
+  if (engine && model && plain && idempotent && keyed) {
     say(`model:  ${compare(engine, model)}`);
     say(`keyed:  ${compare(plain, keyed)}`);
+    say(`keyed against idempotent through:  ${compare(idempotent, keyed)}`);
   }
 };
 
--- a/demo/src/caller.ts
+++ b/demo/src/caller.ts
@@ -96,3 +96,12 @@
   body: string,
 ): Promise<Answer> =>
   post({ url: `${url}/services/${PLAIN_SERVICE}/seats`, credential, body, idempotencyKey });
+
+/**
+ * Posts an idempotent call to the plain service.
+ *
+ * @example
+ * await postIdempotent(entry.url, credential, '{"hall":7}');
+ */
+export const postIdempotent = (url: string, credential: string, body: string): Promise<Answer> =>
+  post({ url: `${url}/services/${PLAIN_SERVICE}/search`, credential, body });
--- /dev/null
+++ b/packages/bench/tests/naive.test.ts
@@ -0,0 +1,103 @@
+import { test } from 'node:test';
+import { Outcome } from '@ebonysill/core';
+import {
+  AnswerState,
+  CallerAgent,
+  wholeAnswer,
+  type CallSend,
+  type Fleet,
+} from '@ebonysill/emulator';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { MODEL, PLAIN, startScenario } from './scenario.js';
+
+const CHUNK_COUNT = 4;
+
+interface PlannedCall {
+  readonly isKeyed: boolean;
+  readonly entry: number;
+  readonly delayMs: number;
+  /** Sends the same key again through another entry process, if keyed. */
+  readonly isRepeated: boolean;
+}
+
+/** The whole system as one map: a call runs when it comes, and a key runs once. */
+class NaiveSystem {
+  readonly #answers = new Map<string, string>();
+
+  runCount = 0;
+
+  private constructor() {}
+
+  static create(): NaiveSystem {
+    return new NaiveSystem();
+  }
+
+  serve(body: string, key: string | undefined): string {
+    const known = key === undefined ? undefined : this.#answers.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    this.runCount += 1;
+    const answer = wholeAnswer(body, CHUNK_COUNT);
+    this.#answers.set(key ?? body, answer);
+    return answer;
+  }
+}
+
+const calls: fc.Arbitrary<PlannedCall[]> = fc.array(
+  fc.record({
+    isKeyed: fc.boolean(),
+    entry: fc.nat(2),
+    delayMs: fc.nat(400),
+    isRepeated: fc.boolean(),
+  }),
+  { minLength: 1, maxLength: 12 },
+);
+
+const begin = (fleet: Fleet, call: PlannedCall, index: number, key?: string): CallerAgent =>
+  CallerAgent.create(fleet.emulation, {
+    service: call.isKeyed ? PLAIN : MODEL,
+    body: `call-${index}`,
+    organisationId: 'large',
+    isKeyed: call.isKeyed,
+    entryIds: [`entry-${1 + ((call.entry + (key === undefined ? 0 : 1)) % 3)}`],
+    maxSends: 2,
+    patienceMs: 15_000,
+    ...(key === undefined ? {} : { key }),
+  });
+
+const lastSend = ({ sends }: CallerAgent): CallSend | undefined => sends.at(-1);
+
+test('equals naive system', () => {
+  fc.assert(
+    fc.property(calls, (planned) => {
+      const fleet = startScenario({ targetsPerZone: 1, chunkCount: CHUNK_COUNT });
+      const agents: CallerAgent[] = [];
+      planned.forEach((call, index) =>
+        fleet.emulation.time.schedule(call.delayMs, () => {
+          const agent = begin(fleet, call, index);
+          agents.push(agent);
+          fleet.emulation.time.schedule(50, () => {
+            if (call.isKeyed && call.isRepeated && agent.key !== undefined) {
+              agents.push(begin(fleet, call, index, agent.key));
+            }
+          });
+        }),
+      );
+      fleet.emulation.runFor(20_000);
+      const naive = NaiveSystem.create();
+      agents.forEach((agent) => {
+        const send = lastSend(agent);
+        const { state, text, problem } = fleet.emulation.answer(send?.exchangeId ?? '');
+        expect(problem?.outcome ?? Outcome.Done).toEqual(Outcome.Done);
+        expect(state).toEqual(AnswerState.Ended);
+        expect(text).toEqual(naive.serve(send?.body ?? '', agent.key));
+      });
+      const bodies = [...new Set(agents.map((agent) => lastSend(agent)?.body ?? ''))];
+      const runCount = bodies.reduce((sum, body) => sum + fleet.emulation.runsOf(body).count, 0);
+      expect(runCount).toEqual(naive.runCount);
+    }),
+    { seed: 14, numRuns: 25 },
+  );
+});
--- a/packages/bench/tests/promises.test.ts
+++ b/packages/bench/tests/promises.test.ts
@@ -232,6 +232,39 @@
   expect(fleet.emulation.runsOf('seat').count).toEqual(0);
 });
 
+test('entry wakes after record expired', () => {
+  let paused: string | undefined;
+  const fleet = startScenario({
+    targetsPerZone: 1,
+    ledgerLimits: { maxKeyCount: 2, maxAnswerBytes: 1_000 },
+    onStep: ({ step, processId }) => {
+      if (step === Step.RunSent && paused === undefined) {
+        paused = processId;
+        fleet.emulation.process(processId).pause();
+      }
+    },
+  });
+  const call = (body: string, entryId: string): CallerAgent =>
+    CallerAgent.create(fleet.emulation, {
+      service: PLAIN,
+      body,
+      organisationId: 'small',
+      isKeyed: true,
+      entryIds: [entryId],
+      maxSends: 2,
+      patienceMs: 18_000,
+    });
+  const late = call('late', 'entry-1');
+  fleet.emulation.runFor(500);
+  Array.from({ length: 30 }, (_, index) => call(`other-${index}`, 'entry-2'));
+  fleet.emulation.runFor(5_000);
+  fleet.emulation.process(paused ?? '').resume();
+  fleet.emulation.runFor(30_000);
+  expect(paused).toEqual('entry-1');
+  expect(late.final?.problem?.outcome).toEqual(Outcome.Unknown);
+  expect(fleet.emulation.runsOf('late').count).toEqual(0);
+});
+
 test('silent link', () => {
   let silencedMs = 0;
   let replacedMs = 0;
--- a/packages/bench/tests/scenario.ts
+++ b/packages/bench/tests/scenario.ts
@@ -27,7 +27,7 @@
   /** Time that a target holds each call. */
   readonly holdMsOf?: (targetId: string) => number;
   readonly isStalled?: (exchangeId: string) => boolean;
-  readonly onTrace?: (line: string) => void;
+  readonly ledgerLimits?: NonNullable<FleetOptions['ledgerLimits']>;
   readonly network?: NonNullable<FleetOptions['network']>;
 }
 
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -3,7 +3,6 @@
 /** Exit codes, after sysexits. */
 export enum ExitCode {
   Ok = 0,
-  Failed = 1,
   /** Arguments that make no sense. */
   Usage = 64,
   /** A file that cannot be read. */
--- a/packages/core/src/effect.ts
+++ b/packages/core/src/effect.ts
@@ -45,7 +45,6 @@
   LinkUp = 'link up',
   LinkLost = 'link lost',
   ConfigurationAccepted = 'configuration accepted',
-  ConfigurationRefused = 'configuration refused',
   ConfigurationUnavailable = 'configuration unavailable',
   TargetStateChanged = 'target state changed',
   MapChangeStarted = 'map change started',
--- a/packages/stand-ins/src/configuration-stand-in.ts
+++ b/packages/stand-ins/src/configuration-stand-in.ts
@@ -1,7 +1,8 @@
-/** @module Stand-in for the configuration service: read, long-poll watch, counted and limited. */
+/** @module Stand-in for the configuration service and the host list: read and watched, counted, limited. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { z } from 'zod';
 import { listen, readBody, respondJson } from './http-util.js';
+import PublishedValue from './PublishedValue.js';
 
 /** Condition of the service. */
 export enum ConfigurationMode {
@@ -13,34 +14,45 @@
 
 const MAX_CALLS_PER_SECOND = 2_000;
 
-const WATCH_MS = 25_000;
-
 const SECOND_MS = 1_000;
 
+const HOSTS_PATH = '/v1/hosts';
+
+const MODE_PATH = '/mode';
+
 const revisionSchema = z.object({ revision: z.int() });
 
-interface Watch {
-  readonly aboveRevision: number;
-  readonly response: ServerResponse;
-}
+const modeSchema = z.object({
+  mode: z.enum(ConfigurationMode),
+  /** Delay of each answer. */
+  delayMs: z.int().min(0).default(0),
+});
+
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
 
-/** Serves one configuration value. */
+/** Serves the configuration and the list of live and leaving hosts. */
 export class ConfigurationStandIn {
   readonly #server: Server;
 
-  readonly #watches = new Set<Watch>();
-
-  #text = '';
+  readonly #configuration = PublishedValue.create();
 
-  #revision = 0;
+  readonly #hosts = PublishedValue.create();
 
   #mode = ConfigurationMode.Up;
 
+  #delayMs = 0;
+
   #callsInWindow = 0;
 
   #windowStartMs = 0;
 
-  /** Calls since the start. */
+  /** Calls since the start; a waiting watch is one. */
   callCount = 0;
 
   private constructor() {
@@ -68,38 +80,40 @@
     this.#server.closeAllConnections();
   }
 
-  /** Changes the condition of the service. */
-  setMode(mode: ConfigurationMode): void {
+  /** Changes the condition of the service and the delay of its answers. */
+  setMode(mode: ConfigurationMode, delayMs = 0): void {
     this.#mode = mode;
+    this.#delayMs = delayMs;
+    if (mode === ConfigurationMode.Up) {
+      this.#configuration.serveNewest();
+      this.#hosts.serveNewest();
+    }
     if (mode === ConfigurationMode.Down) {
       this.#server.closeAllConnections();
     }
   }
 
-  /** Holds a new value, as an operator publishes it. */
+  /** Holds a new configuration, as an operator publishes it. */
   publish(text: string): void {
-    const parsed = revisionSchema.safeParse(ConfigurationStandIn.#parse(text));
-    this.#text = text;
-    this.#revision = parsed.data?.revision ?? this.#revision + 1;
-    [...this.#watches]
-      .filter(({ aboveRevision }) => aboveRevision < this.#revision)
-      .forEach((watch) => this.#release(watch));
+    this.#publishTo(this.#configuration, text);
+  }
+
+  /** Holds a new list of hosts, as the platform publishes it. */
+  publishHosts(text: string): void {
+    this.#publishTo(this.#hosts, text);
   }
 
-  static #parse(text: string): unknown {
-    try {
-      return JSON.parse(text);
-    } catch {
-      return undefined;
+  #publishTo(value: PublishedValue, text: string): void {
+    const parsed = revisionSchema.safeParse(parseJson(text));
+    value.publish(text, parsed.data?.revision ?? value.newestRevision + 1);
+    if (this.#mode === ConfigurationMode.Up) {
+      value.serveNewest();
     }
   }
 
   #onRequest(request: IncomingMessage, response: ServerResponse): void {
     if (request.method === 'POST') {
-      readBody(request, (body) => {
-        this.publish(body);
-        respondJson(response, 200, { revision: this.#revision });
-      });
+      readBody(request, (body) => this.#onPost(request.url ?? '', body, response));
       return;
     }
     if (this.#mode === ConfigurationMode.Down || !this.#isWithinRate()) {
@@ -107,8 +121,20 @@
       response.end();
       return;
     }
-    const above = new URL(request.url ?? '/', 'http://localhost').searchParams.get('above');
-    this.#answer(Number(above ?? 0), response);
+    const url = new URL(request.url ?? '/', 'http://localhost');
+    const value = url.pathname === HOSTS_PATH ? this.#hosts : this.#configuration;
+    const aboveRevision = Number(url.searchParams.get('above') ?? 0);
+    setTimeout(() => value.read(aboveRevision, response), this.#delayMs);
+  }
+
+  #onPost(path: string, body: string, response: ServerResponse): void {
+    const mode = modeSchema.safeParse(parseJson(body));
+    if (path === MODE_PATH && mode.success) {
+      this.setMode(mode.data.mode, mode.data.delayMs);
+    } else {
+      this.#publishTo(path === HOSTS_PATH ? this.#hosts : this.#configuration, body);
+    }
+    respondJson(response, 200, { revision: this.#configuration.newestRevision });
   }
 
   #isWithinRate(): boolean {
@@ -121,35 +147,4 @@
     this.#callsInWindow += 1;
     return this.#callsInWindow <= MAX_CALLS_PER_SECOND;
   }
-
-  #answer(aboveRevision: number, response: ServerResponse): void {
-    if (this.#revision > aboveRevision) {
-      this.#write(response);
-      return;
-    }
-    const watch: Watch = { aboveRevision, response };
-    const timer = setTimeout(() => ConfigurationStandIn.#writeNothing(response), WATCH_MS);
-    this.#watches.add(watch);
-    response.once('close', () => {
-      clearTimeout(timer);
-      this.#watches.delete(watch);
-    });
-  }
-
-  static #writeNothing(response: ServerResponse): void {
-    response.writeHead(204);
-    response.end();
-  }
-
-  #release(watch: Watch): void {
-    if (this.#mode === ConfigurationMode.Up) {
-      this.#watches.delete(watch);
-      this.#write(watch.response);
-    }
-  }
-
-  #write(response: ServerResponse): void {
-    response.writeHead(200, { 'content-type': 'application/json' });
-    response.end(this.#text);
-  }
 }
