refactor(experts): add expert counts in one place

Cause: gate and driver each had their own way to add the same counts. Change: addCounts beside the other functions on counts.

--- a/packages/experts/src/group-driver-service.ts
+++ b/packages/experts/src/group-driver-service.ts
@@ -25,13 +25,11 @@
 } from '@ebonysill/core';
 import { clearTimer, log, send, setTimer } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
+import { addCounts, type ExpertCounts } from './map-load.js';
 import { AttemptPhase, ChangeAttempt, findDecided } from './change-attempt.js';
 
 /** Proposes a map for the counted tokens; undefined to keep the present one. */
-export type Propose = (
-  counts: readonly (readonly number[])[],
-  current: ExpertMap,
-) => ExpertMap | undefined;
+export type Propose = (counts: ExpertCounts, current: ExpertMap) => ExpertMap | undefined;
 
 /** Whether enough ranks have answered. */
 export type EnoughRule = (answeredCount: number, rankCount: number) => boolean;
@@ -71,7 +69,7 @@
 
   #highestFence = 0;
 
-  #counts: readonly (readonly number[])[] | undefined;
+  #counts: ExpertCounts | undefined;
 
   readonly #retained = new Set<string>();
 
@@ -139,7 +137,7 @@
       return [];
     }
     if (firstId === this.options.rankId) {
-      this.#addCounts(counts);
+      this.#counts = addCounts(this.#counts, counts);
       return [];
     }
     const peer = this.#links.peer(firstId);
@@ -148,13 +146,6 @@
       : [send(peer.linkId, { kind: MessageKind.ExpertCounts, counts })];
   }
 
-  #addCounts(counts: readonly (readonly number[])[]): void {
-    const before = this.#counts;
-    this.#counts = counts.map((layer, index) =>
-      layer.map((count, expert) => count + (before?.[index]?.[expert] ?? 0)),
-    );
-  }
-
   #propose(): readonly Effect[] {
     const current = this.#gate.current();
     if (this.#counts === undefined || current === undefined) {
@@ -212,7 +203,7 @@
 
   #onLinkMessage({ linkId, message }: LinkMessageEvent): readonly Effect[] {
     if (message.kind === MessageKind.ExpertCounts) {
-      this.#addCounts(message.counts);
+      this.#counts = addCounts(this.#counts, message.counts);
       return [];
     }
     const rankId = this.#links.peerOfLink(linkId)?.processId;
--- a/packages/experts/src/map-load.ts
+++ b/packages/experts/src/map-load.ts
@@ -4,6 +4,19 @@
 /** Tokens that each expert took, by layer. */
 export type ExpertCounts = readonly (readonly number[])[];
 
+/**
+ * Adds counts to a sum; the first counts are the sum.
+ *
+ * @example
+ * sum = addCounts(sum, counts);
+ */
+export const addCounts = (sum: ExpertCounts | undefined, counts: ExpertCounts): ExpertCounts =>
+  sum === undefined
+    ? counts
+    : counts.map((layer, index) =>
+        layer.map((count, expert) => count + (sum[index]?.[expert] ?? 0)),
+      );
+
 /**
  * Tokens per rank of one layer; an expert's tokens are shared evenly by its copies.
  *
--- a/packages/experts/src/rank-gate-service.ts
+++ b/packages/experts/src/rank-gate-service.ts
@@ -27,6 +27,7 @@
 } from '@ebonysill/core';
 import { send } from '@ebonysill/fleet';
 import { createInstance } from '@ebonysill/kernel';
+import { addCounts, type ExpertCounts } from './map-load.js';
 
 /** Whether a step must wait, given how far the gate has come with a change. */
 export type HoldRule = (state: ChangeState, change: MapChange | undefined, step: number) => boolean;
@@ -48,16 +49,6 @@
   readonly reply: ReplyToDriver;
 }
 
-const addCounts = (
-  sum: readonly (readonly number[])[] | undefined,
-  counts: readonly (readonly number[])[],
-): readonly (readonly number[])[] =>
-  sum === undefined
-    ? counts
-    : counts.map((layer, index) =>
-        layer.map((count, expert) => count + (sum[index]?.[expert] ?? 0)),
-      );
-
 /** Lets steps begin. */
 class RankGateService {
   #promisedFence = 0;
@@ -76,7 +67,7 @@
 
   #waitingStep: number | undefined;
 
-  #counts: readonly (readonly number[])[] | undefined;
+  #counts: ExpertCounts | undefined;
 
   private constructor(private readonly options: RankGateOptions) {
     this.#isRecovering = options.waitsAfterRestart;
