fix(transport): give an engine that resumes the text to go on from

Change: the request carries the field resume with the number of delivered chunks and their text; the stand-in engine refuses a text that is not its own.

--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -18,9 +18,13 @@
 
 const DEFAULT_TOKENS = 32;
 
-const requestSchema = z.object({ max_tokens: z.int().min(1).max(100_000).default(DEFAULT_TOKENS) });
+const requestSchema = z.object({
+  max_tokens: z.int().min(1).max(100_000).default(DEFAULT_TOKENS),
+  resume: z.object({ afterChunks: z.int().min(0), text: z.string() }).optional(),
+});
 
-const RESUME_HEADER = 'x-resume-after-chunks';
+/** The resume field, which is added at the end of the body and is no part of the prompt. */
+const RESUME_FIELD = /,"resume":\{.*\}(?=\}$)/s;
 
 /** Serves completions. */
 export class EngineStandIn {
@@ -71,10 +75,10 @@
       respondJson(response, 200, { isCold: this.#isCold(this.options.healthLagMs) });
       return;
     }
-    readBody(request, (body) => this.#complete(request, response, body));
+    readBody(request, (body) => this.#complete(response, body));
   }
 
-  #complete(request: IncomingMessage, response: ServerResponse, body: string): void {
+  #complete(response: ServerResponse, body: string): void {
     if (this.#isCold(0) && this.#runningCount >= this.options.coldConcurrency) {
       this.#fallOver();
       return;
@@ -90,8 +94,14 @@
       this.#runningCount -= 1;
     });
     response.writeHead(200, { 'content-type': 'text/event-stream' });
-    const firstIndex = Number(request.headers[RESUME_HEADER] ?? 0);
-    this.#stream(response, body, firstIndex, parsed.data.max_tokens);
+    const { resume, max_tokens: count } = parsed.data;
+    const prompt = body.replace(RESUME_FIELD, '');
+    const firstIndex = resume?.afterChunks ?? 0;
+    const delivered = Array.from({ length: Math.min(firstIndex, count) }, (_, index) =>
+      completionChunk(prompt, index),
+    ).join('');
+    const isOurs = resume === undefined || resume.text.startsWith(delivered);
+    this.#stream(response, prompt, isOurs ? firstIndex : count + 1, count);
   }
 
   static #parse(body: string): unknown {
--- a/packages/transport/src/TargetPort.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -3,6 +3,7 @@
 import { EventKind, TargetErrorStage, type CallTargetEffect, type Event } from '@ebonysill/core';
 import { Agent, type Dispatcher } from 'undici';
 import { z } from 'zod';
+import addResume from './addResume.js';
 import { createSplitter } from './chunk-splitter.js';
 
 /** Time for the target to answer a health read. */
@@ -98,7 +99,10 @@
   #request(effect: CallTargetEffect, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
     const { request, requestId, idempotencyKey, deliveredCount, deliveredText } = effect;
     const agent = idempotencyKey === undefined ? this.#shared : this.#single;
-    const hasBody = request.body !== '';
+    const body =
+      deliveredCount === 0
+        ? request.body
+        : addResume(request.body, deliveredCount, deliveredText ?? '');
     return agent.request({
       origin: this.targetUrl,
       path: request.path,
@@ -107,12 +111,8 @@
         'x-request-id': requestId,
         ...(request.contentType === '' ? {} : { 'content-type': request.contentType }),
         ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
-        ...(deliveredCount === 0 ? {} : { 'x-resume-after-chunks': String(deliveredCount) }),
-        ...(deliveredCount === 0 || deliveredText === undefined
-          ? {}
-          : { 'x-resume-text-chars': String(deliveredText.length) }),
       },
-      body: hasBody ? Buffer.from(request.body, 'latin1') : null,
+      body: body === '' ? null : Buffer.from(body, 'latin1'),
       idempotent: false,
       signal,
     });
