--- a/demo/tests/path.test.ts
+++ b/demo/tests/path.test.ts
@@ -1,5 +1,8 @@
 import { after, before, test } from 'node:test';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { request as httpRequest } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { expect } from 'earl';
 import { request } from 'undici';
 import { completionBody, mintKey, postCompletion, postKeyed } from '../src/caller.js';
@@ -195,6 +198,24 @@
   ]);
 });
 
+test('cli check against', async () => {
+  const answers = new URL('../../../examples/thaalam.answers.jsonc', import.meta.url).pathname;
+  const folder = await mkdtemp(join(tmpdir(), 'ebonysill-'));
+  const files = ['1', '2'].map((revision) => join(folder, `${revision}.jsonc`));
+  const [present = '', next = ''] = files;
+  await Promise.all(
+    files.map(async (file, index) => {
+      const args = ['init', '--answers', answers, '--revision', String(index + 1)];
+      await writeFile(file, (await runCli(...args)).output);
+    }),
+  );
+  const forward = await runCli('check', next, '--against', present);
+  const backward = await runCli('check', present, '--against', next);
+  await rm(folder, { recursive: true });
+  expect([forward.output, forward.exitCode]).toEqual(['revision 1 becomes 2\n', 0]);
+  expect(backward.exitCode).toEqual(78);
+});
+
 test('bad settings file', async () => {
   const answers = new URL('../../../examples/thaalam.answers.jsonc', import.meta.url).pathname;
   const { errors, exitCode } = await runProgram(programPath('binaries', 'entry'), [answers]);
