test(bench): make two promises' tests able to fail, and show a known fault

Change: lower revision refused; the hedge test allows no first token over 420 ms (the stated target) instead of 5 of 100; turns cold under load, which fails, is in KNOWN-RED.txt.

--- a/packages/bench/tests/promises.test.ts
+++ b/packages/bench/tests/promises.test.ts
@@ -1,5 +1,14 @@
 import { test } from 'node:test';
-import { EffectKind, LogLevel, LogTopic, Outcome, ServiceName, type Effect } from '@ebonysill/core';
+import {
+  EffectKind,
+  EventKind,
+  LogLevel,
+  LogTopic,
+  MessageKind,
+  Outcome,
+  ServiceName,
+  type Effect,
+} from '@ebonysill/core';
 import {
   AnswerState,
   CallerAgent,
@@ -204,7 +213,7 @@
   const slow = agents.filter(
     ({ final }) => (final?.firstChunkMs ?? 0) - (final?.sentMs ?? 0) > 420,
   );
-  expect(slow.length <= 5).toEqual(true);
+  expect(slow.length).toEqual(0);
 });
 
 test('fresh key, leaving sidecar', () => {
@@ -321,6 +330,17 @@
   allEnded(agents, 1_000);
 });
 
+test('turns cold under load', { todo: 'KNOWN-RED.txt' }, () => {
+  const fleet = startScenario({ coldMs: 2_000 });
+  fleet.emulation.runFor(3_000);
+  const agents = sendStreams(fleet, 1_000, 6);
+  fleet.emulation.runFor(2_100);
+  fleet.targets.forEach((target) => target.turnCold());
+  fleet.emulation.runFor(40_000);
+  expect(fleet.targets.filter(({ crashCount }) => crashCount > 0).length).toEqual(0);
+  allEnded(agents, 1_000);
+});
+
 test('slow caller', () => {
   const fleet = startScenario({ entryCount: 1, chunkCount: 1_000, isStalled: () => true });
   const agents = sendStreams(fleet, 1, 1);
@@ -361,6 +381,25 @@
   expect(new Set(revisionsOf(fleet))).toEqual(new Set([2]));
 });
 
+test('lower revision refused', () => {
+  const fleet = startScenario({});
+  const [entry, other] = fleet.entries;
+  const first = entry?.find(ServiceName.Configuration).current();
+  fleet.publish(2, []);
+  fleet.emulation.runFor(1_000);
+  if (first === undefined || entry === undefined || other === undefined) {
+    throw new Error('the fleet has no configuration');
+  }
+  const [peer] = other.find(ServiceName.Links).peers();
+  entry.post({ kind: EventKind.ConfigurationRead, configuration: first });
+  other.post({
+    kind: EventKind.LinkMessage,
+    linkId: peer?.linkId ?? '',
+    message: { kind: MessageKind.ConfigurationValue, configuration: first },
+  });
+  expect(new Set(revisionsOf(fleet))).toEqual(new Set([2]));
+});
+
 test('starts without the service', () => {
   const fleet = startScenario({});
   fleet.emulation.configurationService.setMode(FakeConfigurationMode.Down);
