--- /dev/null
+++ b/packages/gateway-io/src/DatagramPort.ts
@@ -0,0 +1,70 @@
+/** @module Messages between the processes of the system, as datagrams of MessagePack. */
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import { EventKind, type Event, type SendToPeerEffect } from '@ebonysill/gateway';
+import { pack, unpack } from 'msgpackr';
+import type { ListenAddress } from './CallerServer.js';
+import { parsePeerMessage } from './peer-schema.js';
+
+/** What a port is created from. */
+export interface DatagramPortOptions {
+  readonly listen: ListenAddress;
+  readonly post: (event: Event) => void;
+  readonly onError: (error: unknown) => void;
+}
+
+/** Sends and receives messages. They may be lost; whoever needs an answer asks again. */
+export default class DatagramPort {
+  private constructor(
+    private readonly socket: Socket,
+    private readonly options: DatagramPortOptions,
+  ) {}
+
+  /**
+   * Creates a port that is bound to its address.
+   *
+   * @example
+   * const datagrams = await DatagramPort.create({ listen, post, onError });
+   */
+  static async create(options: DatagramPortOptions): Promise<DatagramPort> {
+    const socket = createSocket('udp4');
+    const port = new DatagramPort(socket, options);
+    socket.on('message', (data, remote) => port.#receive(data, remote));
+    socket.on('error', options.onError);
+    await new Promise<void>((resolve) => {
+      socket.bind(options.listen.port, options.listen.host, resolve);
+    });
+    return port;
+  }
+
+  /** Sends a message. */
+  send({ address, message }: SendToPeerEffect): void {
+    const [host = '', port = ''] = address.split(':');
+    this.socket.send(pack(message), Number(port), host, (error) => {
+      if (error !== null) {
+        this.options.onError(error);
+      }
+    });
+  }
+
+  /** Stops receiving. */
+  close(): void {
+    this.socket.close();
+  }
+
+  #receive(data: Uint8Array, { address, port }: RemoteInfo): void {
+    const message = DatagramPort.#decode(data);
+    if (message !== undefined) {
+      const from = `${address}:${port}`;
+      this.options.post({ kind: EventKind.PeerMessageReceived, address: from, message });
+    }
+  }
+
+  /** Bytes that are no message are dropped: datagrams may come from anywhere. */
+  static #decode(data: Uint8Array): ReturnType<typeof parsePeerMessage> {
+    try {
+      return parsePeerMessage(unpack(data));
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway-io/src/ProcessHost.ts
@@ -0,0 +1,159 @@
+/** @module Runs services on real ports: hands events in and performs effects. */
+import {
+  EffectKind,
+  type AnyRegistration,
+  type Directory,
+  type Effect,
+  type Event,
+  type LogEffect,
+  type Order,
+  type ReadStoreEffect,
+  type Runtime,
+} from '@ebonysill/gateway';
+import { Kernel } from '@ebonysill/kernel';
+import type CallerServer from './CallerServer.js';
+import type DatagramPort from './DatagramPort.js';
+import type LogPort from './LogPort.js';
+import type MetricsRecorder from './MetricsRecorder.js';
+import type TargetClient from './TargetClient.js';
+import TimerPort from './TimerPort.js';
+
+/** Asks for and orders of the engine beside the process. */
+export interface RankPort {
+  readonly askState: () => void;
+  readonly countExperts: () => void;
+  readonly order: (orderId: number, order: Order) => void;
+}
+
+/** Ports of a process; a role that lacks one never asks for it. */
+export interface ProcessPorts {
+  readonly callers?: CallerServer;
+  readonly targets?: TargetClient;
+  readonly datagrams?: DatagramPort;
+  readonly readStore?: (effect: ReadStoreEffect) => void;
+  readonly rank?: RankPort;
+}
+
+/** What a host is created from. */
+export interface ProcessHostOptions {
+  readonly services: readonly AnyRegistration[];
+  readonly runtime: Runtime;
+  readonly logs: LogPort;
+  readonly metrics: MetricsRecorder;
+  /** Ends the process when nothing is in progress, or when an invariant broke. */
+  readonly exit: (code: number) => void;
+}
+
+/** Exit code after a broken invariant, after sysexits' EX_SOFTWARE. */
+const EXIT_BROKEN = 70;
+
+/** One process: its kernel between its ports. */
+export default class ProcessHost {
+  readonly kernel: Kernel<Directory, Event, Effect>;
+
+  readonly #timers: TimerPort;
+
+  #ports: ProcessPorts = {};
+
+  private constructor(private readonly options: ProcessHostOptions) {
+    this.#timers = TimerPort.create(this.post);
+    this.kernel = Kernel.create<Directory, Event, Effect>({
+      services: options.services,
+      nowMs: options.runtime.nowMs,
+      perform: this.perform,
+      onDrained: () => options.exit(0),
+      onBroken: (error) => this.#stopBroken(error),
+    });
+  }
+
+  /**
+   * Creates a host whose kernel is not started.
+   *
+   * @example
+   * ProcessHost.create(options).start({ callers, targets });
+   */
+  static create(options: ProcessHostOptions): ProcessHost {
+    return new ProcessHost(options);
+  }
+
+  /** Posts an event to the services. */
+  readonly post = (event: Event): void => {
+    this.kernel.post(event);
+  };
+
+  /** Starts the services on their ports. */
+  start(ports: ProcessPorts): void {
+    this.#ports = ports;
+    this.kernel.start();
+  }
+
+  /** Performs one effect. */
+  readonly perform = (effect: Effect): void => {
+    const { callers, targets, datagrams, readStore, rank } = this.#ports;
+    switch (effect.kind) {
+      case EffectKind.StartCall:
+        targets?.start(effect);
+        return;
+      case EffectKind.CancelCall:
+        targets?.cancel(effect.callId);
+        return;
+      case EffectKind.AnswerWhole:
+        callers?.answerWhole(effect);
+        return;
+      case EffectKind.BeginAnswer:
+        callers?.beginAnswer(effect);
+        return;
+      case EffectKind.ContinueAnswer:
+        callers?.continueAnswer(effect);
+        return;
+      case EffectKind.EndAnswer:
+        callers?.endAnswer(effect.exchangeId);
+        return;
+      case EffectKind.AbortAnswer:
+        callers?.abortAnswer(effect.exchangeId);
+        return;
+      case EffectKind.ApplyLimits:
+        callers?.applyLimits(effect.limits);
+        return;
+      case EffectKind.ReadStore:
+        readStore?.(effect);
+        return;
+      case EffectKind.SetTimer:
+        this.#timers.set(effect);
+        return;
+      case EffectKind.ClearTimer:
+        this.#timers.clear(effect);
+        return;
+      case EffectKind.SendToPeer:
+        datagrams?.send(effect);
+        return;
+      case EffectKind.AskRank:
+        rank?.askState();
+        return;
+      case EffectKind.CountExperts:
+        rank?.countExperts();
+        return;
+      case EffectKind.GiveOrder:
+        rank?.order(effect.orderId, effect.order);
+        return;
+      case EffectKind.Log:
+        this.#log(effect);
+        return;
+      case EffectKind.Stop:
+        this.options.exit(0);
+        return;
+      default:
+        effect satisfies never;
+    }
+  };
+
+  #log(effect: LogEffect): void {
+    this.options.logs.write(effect);
+    this.options.metrics.note(effect);
+  }
+
+  #stopBroken(error: unknown): void {
+    this.options.logs.fatal(error);
+    this.options.exit(EXIT_BROKEN);
+  }
+}
--- /dev/null
+++ b/packages/gateway-io/src/StatusServer.ts
@@ -0,0 +1,51 @@
+/** @module Small HTTP servers for balancers and monitoring. */
+import { createServer, type Server } from 'node:http';
+import type { ListenAddress } from './CallerServer.js';
+
+/** An answer to a status question. */
+export interface StatusAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** What a server is created from. */
+export interface StatusServerOptions {
+  readonly listen: ListenAddress;
+  /** Answers a path. */
+  readonly answer: (path: string) => StatusAnswer;
+  readonly onError: (error: unknown) => void;
+}
+
+/** Answers questions of monitors. */
+export default class StatusServer {
+  private constructor(private readonly server: Server) {}
+
+  /**
+   * Creates a server that listens.
+   *
+   * @example
+   * await StatusServer.create({ listen, answer: () => READY, onError });
+   */
+  static async create({ listen, answer, onError }: StatusServerOptions): Promise<StatusServer> {
+    const server = createServer((request, response) => {
+      const { status, contentType, body } = answer(request.url ?? '');
+      response.writeHead(status, {
+        'content-type': contentType,
+        'content-length': Buffer.byteLength(body),
+      });
+      response.end(body);
+    });
+    server.on('error', onError);
+    await new Promise<void>((resolve) => {
+      server.listen(listen.port, listen.host, resolve);
+    });
+    return new StatusServer(server);
+  }
+
+  /** Stops listening and closes every connection. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway-io/src/peer-schema.ts
@@ -0,0 +1,71 @@
+/** @module Checks messages of other processes. */
+import { PeerMessageKind, PeerRole, type PeerMessage } from '@ebonysill/gateway';
+import { z } from 'zod';
+
+const member = z.object({
+  name: z.string(),
+  role: z.enum(PeerRole),
+  address: z.string(),
+  availabilityZone: z.string(),
+});
+
+const placement = z.array(z.array(z.array(z.number())));
+
+const group = { groupName: z.string(), epoch: z.number() };
+
+const schema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(PeerMessageKind.Hello), member }),
+  z.object({ kind: z.literal(PeerMessageKind.Members), members: z.array(member) }),
+  z.object({
+    kind: z.literal(PeerMessageKind.Load),
+    counts: z.array(z.object({ instanceId: z.string(), count: z.number() })),
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.RankState),
+    ...group,
+    rank: z.number(),
+    rankCount: z.number(),
+    isOpen: z.boolean(),
+    step: z.number(),
+    mapVersion: z.number(),
+    preparedVersion: z.number(),
+    armedVersion: z.number(),
+    heldStep: z.number(),
+    pace: z.number(),
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.Counts),
+    ...group,
+    layerSet: z.number(),
+    counts: z.array(z.number()),
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.PrepareMap),
+    ...group,
+    version: z.number(),
+    placement,
+  }),
+  z.object({
+    kind: z.enum([PeerMessageKind.HoldStep, PeerMessageKind.ReleaseStep]),
+    ...group,
+    step: z.number(),
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.ArmMap),
+    ...group,
+    version: z.number(),
+    step: z.number(),
+  }),
+  z.object({ kind: z.literal(PeerMessageKind.DisarmMap), ...group, version: z.number() }),
+]);
+
+/**
+ * Reads a message; undefined when it is none.
+ *
+ * @example
+ * parsePeerMessage(unpack(datagram))?.kind;
+ */
+export const parsePeerMessage = (value: unknown): PeerMessage | undefined => {
+  const result = schema.safeParse(value);
+  return result.success ? result.data : undefined;
+};
--- /dev/null
+++ b/packages/gateway/src/TimerKind.ts
@@ -0,0 +1,17 @@
+/** @module Kinds of timers. */
+
+/** What a timer is for. */
+enum TimerKind {
+  RequestDeadline = 'request-deadline',
+  ResumeDelay = 'resume-delay',
+  StoreRetry = 'store-retry',
+  LapseCheck = 'lapse-check',
+  Membership = 'membership',
+  LoadSpread = 'load-spread',
+  DrainEnd = 'drain-end',
+  RankReport = 'rank-report',
+  ExpertCount = 'expert-count',
+  MapChange = 'map-change',
+}
+
+export default TimerKind;
--- /dev/null
+++ b/packages/gateway/src/admission-service.ts
@@ -0,0 +1,87 @@
+/**
+ * @module Limits how many streams run at once.
+ *
+ * The more streams run in a group, the longer each of its passes lasts, for all of them. Every
+ * gateway sees the length of the passes in the pauses of its own streams, so each can stop
+ * admitting before the pauses exceed the objective, without asking the others.
+ */
+import { createInstance } from '@ebonysill/kernel';
+import {
+  AdmissionVerdict,
+  ServiceName,
+  type AdmissionResult,
+  type Registration,
+} from './directory.js';
+import PassMeter from './PassMeter.js';
+import type { Route } from './published.js';
+import type { Runtime } from './runtime.js';
+
+/** Part of the pause objective at which nothing more is admitted; passes vary by about a fifth. */
+const PAUSE_HEADROOM = 0.8;
+
+/** Streams that a gateway may run whatever the passes take, so that it keeps seeing them. */
+const MIN_STREAMS = 1;
+
+/** Streams admitted while the length of a pass is unknown. */
+const BLIND_STREAMS = 4;
+
+/** When a refused caller may come back: about the time in which the first streams end. */
+const RETRY_AFTER_MS = 200;
+
+/** Judges streams by the length of passes. */
+class AdmissionService {
+  readonly #running = new Map<string, number>();
+
+  readonly #meters = new Map<string, PassMeter>();
+
+  private constructor(private readonly runtime: Runtime) {}
+
+  static create(runtime: Runtime): AdmissionService {
+    return new AdmissionService(runtime);
+  }
+
+  readonly judge = ({ maxPauseMs }: Route, service: string): AdmissionResult => {
+    const runningCount = this.#running.get(service) ?? 0;
+    const passMs = this.#meters.get(service)?.estimateMs() ?? 0;
+    const isAdmitted =
+      maxPauseMs === 0 ||
+      runningCount < MIN_STREAMS ||
+      (passMs === 0 ? runningCount < BLIND_STREAMS : passMs < maxPauseMs * PAUSE_HEADROOM);
+    return {
+      verdict: isAdmitted ? AdmissionVerdict.Admitted : AdmissionVerdict.Refused,
+      retryAfterMs: RETRY_AFTER_MS,
+      runningCount,
+      passMs,
+    };
+  };
+
+  readonly started = (service: string, isStream: boolean): void => {
+    if (isStream) {
+      this.#running.set(service, (this.#running.get(service) ?? 0) + 1);
+    }
+  };
+
+  readonly ended = (service: string, isStream: boolean): void => {
+    if (isStream) {
+      this.#running.set(service, Math.max(0, (this.#running.get(service) ?? 0) - 1));
+    }
+  };
+
+  readonly notePause = (service: string, pauseMs: number): void => {
+    const meter = this.#meters.get(service) ?? PassMeter.create(this.runtime.nowMs);
+    this.#meters.set(service, meter);
+    meter.note(pauseMs);
+  };
+}
+
+/**
+ * Registers the service that limits streams.
+ *
+ * @example
+ * const services = [admissionRegistration(runtime)];
+ */
+export const admissionRegistration = (runtime: Runtime): Registration<ServiceName.Admission> => ({
+  name: ServiceName.Admission,
+  requires: [],
+  create: () => createInstance(AdmissionService.create(runtime), {}),
+});
--- /dev/null
+++ b/packages/gateway/src/choose-target.ts
@@ -0,0 +1,48 @@
+/** @module Chooses the target of a request. */
+import type { LoadsApi } from './directory.js';
+import type { PublishedTarget } from './published.js';
+
+/** What a choice is made from. */
+export interface TargetChoice {
+  readonly candidates: readonly PublishedTarget[];
+  readonly loads: LoadsApi;
+  readonly availabilityZone: string;
+  readonly random: () => number;
+}
+
+/** Chooses one of the candidates; undefined when all are full. */
+export type ChooseTarget = (choice: TargetChoice) => PublishedTarget | undefined;
+
+/** Extra load at which a target in another zone is as good; it decides between equals only. */
+const OTHER_ZONE_COST = 0.05;
+
+/** Spread of equal costs, so that gateways with the same knowledge choose differently. */
+const JITTER_COST = 0.3;
+
+/**
+ * The target with the least work in progress that still has a free slot.
+ *
+ * @example
+ * chooseLeastLoaded({ candidates, loads, availabilityZone: 'zone-a', random });
+ */
+export const chooseLeastLoaded: ChooseTarget = ({
+  candidates,
+  loads,
+  availabilityZone,
+  random,
+}) => {
+  const costed = candidates
+    .map((target) => ({ target, count: loads.countAt(target.instanceId) }))
+    .filter(({ target, count }) => count < target.slots)
+    .map(({ target, count }) => ({
+      target,
+      cost:
+        count +
+        random() * JITTER_COST +
+        (target.availabilityZone === availabilityZone ? 0 : OTHER_ZONE_COST),
+    }));
+  return costed.reduce<(typeof costed)[number] | undefined>(
+    (best, one) => (best === undefined || one.cost < best.cost ? one : best),
+    undefined,
+  )?.target;
+};
--- /dev/null
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -0,0 +1,50 @@
+/** @module The services that make up a gateway. */
+import { admissionRegistration } from './admission-service.js';
+import { catalogueRegistration } from './catalogue-service.js';
+import { chooseLeastLoaded, type ChooseTarget } from './choose-target.js';
+import type { AnyRegistration } from './directory.js';
+import { exchangesRegistration } from './exchanges-service.js';
+import { lifecycleRegistration } from './lifecycle-service.js';
+import { loadsRegistration } from './loads-service.js';
+import { membersRegistration } from './members-service.js';
+import type { Member } from './peer-message.js';
+import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
+import type { Runtime } from './runtime.js';
+import { storeRegistration } from './store-service.js';
+import { targetsRegistration } from './targets-service.js';
+
+/** What a gateway is created from. */
+export interface GatewayOptions {
+  readonly runtime: Runtime;
+  readonly self: Member;
+  /** Addresses of other processes to greet first. */
+  readonly seeds: readonly string[];
+  readonly retryBudget: RetryBudgetBound;
+  /** Time between the order to stop and the kill. */
+  readonly graceMs: number;
+  /** How one of several targets is chosen; the least loaded unless told otherwise. */
+  readonly chooseTarget?: ChooseTarget;
+}
+
+/**
+ * Lists the registrations of a gateway's services.
+ *
+ * @example
+ * Kernel.create({ services: createGatewayServices(options), nowMs, perform, onDrained, onBroken });
+ */
+export const createGatewayServices = (options: GatewayOptions): readonly AnyRegistration[] => {
+  const { runtime, self, seeds, retryBudget, graceMs } = options;
+  const { chooseTarget = chooseLeastLoaded } = options;
+  const { availabilityZone } = self;
+  return [
+    storeRegistration(runtime),
+    catalogueRegistration(),
+    targetsRegistration(runtime),
+    membersRegistration({ runtime, self, seeds }),
+    loadsRegistration(runtime),
+    admissionRegistration(runtime),
+    retryBudgetRegistration(runtime, retryBudget),
+    exchangesRegistration({ runtime, availabilityZone, chooseTarget }),
+    lifecycleRegistration({ runtime, graceMs }),
+  ];
+};
--- /dev/null
+++ b/packages/gateway/src/directory.ts
@@ -0,0 +1,148 @@
+/** @module Names and APIs of the services. */
+import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
+import type { Effect } from './effect.js';
+import type { Event } from './event.js';
+import type { Member, PeerRole } from './peer-message.js';
+import type {
+  CallerLimits,
+  Organisation,
+  PublishedService,
+  PublishedTarget,
+  Route,
+} from './published.js';
+
+/** Names by which services find each other. */
+export enum ServiceName {
+  Store = 'store',
+  Catalogue = 'catalogue',
+  Targets = 'targets',
+  Members = 'members',
+  Loads = 'loads',
+  Admission = 'admission',
+  RetryBudget = 'retry-budget',
+  Exchanges = 'exchanges',
+  Lifecycle = 'lifecycle',
+  RankMonitor = 'rank-monitor',
+  GroupDriver = 'group-driver',
+}
+
+/** How far this process's copy of the store can be trusted. */
+export interface StoreApi {
+  /** Whether everything was read at least once. */
+  readonly isLoaded: () => boolean;
+  /** Time since the store last vouched for the copy; infinite before the first read. */
+  readonly ageMs: () => number;
+}
+
+/** The operators' configuration in force. */
+export interface CatalogueApi {
+  /** 0 before the first configuration. */
+  readonly version: () => number;
+  /** Route with the longest prefix that begins the path. */
+  readonly routeOf: (host: string, path: string) => Route | undefined;
+  /** Organisation that holds a credential. */
+  readonly organisationOf: (credential: string) => Organisation | undefined;
+  /** Whether callers need credentials at all. */
+  readonly needsCredentials: () => boolean;
+  readonly serviceOf: (name: string) => PublishedService | undefined;
+  readonly limits: () => CallerLimits | undefined;
+}
+
+/** The targets that may be used. */
+export interface TargetsApi {
+  /** Targets of a service that take new work, outside zones taken out. */
+  readonly usable: (service: string) => readonly PublishedTarget[];
+  /** Time for which a target stays cold; 0 when it is warm. */
+  readonly coldMsLeft: (instanceId: string) => number;
+}
+
+/** Other processes of the system. */
+export interface MembersApi {
+  readonly self: Member;
+  /** Members of a role that were heard lately, this process not among them. */
+  readonly others: (role: PeerRole) => readonly Member[];
+}
+
+/** Requests in progress by target, over all gateways. */
+export interface LoadsApi {
+  readonly started: (instanceId: string) => void;
+  readonly ended: (instanceId: string) => void;
+  /** Requests at a target, as far as known. */
+  readonly countAt: (instanceId: string) => number;
+  /** Requests of this gateway at a target. */
+  readonly ownCountAt: (instanceId: string) => number;
+}
+
+/** Whether a request may start, and if not, when to come back. */
+export enum AdmissionVerdict {
+  Admitted = 'admitted',
+  Refused = 'refused',
+}
+
+/** Judgement on one request. */
+export interface AdmissionResult {
+  readonly verdict: AdmissionVerdict;
+  readonly retryAfterMs: number;
+  readonly runningCount: number;
+  /** Pass time that the judgement was made on; 0 when unknown. */
+  readonly passMs: number;
+}
+
+/** Limits what runs at once. */
+export interface AdmissionApi {
+  readonly judge: (route: Route, service: string) => AdmissionResult;
+  readonly started: (service: string, isStream: boolean) => void;
+  readonly ended: (service: string, isStream: boolean) => void;
+  /** Notes the pause before an event of a running stream. */
+  readonly notePause: (service: string, pauseMs: number) => void;
+}
+
+/** Limits what is sent more than once. */
+export interface RetryBudgetApi {
+  /** Counts a request that callers sent for a service. */
+  readonly noteRequest: (service: string) => void;
+  /** Takes one repetition out of the budget; false when it is spent. */
+  readonly take: (service: string) => boolean;
+}
+
+/** Whether the process is ready for new connections. */
+export interface LifecycleApi {
+  readonly isReady: () => boolean;
+  readonly isDraining: () => boolean;
+  /** Begins the drain. */
+  readonly drain: () => readonly Effect[];
+}
+
+/** Exchanges in progress. */
+export interface ExchangesApi {
+  readonly openCount: () => number;
+}
+
+/** Every service's API by name. */
+export interface Directory {
+  readonly [ServiceName.Store]: StoreApi;
+  readonly [ServiceName.Catalogue]: CatalogueApi;
+  readonly [ServiceName.Targets]: TargetsApi;
+  readonly [ServiceName.Members]: MembersApi;
+  readonly [ServiceName.Loads]: LoadsApi;
+  readonly [ServiceName.Admission]: AdmissionApi;
+  readonly [ServiceName.RetryBudget]: RetryBudgetApi;
+  readonly [ServiceName.Exchanges]: ExchangesApi;
+  readonly [ServiceName.Lifecycle]: LifecycleApi;
+  readonly [ServiceName.RankMonitor]: object;
+  readonly [ServiceName.GroupDriver]: object;
+}
+
+/** Finds a service of this system by name. */
+export type FindService = Find<Directory>;
+
+/** Registration of the service of one name. */
+export type Registration<TName extends ServiceName> = NamedRegistration<
+  Directory,
+  TName,
+  Event,
+  Effect
+>;
+
+/** Registration of any service of this system. */
+export type AnyRegistration = ServiceRegistration<Directory, Event, Effect>;
--- /dev/null
+++ b/packages/gateway/src/effect.ts
@@ -0,0 +1,228 @@
+/** @module Outputs of a process, as data. */
+import type { HeaderField, TargetCall } from './exchange-data.js';
+import type { PeerMessage } from './peer-message.js';
+import type { CallerLimits } from './published.js';
+import type { Order } from './rank-data.js';
+import type { StoreReadKind } from './event.js';
+import type TimerKind from './TimerKind.js';
+
+/** Kind of an effect. */
+export enum EffectKind {
+  StartCall = 'start-call',
+  CancelCall = 'cancel-call',
+  AnswerWhole = 'answer-whole',
+  BeginAnswer = 'begin-answer',
+  ContinueAnswer = 'continue-answer',
+  EndAnswer = 'end-answer',
+  AbortAnswer = 'abort-answer',
+  ReadStore = 'read-store',
+  SetTimer = 'set-timer',
+  ClearTimer = 'clear-timer',
+  SendToPeer = 'send-to-peer',
+  ApplyLimits = 'apply-limits',
+  AskRank = 'ask-rank',
+  CountExperts = 'count-experts',
+  GiveOrder = 'give-order',
+  Log = 'log',
+  Stop = 'stop',
+}
+
+/** Sends a request to a target on a connection of its own. */
+export interface StartCallEffect {
+  readonly kind: EffectKind.StartCall;
+  readonly callId: number;
+  readonly call: TargetCall;
+}
+
+/** Closes the connection of a call. */
+export interface CancelCallEffect {
+  readonly kind: EffectKind.CancelCall;
+  readonly callId: number;
+}
+
+/** Sends a whole answer of known length. */
+export interface AnswerWholeEffect {
+  readonly kind: EffectKind.AnswerWhole;
+  readonly exchangeId: number;
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+  readonly body: readonly Uint8Array[];
+  /** When the caller may come back, for a request that did not run. */
+  readonly retryAfterMs?: number;
+}
+
+/** Begins an answer of unknown length. */
+export interface BeginAnswerEffect {
+  readonly kind: EffectKind.BeginAnswer;
+  readonly exchangeId: number;
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+}
+
+/** Sends the next bytes of an answer. */
+export interface ContinueAnswerEffect {
+  readonly kind: EffectKind.ContinueAnswer;
+  readonly exchangeId: number;
+  readonly data: Uint8Array;
+}
+
+/** Ends an answer as complete. */
+export interface EndAnswerEffect {
+  readonly kind: EffectKind.EndAnswer;
+  readonly exchangeId: number;
+}
+
+/** Closes the caller's connection, so that the answer cannot look complete. */
+export interface AbortAnswerEffect {
+  readonly kind: EffectKind.AbortAnswer;
+  readonly exchangeId: number;
+}
+
+/** Reads one page of the store, or waits for changes. */
+export interface ReadStoreEffect {
+  readonly kind: EffectKind.ReadStore;
+  readonly read: StoreReadKind;
+  /** Key after which the page begins. */
+  readonly afterKey?: string;
+  /** Revision after which changes are wanted. */
+  readonly afterRevision: number;
+  readonly waitMs: number;
+}
+
+/** Starts a timer, replacing one of the same kind and key. */
+export interface SetTimerEffect {
+  readonly kind: EffectKind.SetTimer;
+  readonly timer: TimerKind;
+  readonly key: number;
+  readonly delayMs: number;
+}
+
+/** Stops a timer. */
+export interface ClearTimerEffect {
+  readonly kind: EffectKind.ClearTimer;
+  readonly timer: TimerKind;
+  readonly key: number;
+}
+
+/** Sends a message to another process of the system. */
+export interface SendToPeerEffect {
+  readonly kind: EffectKind.SendToPeer;
+  /** IP address and port. */
+  readonly address: string;
+  readonly message: PeerMessage;
+}
+
+/** Puts the bounds on what callers may send into force. */
+export interface ApplyLimitsEffect {
+  readonly kind: EffectKind.ApplyLimits;
+  readonly limits: CallerLimits;
+}
+
+/** Asks the engine beside this process for its state. */
+export interface AskRankEffect {
+  readonly kind: EffectKind.AskRank;
+}
+
+/** Asks the engine beside this process for its counts of experts. */
+export interface CountExpertsEffect {
+  readonly kind: EffectKind.CountExperts;
+}
+
+/** Gives an order to the engine beside this process. */
+export interface GiveOrderEffect {
+  readonly kind: EffectKind.GiveOrder;
+  readonly orderId: number;
+  readonly order: Order;
+}
+
+/** Weight of a log line. */
+export enum LogLevel {
+  Info = 'info',
+  Warn = 'warn',
+}
+
+/** What a log line is about. */
+export enum LogTopic {
+  Started = 'process started',
+  Draining = 'drain started',
+  Stopped = 'process stopped',
+  ConfigurationApplied = 'configuration applied',
+  ConfigurationStale = 'configuration too old to vouch for',
+  ZoneOut = 'availability zone taken out',
+  ZoneBack = 'availability zone back',
+  TargetAdded = 'target added',
+  TargetChanged = 'target changed',
+  TargetRemoved = 'target removed',
+  ItemUnreadable = 'store item unreadable',
+  StoreLost = 'store lost',
+  StoreRegained = 'store regained',
+  MemberJoined = 'member joined',
+  MemberLost = 'member lost',
+  RequestEnded = 'request ended',
+  CallStarted = 'call started',
+  CallFailed = 'call failed',
+  MapChangeStarted = 'map change started',
+  MapChangeEnded = 'map change ended',
+  OrderAnswered = 'order answered',
+}
+
+/** Facts of a log line. */
+export interface LogFields {
+  readonly requestId?: string;
+  readonly route?: string;
+  readonly service?: string;
+  readonly organisation?: string;
+  readonly instanceId?: string;
+  readonly memberName?: string;
+  readonly zone?: string;
+  readonly status?: number;
+  readonly outcome?: string;
+  readonly reason?: string;
+  readonly attempt?: number;
+  readonly durationMs?: number;
+  readonly firstEventMs?: number;
+  readonly longestPauseMs?: number;
+  readonly version?: number;
+  /** Time since the store last vouched for what this process knows. */
+  readonly knowledgeAgeMs?: number;
+  readonly runningCount?: number;
+  readonly passMs?: number;
+  readonly epoch?: number;
+  readonly step?: number;
+  readonly skew?: number;
+  readonly count?: number;
+  readonly detail?: string;
+}
+
+/** Writes one log line. */
+export interface LogEffect {
+  readonly kind: EffectKind.Log;
+  readonly level: LogLevel;
+  readonly topic: LogTopic;
+  readonly fields: LogFields;
+}
+
+/** Ends the process; nothing is left in progress. */
+export interface StopEffect {
+  readonly kind: EffectKind.Stop;
+}
+
+/** Any output of a process. */
+export type Effect =
+  | StartCallEffect
+  | CancelCallEffect
+  | AnswerWholeEffect
+  | BeginAnswerEffect
+  | ContinueAnswerEffect
+  | EndAnswerEffect
+  | AbortAnswerEffect
+  | ReadStoreEffect
+  | SetTimerEffect
+  | ClearTimerEffect
+  | SendToPeerEffect
+  | ApplyLimitsEffect
+  | AskRankEffect
+  | CountExpertsEffect
+  | GiveOrderEffect
+  | LogEffect
+  | StopEffect;
--- /dev/null
+++ b/packages/gateway/src/event-splitter.ts
@@ -0,0 +1,75 @@
+/** @module Cuts the bytes of an event stream into whole events. */
+import { Buffer } from 'node:buffer';
+
+/** One whole event, with the blank line that ends it. */
+export interface StreamEvent {
+  readonly data: Uint8Array;
+  /** Value of the field `id`; absent when the event has none. */
+  readonly id?: string;
+}
+
+/** Longest event that is waited for; a target that sends more without an end is broken. */
+export const MAX_EVENT_BYTES = 262_144;
+
+const LINE_FEED = 0x0a;
+
+const CARRIAGE_RETURN = 0x0d;
+
+const ID_PATTERN = /^id: ?(.*?)\r?$/m;
+
+const EMPTY = Buffer.alloc(0);
+
+/** Position after the next blank line from `from`, or -1. */
+const findEnd = (bytes: Buffer, from: number): number => {
+  let at = bytes.indexOf(LINE_FEED, from);
+  while (at >= 0) {
+    const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
+    if (bytes[next] === LINE_FEED) {
+      return next + 1;
+    }
+    at = bytes.indexOf(LINE_FEED, at + 1);
+  }
+  return -1;
+};
+
+const toEvent = (data: Buffer): StreamEvent => {
+  const id = ID_PATTERN.exec(data.toString('latin1'))?.[1];
+  return id === undefined ? { data } : { data, id };
+};
+
+/** Holds back the bytes of an event until it is whole. */
+export class EventSplitter {
+  #rest: Buffer = EMPTY;
+
+  private constructor() {}
+
+  /**
+   * Creates a splitter that holds nothing.
+   *
+   * @example
+   * EventSplitter.create().push(Buffer.from('id: 1\ndata: a\n\nid: 2\n')).length; // 1
+   */
+  static create(): EventSplitter {
+    return new EventSplitter();
+  }
+
+  /** Bytes of an event that is not whole yet. */
+  get pendingBytes(): number {
+    return this.#rest.length;
+  }
+
+  /** Takes bytes and returns the events that are whole with them. */
+  push(data: Uint8Array): readonly StreamEvent[] {
+    const bytes = this.#rest.length === 0 ? Buffer.from(data) : Buffer.concat([this.#rest, data]);
+    const events: StreamEvent[] = [];
+    let start = 0;
+    let end = findEnd(bytes, start);
+    while (end >= 0) {
+      events.push(toEvent(bytes.subarray(start, end)));
+      start = end;
+      end = findEnd(bytes, start);
+    }
+    this.#rest = bytes.subarray(start);
+    return events;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/event.ts
@@ -0,0 +1,193 @@
+/** @module Inputs of a process, as data. */
+import type { CallStage, CallerRequest, TargetHead } from './exchange-data.js';
+import type { PeerMessage } from './peer-message.js';
+import type { PublishedConfiguration, PublishedTarget } from './published.js';
+import type TimerKind from './TimerKind.js';
+import type { OrderOutcome, RankReport } from './rank-data.js';
+
+/** Kind of an event. */
+export enum EventKind {
+  RequestReceived = 'request-received',
+  CallerGone = 'caller-gone',
+  TargetHeadReceived = 'target-head-received',
+  TargetDataReceived = 'target-data-received',
+  TargetAnswerEnded = 'target-answer-ended',
+  TargetCallFailed = 'target-call-failed',
+  StoreRead = 'store-read',
+  StoreFailed = 'store-failed',
+  TimerFired = 'timer-fired',
+  PeerMessageReceived = 'peer-message-received',
+  RankReported = 'rank-reported',
+  ExpertsCounted = 'experts-counted',
+  OrderAnswered = 'order-answered',
+}
+
+/** A caller's request was read whole. */
+export interface RequestReceivedEvent {
+  readonly kind: EventKind.RequestReceived;
+  /** Names the exchange within this process. */
+  readonly exchangeId: number;
+  readonly request: CallerRequest;
+}
+
+/** The caller closed its connection before the answer ended. */
+export interface CallerGoneEvent {
+  readonly kind: EventKind.CallerGone;
+  readonly exchangeId: number;
+}
+
+/** A target's answer began. */
+export interface TargetHeadEvent {
+  readonly kind: EventKind.TargetHeadReceived;
+  readonly callId: number;
+  readonly head: TargetHead;
+}
+
+/** Bytes of a target's answer. */
+export interface TargetDataEvent {
+  readonly kind: EventKind.TargetDataReceived;
+  readonly callId: number;
+  readonly data: Uint8Array;
+}
+
+/** A target's answer ended as its framing says. */
+export interface TargetEndEvent {
+  readonly kind: EventKind.TargetAnswerEnded;
+  readonly callId: number;
+}
+
+/** A call ended without a whole answer. */
+export interface TargetCallFailedEvent {
+  readonly kind: EventKind.TargetCallFailed;
+  readonly callId: number;
+  readonly stage: CallStage;
+  /** One plain phrase for the log. */
+  readonly detail: string;
+}
+
+/** What one item of the store says. */
+export enum ItemKind {
+  Configuration = 'configuration',
+  ZoneOut = 'zone-out',
+  Target = 'target',
+  /** An item that could not be read; it names nothing to use. */
+  Unreadable = 'unreadable',
+  Removed = 'removed',
+}
+
+/** Which part of the store an item belongs to. */
+export enum ItemScope {
+  Configuration = 'configuration',
+  Zone = 'zone',
+  Target = 'target',
+}
+
+/** An item of the store that was read or changed. */
+export type StoreItem =
+  | {
+      readonly kind: ItemKind.Configuration;
+      readonly scope: ItemScope.Configuration;
+      readonly configuration: PublishedConfiguration;
+    }
+  | { readonly kind: ItemKind.ZoneOut; readonly scope: ItemScope.Zone; readonly zone: string }
+  | {
+      readonly kind: ItemKind.Target;
+      readonly scope: ItemScope.Target;
+      readonly target: PublishedTarget;
+    }
+  | {
+      readonly kind: ItemKind.Unreadable | ItemKind.Removed;
+      readonly scope: ItemScope;
+      /** Zone name, instance identifier, or empty for the configuration. */
+      readonly id: string;
+      /** Why the item could not be read. */
+      readonly detail?: string;
+    };
+
+/** How a read of the store was asked for. */
+export enum StoreReadKind {
+  /** One page of everything. */
+  Page = 'page',
+  /** Changes since a revision. */
+  Watch = 'watch',
+}
+
+/** The store answered. */
+export interface StoreReadEvent {
+  readonly kind: EventKind.StoreRead;
+  readonly read: StoreReadKind;
+  readonly items: readonly StoreItem[];
+  /** Revision up to which the answer holds. */
+  readonly revision: number;
+  /** Key after which the next page begins; absent on the last page. */
+  readonly nextAfterKey?: string;
+}
+
+/** Why the store gave no answer. */
+export enum StoreFailure {
+  /** The changes asked for are no longer kept. */
+  HistoryGone = 'history-gone',
+  /** The store told this process to come back later. */
+  Refused = 'refused',
+  /** No answer, a reset connection, or one that cannot be read. */
+  Unreachable = 'unreachable',
+}
+
+/** The store gave no answer. */
+export interface StoreFailedEvent {
+  readonly kind: EventKind.StoreFailed;
+  readonly read: StoreReadKind;
+  readonly failure: StoreFailure;
+  readonly detail: string;
+}
+
+/** A timer fired. */
+export interface TimerFiredEvent {
+  readonly kind: EventKind.TimerFired;
+  readonly timer: TimerKind;
+  readonly key: number;
+}
+
+/** Another process of the system sent a message. */
+export interface PeerMessageEvent {
+  readonly kind: EventKind.PeerMessageReceived;
+  /** IP address and port that the message came from. */
+  readonly address: string;
+  readonly message: PeerMessage;
+}
+
+/** The engine beside this process told its state; absent when it did not answer. */
+export interface RankReportedEvent {
+  readonly kind: EventKind.RankReported;
+  readonly report?: RankReport;
+}
+
+/** The engine beside this process told how often its requests chose each expert. */
+export interface ExpertsCountedEvent {
+  readonly kind: EventKind.ExpertsCounted;
+  /** By layer set and expert, since the engine started; absent when it did not answer. */
+  readonly counts?: readonly (readonly number[])[];
+}
+
+/** The engine answered an order, or did not. */
+export interface OrderAnsweredEvent {
+  readonly kind: EventKind.OrderAnswered;
+  readonly orderId: number;
+  readonly outcome: OrderOutcome;
+}
+
+/** Any input of a process. */
+export type Event =
+  | RequestReceivedEvent
+  | CallerGoneEvent
+  | TargetHeadEvent
+  | TargetDataEvent
+  | TargetEndEvent
+  | TargetCallFailedEvent
+  | StoreReadEvent
+  | StoreFailedEvent
+  | TimerFiredEvent
+  | PeerMessageEvent
+  | RankReportedEvent
+  | ExpertsCountedEvent
+  | OrderAnsweredEvent;
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,131 @@
+/** @module One caller's request on its way through this process. */
+import type { CallerRequest, TargetHead } from './exchange-data.js';
+import { EventSplitter } from './event-splitter.js';
+import { CallKind, type Organisation, type PublishedTarget, type Route } from './published.js';
+
+/** How an exchange ended. */
+export enum ExchangeOutcome {
+  /** The target's whole answer was delivered. */
+  Served = 'served',
+  /** It did not run and never will. */
+  Refused = 'refused',
+  /** It may have run; no whole answer was delivered. */
+  Failed = 'failed',
+  /** The caller left. */
+  Abandoned = 'abandoned',
+}
+
+/** Why an exchange ended as it did, or why a call was repeated. */
+export enum ExchangeReason {
+  Answered = 'answered',
+  NotConfigured = 'not-configured',
+  KnowledgeTooOld = 'knowledge-too-old',
+  NoRoute = 'no-route',
+  UnknownCredential = 'unknown-credential',
+  TooManyStreams = 'too-many-streams',
+  NoTarget = 'no-target',
+  TargetsFull = 'targets-full',
+  NotRunByTarget = 'not-run-by-target',
+  TargetUnreachable = 'target-unreachable',
+  TargetFailed = 'target-failed',
+  CallCut = 'call-cut',
+  DeadlinePassed = 'deadline-passed',
+  CallerLeft = 'caller-left',
+}
+
+/** What the exchange was resolved to when it was accepted. */
+export interface Resolution {
+  readonly route: Route;
+  readonly service: string;
+  readonly organisation?: Organisation;
+}
+
+/** Whether a call may reach a second target after it may have run. */
+export const isRepeatable = ({ kind, isResumable }: Route): boolean =>
+  kind === CallKind.Idempotent || (kind === CallKind.Streaming && isResumable);
+
+/** State of one exchange. */
+export class Exchange {
+  /** Calls that may have run or were turned away by a target. */
+  attemptCount = 0;
+
+  /** Calls whose connection could not be opened. */
+  unreachableCount = 0;
+
+  callId: number | undefined;
+
+  target: PublishedTarget | undefined;
+
+  head: TargetHead | undefined;
+
+  readonly body: Uint8Array[] = [];
+
+  /** Whether the head of an answer went to the caller. */
+  isBegun = false;
+
+  /** Whether some target may have run the request. */
+  mayHaveRun = false;
+
+  lastEventId: string | undefined;
+
+  lastEventAtMs: number | undefined;
+
+  firstEventMs: number | undefined;
+
+  longestPauseMs = 0;
+
+  splitter = EventSplitter.create();
+
+  readonly triedIds = new Set<string>();
+
+  private constructor(
+    readonly id: number,
+    readonly request: CallerRequest,
+    readonly resolution: Resolution,
+    readonly receivedAtMs: number,
+  ) {
+    this.lastEventId = request.resumeAfter;
+  }
+
+  /**
+   * Creates an exchange that has called no target yet.
+   *
+   * @example
+   * const exchange = Exchange.create(1, request, { route, service: 'assistant' }, nowMs());
+   */
+  static create(
+    id: number,
+    request: CallerRequest,
+    resolution: Resolution,
+    receivedAtMs: number,
+  ): Exchange {
+    return new Exchange(id, request, resolution, receivedAtMs);
+  }
+
+  /** When the caller or the route stops waiting. */
+  get deadlineAtMs(): number {
+    const { timeoutMs } = this.resolution.route;
+    return this.receivedAtMs + Math.min(timeoutMs, this.request.remainingMs ?? timeoutMs);
+  }
+
+  get isStream(): boolean {
+    return this.resolution.route.kind === CallKind.Streaming;
+  }
+
+  /** Forgets the answer of a call that failed. */
+  resetAnswer(): void {
+    this.head = undefined;
+    this.body.length = 0;
+    this.splitter = EventSplitter.create();
+  }
+
+  /** Notes that an event goes to the caller; returns the pause before it, if there was one. */
+  noteEvent(nowMs: number, id: string | undefined): number | undefined {
+    this.lastEventId = id ?? this.lastEventId;
+    const pauseMs = this.lastEventAtMs === undefined ? undefined : nowMs - this.lastEventAtMs;
+    this.firstEventMs ??= nowMs - this.receivedAtMs;
+    this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs ?? 0);
+    this.lastEventAtMs = nowMs;
+    return pauseMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/exchanges-service.ts
@@ -0,0 +1,541 @@
+/** @module Carries each caller's request to a target and the answer back. */
+import { createInstance } from '@ebonysill/kernel';
+import { clearTimer, log, setTimer } from './build-effects.js';
+import type { ChooseTarget } from './choose-target.js';
+import {
+  AdmissionVerdict,
+  ServiceName,
+  type AdmissionApi,
+  type FindService,
+  type LoadsApi,
+  type Registration,
+  type RetryBudgetApi,
+  type StoreApi,
+  type TargetsApi,
+} from './directory.js';
+import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
+import {
+  EventKind,
+  type Event,
+  type RequestReceivedEvent,
+  type TargetCallFailedEvent,
+} from './event.js';
+import { CallStage, type TargetCall, type TargetHead } from './exchange-data.js';
+import { MAX_EVENT_BYTES, type StreamEvent } from './event-splitter.js';
+import { Exchange, ExchangeOutcome, ExchangeReason, isRepeatable } from './exchange.js';
+import { OwnStatus, ownAnswer } from './own-answers.js';
+import type { PublishedTarget } from './published.js';
+import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
+import type { Runtime } from './runtime.js';
+import TimerKind from './TimerKind.js';
+
+/** What the service is created from. */
+export interface ExchangesOptions {
+  readonly runtime: Runtime;
+  readonly availabilityZone: string;
+  readonly chooseTarget: ChooseTarget;
+}
+
+/** Targets tried in vain for one request before it is refused. */
+const MAX_UNREACHABLE = 3;
+
+/** A target whose connection failed is left out for this long, unless there is no other. */
+const AVOID_MS = 1_000;
+
+/** A call is not repeated when less time than this is left; no target could answer in it. */
+const MIN_REPEAT_MS = 50;
+
+/** When a caller may come back after a refusal for want of a target. */
+const RETRY_AFTER_MS = 250;
+
+/** Statuses that promise that the request did not run. */
+const PROMISE_STATUSES: readonly number[] = [408, 421, 429, 503];
+
+const FIRST_SERVER_ERROR = 500;
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
+/** Handles exchanges. */
+class ExchangesService {
+  readonly #exchanges = new Map<number, Exchange>();
+
+  readonly #exchangeOfCall = new Map<number, Exchange>();
+
+  readonly #avoidUntilMs = new Map<string, number>();
+
+  #nextCallId = 1;
+
+  readonly #check: RequestCheck;
+
+  readonly #store: StoreApi;
+
+  readonly #targets: TargetsApi;
+
+  readonly #loads: LoadsApi;
+
+  readonly #admission: AdmissionApi;
+
+  readonly #budget: RetryBudgetApi;
+
+  private constructor(
+    private readonly options: ExchangesOptions,
+    find: FindService,
+  ) {
+    this.#store = find(ServiceName.Store);
+    this.#targets = find(ServiceName.Targets);
+    this.#loads = find(ServiceName.Loads);
+    this.#admission = find(ServiceName.Admission);
+    this.#budget = find(ServiceName.RetryBudget);
+    this.#check = {
+      catalogue: find(ServiceName.Catalogue),
+      store: this.#store,
+      random: options.runtime.random,
+    };
+  }
+
+  static create(options: ExchangesOptions, find: FindService): ExchangesService {
+    return new ExchangesService(options, find);
+  }
+
+  readonly openCount = (): number => this.#exchanges.size;
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.RequestReceived:
+        return this.#onRequest(event);
+      case EventKind.CallerGone:
+        return this.#onCallerGone(event.exchangeId);
+      case EventKind.TargetHeadReceived:
+        return this.#ofCall(event.callId, (exchange) => this.#onHead(exchange, event.head));
+      case EventKind.TargetDataReceived:
+        return this.#ofCall(event.callId, (exchange) => this.#onData(exchange, event.data));
+      case EventKind.TargetAnswerEnded:
+        return this.#ofCall(event.callId, (exchange) => this.#onEnd(exchange));
+      case EventKind.TargetCallFailed:
+        return this.#ofCall(event.callId, (exchange) => this.#onCallFailed(exchange, event));
+      case EventKind.TimerFired:
+        return event.timer === TimerKind.RequestDeadline ? this.#onDeadline(event.key) : [];
+      default:
+        return [];
+    }
+  }
+
+  /** Events of calls that were given up meanwhile are dropped. */
+  #ofCall(callId: number, answer: (exchange: Exchange) => readonly Effect[]): readonly Effect[] {
+    const exchange = this.#exchangeOfCall.get(callId);
+    return exchange === undefined ? [] : answer(exchange);
+  }
+
+  #onRequest({ exchangeId, request }: RequestReceivedEvent): readonly Effect[] {
+    const { nowMs } = this.options.runtime;
+    const result = checkRequest(this.#check, request);
+    if (result.verdict === CheckVerdict.Denied) {
+      const { status, reason } = result;
+      const retryAfterMs = status === OwnStatus.NotRun ? RETRY_AFTER_MS : undefined;
+      return [
+        ownAnswer(exchangeId, status, reason, retryAfterMs),
+        log(LogLevel.Info, LogTopic.RequestEnded, {
+          requestId: request.attemptId,
+          status,
+          reason,
+          outcome: ExchangeOutcome.Refused,
+          knowledgeAgeMs: this.#knowledgeAgeMs(),
+        }),
+      ];
+    }
+    const exchange = Exchange.create(exchangeId, request, result.resolution, nowMs());
+    this.#budget.noteRequest(result.resolution.service);
+    return this.#admit(exchange);
+  }
+
+  #admit(exchange: Exchange): readonly Effect[] {
+    const { route, service } = exchange.resolution;
+    const { verdict, retryAfterMs } = this.#admission.judge(route, service);
+    this.#exchanges.set(exchange.id, exchange);
+    if (verdict === AdmissionVerdict.Refused) {
+      return this.#refuse(exchange, ExchangeReason.TooManyStreams, retryAfterMs);
+    }
+    const leftMs = Math.max(0, exchange.deadlineAtMs - this.options.runtime.nowMs());
+    return [
+      setTimer(TimerKind.RequestDeadline, exchange.id, leftMs),
+      ...this.#callSome(exchange, ExchangeReason.NoTarget),
+    ];
+  }
+
+  /** Calls a target that has not been tried; refuses or fails the request when there is none. */
+  #callSome(exchange: Exchange, reasonIfNone: ExchangeReason): readonly Effect[] {
+    const target = this.#choose(exchange);
+    return target === undefined
+      ? this.#giveUp(exchange, reasonIfNone)
+      : this.#call(exchange, target);
+  }
+
+  #choose({ resolution, triedIds }: Exchange): PublishedTarget | undefined {
+    const { runtime, availabilityZone, chooseTarget } = this.options;
+    const untried = this.#targets
+      .usable(resolution.service)
+      .filter(({ instanceId }) => !triedIds.has(instanceId));
+    const sound = untried.filter(
+      ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
+    );
+    return chooseTarget({
+      candidates: sound.length > 0 ? sound : untried,
+      loads: this.#loads,
+      availabilityZone,
+      random: runtime.random,
+    });
+  }
+
+  #call(exchange: Exchange, target: PublishedTarget): readonly Effect[] {
+    const callId = this.#nextCallId;
+    this.#nextCallId += 1;
+    exchange.callId = callId;
+    exchange.target = target;
+    exchange.triedIds.add(target.instanceId);
+    exchange.resetAnswer();
+    this.#exchangeOfCall.set(callId, exchange);
+    this.#loads.started(target.instanceId);
+    this.#admission.started(exchange.resolution.service, exchange.isStream);
+    return [{ kind: EffectKind.StartCall, callId, call: this.#buildCall(exchange, target) }];
+  }
+
+  #buildCall(exchange: Exchange, { address, instanceId }: PublishedTarget): TargetCall {
+    const { request, resolution, lastEventId, deadlineAtMs } = exchange;
+    const { organisation } = resolution;
+    return {
+      address,
+      instanceId,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      remainingMs: Math.max(1, Math.floor(deadlineAtMs - this.options.runtime.nowMs())),
+      ...(organisation === undefined ? {} : { organisation: organisation.name }),
+      ...(lastEventId === undefined ? {} : { resumeAfter: lastEventId }),
+    };
+  }
+
+  /** Detaches the exchange from its call. */
+  #endCall(exchange: Exchange): void {
+    const { callId, target, resolution } = exchange;
+    if (callId === undefined || target === undefined) {
+      return;
+    }
+    this.#exchangeOfCall.delete(callId);
+    this.#loads.ended(target.instanceId);
+    this.#admission.ended(resolution.service, exchange.isStream);
+    exchange.callId = undefined;
+  }
+
+  #cancelCall(exchange: Exchange): readonly Effect[] {
+    const { callId } = exchange;
+    this.#endCall(exchange);
+    return callId === undefined ? [] : [{ kind: EffectKind.CancelCall, callId }];
+  }
+
+  #onHead(exchange: Exchange, head: TargetHead): readonly Effect[] {
+    const isStale = head.attemptId !== undefined && head.attemptId !== exchange.request.attemptId;
+    if (isStale) {
+      return [
+        ...this.#cancelCall(exchange),
+        ...this.#afterCut(exchange, ExchangeReason.CallCut, 'the answer is to another request'),
+      ];
+    }
+    exchange.head = head;
+    return [];
+  }
+
+  #onData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
+    const { head, splitter } = exchange;
+    if (head === undefined) {
+      return [];
+    }
+    if (!ExchangesService.#isLiveStream(head)) {
+      exchange.body.push(data);
+      return [];
+    }
+    const events = splitter.push(data);
+    if (splitter.pendingBytes > MAX_EVENT_BYTES) {
+      return [
+        ...this.#cancelCall(exchange),
+        ...this.#afterCut(exchange, ExchangeReason.CallCut, 'an event never ends'),
+      ];
+    }
+    return events.flatMap((event) => this.#deliverEvent(exchange, head, event));
+  }
+
+  static #isLiveStream({ status, isEventStream, isSigned }: TargetHead): boolean {
+    return isSuccess(status) && isEventStream && isSigned;
+  }
+
+  #deliverEvent(exchange: Exchange, head: TargetHead, event: StreamEvent): readonly Effect[] {
+    const isRepeated =
+      exchange.isBegun && event.id !== undefined && event.id === exchange.lastEventId;
+    if (isRepeated) {
+      return [];
+    }
+    const pauseMs = exchange.noteEvent(this.options.runtime.nowMs(), event.id);
+    if (pauseMs !== undefined) {
+      this.#admission.notePause(exchange.resolution.service, pauseMs);
+    }
+    return [
+      ...ExchangesService.#begin(exchange, head),
+      { kind: EffectKind.ContinueAnswer, exchangeId: exchange.id, data: event.data },
+    ];
+  }
+
+  /** A stream that goes on at another target keeps the head of its first one. */
+  static #begin(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
+    if (exchange.isBegun) {
+      return [];
+    }
+    exchange.isBegun = true;
+    return [{ kind: EffectKind.BeginAnswer, exchangeId: exchange.id, status, headers }];
+  }
+
+  #onEnd(exchange: Exchange): readonly Effect[] {
+    const { head, splitter } = exchange;
+    this.#endCall(exchange);
+    if (head === undefined) {
+      return this.#afterCut(exchange, ExchangeReason.CallCut, 'an answer without a head');
+    }
+    if (head.isNotRun) {
+      return this.#afterNotRun(exchange, head);
+    }
+    if (!ExchangesService.#isLiveStream(head)) {
+      return this.#onWholeAnswer(exchange, head);
+    }
+    if (splitter.pendingBytes > 0) {
+      return this.#afterCut(exchange, ExchangeReason.CallCut, 'the stream ends within an event');
+    }
+    return [
+      ...ExchangesService.#begin(exchange, head),
+      { kind: EffectKind.EndAnswer, exchangeId: exchange.id },
+      ...this.#end(exchange, ExchangeOutcome.Served, ExchangeReason.Answered, head.status),
+    ];
+  }
+
+  /** An answer that was read whole: delivered, or tried again if a repetition may do better. */
+  #onWholeAnswer(exchange: Exchange, head: TargetHead): readonly Effect[] {
+    const { status, isSigned, headers } = head;
+    exchange.attemptCount += 1;
+    exchange.mayHaveRun = true;
+    if (exchange.isBegun || (isSuccess(status) && !isSigned)) {
+      return this.#afterCut(exchange, ExchangeReason.CallCut, 'not an answer to this request');
+    }
+    const isFailure = status >= FIRST_SERVER_ERROR || PROMISE_STATUSES.includes(status);
+    const repeated = isFailure
+      ? this.#repeat(exchange, ExchangeReason.TargetFailed, `status ${status}`)
+      : undefined;
+    if (repeated !== undefined) {
+      return repeated;
+    }
+    if (PROMISE_STATUSES.includes(status)) {
+      return this.#fail(exchange, ExchangeReason.TargetFailed);
+    }
+    return [
+      {
+        kind: EffectKind.AnswerWhole,
+        exchangeId: exchange.id,
+        status,
+        headers,
+        body: [...exchange.body],
+      },
+      ...this.#end(exchange, ExchangeOutcome.Served, ExchangeReason.Answered, status),
+    ];
+  }
+
+  /** The target proved that it did not run the request, so any kind of call may go elsewhere. */
+  #afterNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
+    exchange.attemptCount += 1;
+    const { route, service } = exchange.resolution;
+    const mayRepeat =
+      exchange.attemptCount <= Math.max(1, route.maxAttempts - 1) &&
+      this.#hasTime(exchange) &&
+      this.#budget.take(service);
+    const line = this.#callFailed(
+      exchange,
+      ExchangeReason.NotRunByTarget,
+      `status ${head.status} from ${head.faultyInstanceId ?? exchange.target?.instanceId ?? ''}`,
+    );
+    return mayRepeat
+      ? [line, ...this.#callSome(exchange, ExchangeReason.NotRunByTarget)]
+      : [line, ...this.#giveUp(exchange, ExchangeReason.NotRunByTarget)];
+  }
+
+  #onCallFailed(
+    exchange: Exchange,
+    { stage, detail }: TargetCallFailedEvent,
+  ): readonly Effect[] {
+    this.#endCall(exchange);
+    if (stage === CallStage.Sent) {
+      exchange.attemptCount += 1;
+      return this.#afterCut(exchange, ExchangeReason.CallCut, detail);
+    }
+    this.#avoid(exchange);
+    exchange.unreachableCount += 1;
+    const line = this.#callFailed(exchange, ExchangeReason.TargetUnreachable, detail);
+    return exchange.unreachableCount < MAX_UNREACHABLE && this.#hasTime(exchange)
+      ? [line, ...this.#callSome(exchange, ExchangeReason.TargetUnreachable)]
+      : [line, ...this.#giveUp(exchange, ExchangeReason.TargetUnreachable)];
+  }
+
+  /** The target may have run the request, and its answer did not come whole. */
+  #afterCut(exchange: Exchange, reason: ExchangeReason, detail: string): readonly Effect[] {
+    exchange.mayHaveRun = true;
+    this.#avoid(exchange);
+    return this.#repeat(exchange, reason, detail) ?? this.#fail(exchange, reason);
+  }
+
+  #avoid({ target }: Exchange): void {
+    if (target !== undefined) {
+      this.#avoidUntilMs.set(target.instanceId, this.options.runtime.nowMs() + AVOID_MS);
+    }
+  }
+
+  /** Calls another target after one that may have run the request; undefined when not allowed. */
+  #repeat(
+    exchange: Exchange,
+    reason: ExchangeReason,
+    detail: string,
+  ): readonly Effect[] | undefined {
+    const { route, service } = exchange.resolution;
+    const mayRepeat =
+      isRepeatable(route) &&
+      exchange.attemptCount < route.maxAttempts &&
+      this.#hasTime(exchange) &&
+      this.#choose(exchange) !== undefined &&
+      this.#budget.take(service);
+    return mayRepeat
+      ? [this.#callFailed(exchange, reason, detail), ...this.#callSome(exchange, reason)]
+      : undefined;
+  }
+
+  #hasTime({ deadlineAtMs }: Exchange): boolean {
+    return deadlineAtMs - this.options.runtime.nowMs() > MIN_REPEAT_MS;
+  }
+
+  #callFailed(exchange: Exchange, reason: ExchangeReason, detail: string): Effect {
+    const { request, target, attemptCount } = exchange;
+    return log(LogLevel.Warn, LogTopic.CallFailed, {
+      requestId: request.attemptId,
+      ...(target === undefined ? {} : { instanceId: target.instanceId }),
+      attempt: attemptCount + exchange.unreachableCount,
+      reason,
+      detail,
+    });
+  }
+
+  #onDeadline(exchangeId: number): readonly Effect[] {
+    const exchange = this.#exchanges.get(exchangeId);
+    if (exchange === undefined) {
+      return [];
+    }
+    const isCalled = exchange.callId !== undefined;
+    exchange.mayHaveRun ||= isCalled;
+    return [
+      ...this.#cancelCall(exchange),
+      ...this.#fail(exchange, ExchangeReason.DeadlinePassed, OwnStatus.Timeout),
+    ];
+  }
+
+  #onCallerGone(exchangeId: number): readonly Effect[] {
+    const exchange = this.#exchanges.get(exchangeId);
+    return exchange === undefined
+      ? []
+      : [
+          ...this.#cancelCall(exchange),
+          ...this.#end(exchange, ExchangeOutcome.Abandoned, ExchangeReason.CallerLeft, 0),
+        ];
+  }
+
+  /** Refuses a request that did not run, and fails one that may have. */
+  #giveUp(exchange: Exchange, reason: ExchangeReason): readonly Effect[] {
+    return exchange.mayHaveRun
+      ? this.#fail(exchange, reason)
+      : this.#refuse(exchange, reason, RETRY_AFTER_MS);
+  }
+
+  #refuse(
+    exchange: Exchange,
+    reason: ExchangeReason,
+    retryAfterMs: number,
+  ): readonly Effect[] {
+    return [
+      ownAnswer(exchange.id, OwnStatus.NotRun, reason, retryAfterMs),
+      ...this.#end(exchange, ExchangeOutcome.Refused, reason, OwnStatus.NotRun),
+    ];
+  }
+
+  #fail(
+    exchange: Exchange,
+    reason: ExchangeReason,
+    status: OwnStatus = OwnStatus.BadGateway,
+  ): readonly Effect[] {
+    const answer: Effect = exchange.isBegun
+      ? { kind: EffectKind.AbortAnswer, exchangeId: exchange.id }
+      : ownAnswer(exchange.id, status, reason);
+    return [answer, ...this.#end(exchange, ExchangeOutcome.Failed, reason, status)];
+  }
+
+  #end(
+    exchange: Exchange,
+    outcome: ExchangeOutcome,
+    reason: ExchangeReason,
+    status: number,
+  ): readonly Effect[] {
+    this.#exchanges.delete(exchange.id);
+    const { request, resolution, target, firstEventMs } = exchange;
+    const { passMs, runningCount } = this.#admission.judge(resolution.route, resolution.service);
+    return [
+      clearTimer(TimerKind.RequestDeadline, exchange.id),
+      log(LogLevel.Info, LogTopic.RequestEnded, {
+        requestId: request.attemptId,
+        route: resolution.route.name,
+        service: resolution.service,
+        ...(target === undefined ? {} : { instanceId: target.instanceId }),
+        status,
+        outcome,
+        reason,
+        attempt: exchange.attemptCount,
+        durationMs: Math.round(this.options.runtime.nowMs() - exchange.receivedAtMs),
+        ...(firstEventMs === undefined ? {} : { firstEventMs: Math.round(firstEventMs) }),
+        longestPauseMs: Math.round(exchange.longestPauseMs),
+        passMs: Math.round(passMs),
+        runningCount,
+        knowledgeAgeMs: this.#knowledgeAgeMs(),
+      }),
+    ];
+  }
+
+  #knowledgeAgeMs(): number {
+    return Math.min(Math.round(this.#store.ageMs()), Number.MAX_SAFE_INTEGER);
+  }
+}
+
+/**
+ * Registers the service that handles exchanges.
+ *
+ * @example
+ * exchangesRegistration({ runtime, availabilityZone: 'zone-a', chooseTarget: chooseLeastLoaded });
+ */
+export const exchangesRegistration = (
+  options: ExchangesOptions,
+): Registration<ServiceName.Exchanges> => ({
+  name: ServiceName.Exchanges,
+  requires: [
+    ServiceName.Store,
+    ServiceName.Catalogue,
+    ServiceName.Targets,
+    ServiceName.Loads,
+    ServiceName.Admission,
+    ServiceName.RetryBudget,
+  ],
+  create: (find) => {
+    const service = ExchangesService.create(options, find);
+    return createInstance(
+      { openCount: service.openCount },
+      { handle: (event) => service.handle(event) },
+    );
+  },
+});
--- /dev/null
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -0,0 +1,116 @@
+/** @module Readiness for new connections, and the drain before the process ends. */
+import { createInstance } from '@ebonysill/kernel';
+import { log, setTimer } from './build-effects.js';
+import {
+  ServiceName,
+  type CatalogueApi,
+  type ExchangesApi,
+  type FindService,
+  type Registration,
+  type StoreApi,
+} from './directory.js';
+import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
+import { EventKind, type Event } from './event.js';
+import type { Runtime } from './runtime.js';
+import TimerKind from './TimerKind.js';
+
+/** What the service is created from. */
+export interface LifecycleOptions {
+  readonly runtime: Runtime;
+  /** Time between the order to stop and the kill. */
+  readonly graceMs: number;
+}
+
+/** Left of the grace period for closing sockets and flushing logs. */
+const STOP_MARGIN_MS = 700;
+
+/** Shortest drain: the balancer stops sending new connections after two missed checks a second. */
+const MIN_DRAIN_MS = 3_500;
+
+/** How often the end of the drain is looked for. */
+const DRAIN_CHECK_MS = 100;
+
+/** Knowledge older than this makes the process take itself out of rotation. */
+const READY_AGE_MS = 3_500;
+
+/** Decides on readiness and the end. */
+class LifecycleService {
+  #drainStartedAtMs: number | undefined;
+
+  readonly #catalogue: CatalogueApi;
+
+  readonly #store: StoreApi;
+
+  readonly #exchanges: ExchangesApi;
+
+  private constructor(
+    private readonly options: LifecycleOptions,
+    find: FindService,
+  ) {
+    this.#catalogue = find(ServiceName.Catalogue);
+    this.#store = find(ServiceName.Store);
+    this.#exchanges = find(ServiceName.Exchanges);
+  }
+
+  static create(options: LifecycleOptions, find: FindService): LifecycleService {
+    return new LifecycleService(options, find);
+  }
+
+  readonly isDraining = (): boolean => this.#drainStartedAtMs !== undefined;
+
+  readonly isReady = (): boolean =>
+    !this.isDraining() &&
+    this.#catalogue.version() > 0 &&
+    (this.#store.ageMs() < READY_AGE_MS || !this.#catalogue.needsCredentials());
+
+  readonly drain = (): readonly Effect[] => {
+    if (this.isDraining()) {
+      return [];
+    }
+    this.#drainStartedAtMs = this.options.runtime.nowMs();
+    return [
+      log(LogLevel.Info, LogTopic.Draining, { count: this.#exchanges.openCount() }),
+      setTimer(TimerKind.DrainEnd, 0, MIN_DRAIN_MS),
+    ];
+  };
+
+  handle(event: Event): readonly Effect[] {
+    return event.kind === EventKind.TimerFired && event.timer === TimerKind.DrainEnd
+      ? this.#checkDrain()
+      : [];
+  }
+
+  /** Callers keep using open connections, so the whole grace period is used while they do. */
+  #checkDrain(): readonly Effect[] {
+    const { runtime, graceMs } = this.options;
+    const drainedMs = runtime.nowMs() - (this.#drainStartedAtMs ?? 0);
+    const openCount = this.#exchanges.openCount();
+    if (drainedMs < graceMs - STOP_MARGIN_MS) {
+      return [setTimer(TimerKind.DrainEnd, 0, DRAIN_CHECK_MS)];
+    }
+    return [
+      log(LogLevel.Info, LogTopic.Stopped, { count: openCount }),
+      { kind: EffectKind.Stop },
+    ];
+  }
+}
+
+/**
+ * Registers the service that decides on readiness.
+ *
+ * @example
+ * lifecycleRegistration({ runtime, graceMs: 8_000 });
+ */
+export const lifecycleRegistration = (
+  options: LifecycleOptions,
+): Registration<ServiceName.Lifecycle> => ({
+  name: ServiceName.Lifecycle,
+  requires: [ServiceName.Catalogue, ServiceName.Store, ServiceName.Exchanges],
+  create: (find) => {
+    const service = LifecycleService.create(options, find);
+    return createInstance(
+      { isReady: service.isReady, isDraining: service.isDraining, drain: service.drain },
+      { handle: (event) => service.handle(event) },
+    );
+  },
+});
--- /dev/null
+++ b/packages/gateway/src/members-service.ts
@@ -0,0 +1,190 @@
+/**
+ * @module Other processes of the system, found by seeds and kept by heartbeats.
+ *
+ * Each process greets a few contacts; a contact answers with the members that it has heard from
+ * itself, so that nobody who has gone is passed on for longer than the expiry.
+ */
+import { createInstance } from '@ebonysill/kernel';
+import { log, sendToPeer, setTimer } from './build-effects.js';
+import { ServiceName, type Registration } from './directory.js';
+import { LogLevel, LogTopic, type Effect } from './effect.js';
+import { EventKind, type Event, type PeerMessageEvent } from './event.js';
+import { PeerMessageKind, PeerRole, type Member } from './peer-message.js';
+import type { Runtime } from './runtime.js';
+import TimerKind from './TimerKind.js';
+
+/** Time between two rounds of heartbeats; 3 contacts at 2 a second stay below 2 KB/s. */
+const HEARTBEAT_INTERVAL_MS = 500;
+
+/** Five missed heartbeats; a lost datagram or a short pause of the process is no loss. */
+const EXPIRY_MS = 2_500;
+
+/** Members that a process was only told of are dropped sooner than their teller would drop them. */
+const HEARSAY_EXPIRY_MS = 2_000;
+
+/** Contacts greeted in each round: as many as there are seeds at most. */
+const CONTACT_COUNT = 3;
+
+const TIMER_KEY = 0;
+
+/** What the service is created from. */
+export interface MembersOptions {
+  readonly runtime: Runtime;
+  readonly self: Member;
+  /** Addresses of processes to greet first; they may be down. */
+  readonly seeds: readonly string[];
+}
+
+interface KnownMember {
+  readonly member: Member;
+  /** When it was last heard itself, or undefined when others told of it. */
+  readonly heardAtMs: number | undefined;
+  readonly expiresAtMs: number;
+}
+
+/** Keeps the list of members. */
+class MembersService {
+  readonly #known = new Map<string, KnownMember>();
+
+  private constructor(private readonly options: MembersOptions) {}
+
+  static create(options: MembersOptions): MembersService {
+    return new MembersService(options);
+  }
+
+  get self(): Member {
+    return this.options.self;
+  }
+
+  readonly others = (role: PeerRole): readonly Member[] => {
+    const nowMs = this.options.runtime.nowMs();
+    return [...this.#known.values()]
+      .filter(({ member, expiresAtMs }) => member.role === role && expiresAtMs > nowMs)
+      .map(({ member }) => member);
+  };
+
+  start(): readonly Effect[] {
+    return this.#greet();
+  }
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.TimerFired:
+        return event.timer === TimerKind.Membership ? [...this.#expire(), ...this.#greet()] : [];
+      case EventKind.PeerMessageReceived:
+        return this.#onMessage(event);
+      default:
+        return [];
+    }
+  }
+
+  #greet(): readonly Effect[] {
+    const hello = { kind: PeerMessageKind.Hello, member: this.options.self } as const;
+    return [
+      setTimer(TimerKind.Membership, TIMER_KEY, HEARTBEAT_INTERVAL_MS),
+      ...this.#contacts().map((address) => sendToPeer(address, hello)),
+    ];
+  }
+
+  /** Seeds first; known gateways, in an order drawn at random, when there are too few. */
+  #contacts(): readonly string[] {
+    const { seeds, self, runtime } = this.options;
+    const known = this.others(PeerRole.Gateway).map(({ address }) => address);
+    const live = seeds.filter((seed) => known.includes(seed));
+    const others = known
+      .filter((address) => !seeds.includes(address))
+      .map((address) => ({ address, rank: runtime.random() }))
+      .sort((left, right) => left.rank - right.rank)
+      .map(({ address }) => address);
+    const preferred = [...live, ...others].slice(0, CONTACT_COUNT);
+    const silentSeeds = seeds.filter((seed) => !live.includes(seed));
+    return [...new Set([...preferred, ...silentSeeds])].filter(
+      (address) => address !== self.address,
+    );
+  }
+
+  #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
+    switch (message.kind) {
+      case PeerMessageKind.Hello:
+        return [...this.#hear(message.member), this.#answer(address, message.member)];
+      case PeerMessageKind.Members:
+        return message.members.flatMap((member) => this.#hearOf(member));
+      default:
+        return [];
+    }
+  }
+
+  #answer(address: string, asking: Member): Effect {
+    const nowMs = this.options.runtime.nowMs();
+    const heard = [...this.#known.values()]
+      .filter(
+        ({ member, heardAtMs }) =>
+          heardAtMs !== undefined && heardAtMs + EXPIRY_MS > nowMs && member.name !== asking.name,
+      )
+      .map(({ member }) => member);
+    return sendToPeer(address, {
+      kind: PeerMessageKind.Members,
+      members: [this.options.self, ...heard],
+    });
+  }
+
+  #hear(member: Member): readonly Effect[] {
+    const nowMs = this.options.runtime.nowMs();
+    const isNew = !this.#known.has(member.name);
+    this.#known.set(member.name, { member, heardAtMs: nowMs, expiresAtMs: nowMs + EXPIRY_MS });
+    return isNew ? [MembersService.#joined(member)] : [];
+  }
+
+  #hearOf(member: Member): readonly Effect[] {
+    const known = this.#known.get(member.name);
+    if (member.name === this.options.self.name) {
+      return [];
+    }
+    const nowMs = this.options.runtime.nowMs();
+    this.#known.set(member.name, {
+      member,
+      heardAtMs: known?.heardAtMs,
+      expiresAtMs: Math.max(known?.expiresAtMs ?? 0, nowMs + HEARSAY_EXPIRY_MS),
+    });
+    return known === undefined ? [MembersService.#joined(member)] : [];
+  }
+
+  #expire(): readonly Effect[] {
+    const nowMs = this.options.runtime.nowMs();
+    const expired = [...this.#known.values()].filter(({ expiresAtMs }) => expiresAtMs <= nowMs);
+    return expired.map(({ member }) => {
+      this.#known.delete(member.name);
+      return log(LogLevel.Warn, LogTopic.MemberLost, {
+        memberName: member.name,
+        detail: member.role,
+      });
+    });
+  }
+
+  static #joined(member: Member): Effect {
+    return log(LogLevel.Info, LogTopic.MemberJoined, {
+      memberName: member.name,
+      detail: member.role,
+    });
+  }
+}
+
+/**
+ * Registers the service that knows the other processes.
+ *
+ * @example
+ * membersRegistration({ runtime, self, seeds: ['10.1.0.40:7340'] });
+ */
+export const membersRegistration = (
+  options: MembersOptions,
+): Registration<ServiceName.Members> => ({
+  name: ServiceName.Members,
+  requires: [],
+  create: () => {
+    const service = MembersService.create(options);
+    return createInstance(
+      { self: service.self, others: service.others },
+      { start: () => service.start(), handle: (event) => service.handle(event) },
+    );
+  },
+});
--- /dev/null
+++ b/packages/gateway/src/published.ts
@@ -0,0 +1,109 @@
+/** @module What operators and targets publish, decoded. */
+
+/** What may be repeated of a call. */
+export enum CallKind {
+  /** May run any number of times. */
+  Idempotent = 'idempotent',
+  /** May run at most once. */
+  NonIdempotent = 'non-idempotent',
+  /** Answers with a series of events. */
+  Streaming = 'streaming',
+}
+
+/** One of the services that a route leads to. */
+export interface WeightedService {
+  readonly service: string;
+  /** Share of the route's requests, relative to the other weights. */
+  readonly weight: number;
+}
+
+/** Requests of one host and path prefix. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  readonly pathPrefix: string;
+  readonly kind: CallKind;
+  readonly services: readonly WeightedService[];
+  readonly timeoutMs: number;
+  /** Latency objective: to the whole answer, or to the first event of a stream. */
+  readonly objectiveMs: number;
+  /** Longest pause between events of a stream that is still on time. */
+  readonly maxPauseMs: number;
+  readonly maxAttempts: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Whether callers need no credential. */
+  readonly isPublic: boolean;
+  /** Whether a stream can go on at another target after its last delivered event. */
+  readonly isResumable: boolean;
+}
+
+/** Sizes and speeds of an engine, as published with its service. */
+export interface EngineProfile {
+  readonly slots: number;
+  readonly stepsPerPass: number;
+  readonly stepMs: number;
+  readonly perSequenceMs: number;
+  readonly readTokensPerSecond: number;
+  readonly expertFraction: number;
+  readonly layerSetCount: number;
+  readonly expertCount: number;
+  /** Experts that one rank holds in each set of layers at most. */
+  readonly placesPerRank: number;
+  /** Experts of one set that may be new to a rank in one change. */
+  readonly spareCapacity: number;
+  readonly expertSizeMb: number;
+}
+
+/** A service and how its targets are to be treated. */
+export interface PublishedService {
+  readonly name: string;
+  readonly healthPath: string;
+  /** Requests per second that a cold target tolerates; 0 for no bound. */
+  readonly coldPerSecond: number;
+  readonly engine?: EngineProfile;
+}
+
+/** An organisation and its credentials. */
+export interface Organisation {
+  readonly name: string;
+  readonly credentials: readonly string[];
+  readonly priority?: number;
+}
+
+/** Bounds on what a caller may send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** One version of the operators' configuration. */
+export interface PublishedConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly PublishedService[];
+  readonly organisations: readonly Organisation[];
+  readonly limits: CallerLimits;
+}
+
+/** Whether a target takes new work. */
+export enum TargetPhase {
+  Available = 'available',
+  Leaving = 'leaving',
+}
+
+/** A target as it published itself. */
+export interface PublishedTarget {
+  /** Identifies one incarnation, unless the target starts again under the same identifier. */
+  readonly instanceId: string;
+  readonly service: string;
+  /** IP address and port. */
+  readonly address: string;
+  readonly availabilityZone: string;
+  readonly slots: number;
+  readonly phase: TargetPhase;
+  /** Time for which the target stays cold; 0 when it is warm. */
+  readonly coldRemainingMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/rank-data.ts
@@ -0,0 +1,73 @@
+/** @module State of an engine that is a rank of a group, and the orders that change it. */
+
+/** Experts that each rank holds, by layer set and rank. */
+export type RankPlacement = readonly (readonly (readonly number[])[])[];
+
+/** State of one rank. */
+export interface RankReport {
+  readonly groupName: string;
+  /** Counts the times that the group has formed. */
+  readonly epoch: number;
+  readonly rank: number;
+  readonly rankCount: number;
+  readonly isOpen: boolean;
+  /** Last pass that was begun. */
+  readonly step: number;
+  /** Version of the map in use. */
+  readonly mapVersion: number;
+  /** Version whose experts are copied, or 0. */
+  readonly preparedVersion: number;
+  /** Version that takes effect at a later pass, or 0. */
+  readonly armedVersion: number;
+  /** Pass that does not begin before it is released, or 0. */
+  readonly heldStep: number;
+  readonly runningCount: number;
+  readonly waitingCount: number;
+  /** Over 1 when the engine is slow. */
+  readonly pace: number;
+}
+
+/** What an order does. */
+export enum OrderKind {
+  /** Copies the experts of a new map. */
+  Prepare = 'prepare',
+  /** Puts a prepared map into effect as a pass begins. */
+  Arm = 'arm',
+  /** Takes back an arm order. */
+  Disarm = 'disarm',
+  /** Stops the group before a pass. */
+  Hold = 'hold',
+  /** Lets a held pass begin. */
+  Release = 'release',
+}
+
+/** An order to an engine. */
+export type Order =
+  | {
+      readonly kind: OrderKind.Prepare;
+      readonly epoch: number;
+      readonly version: number;
+      readonly placement: RankPlacement;
+    }
+  | {
+      readonly kind: OrderKind.Arm;
+      readonly epoch: number;
+      readonly version: number;
+      readonly step: number;
+    }
+  | { readonly kind: OrderKind.Disarm; readonly epoch: number; readonly version: number }
+  | {
+      readonly kind: OrderKind.Hold | OrderKind.Release;
+      readonly epoch: number;
+      readonly step: number;
+    };
+
+/** What became of an order. */
+export enum OrderOutcome {
+  /** It was begun, or the state already held. */
+  Accepted = 'accepted',
+  /** It does not fit the engine's state. */
+  Refused = 'refused',
+  /** No answer: it may have been carried out, or may be later. */
+  Unknown = 'unknown',
+}
--- /dev/null
+++ b/packages/gateway/src/request-check.ts
@@ -0,0 +1,109 @@
+/** @module Decides whether a caller's request is allowed, and what it leads to. */
+import type { CatalogueApi, StoreApi } from './directory.js';
+import type { CallerRequest } from './exchange-data.js';
+import { ExchangeReason, type Resolution } from './exchange.js';
+import { OwnStatus } from './own-answers.js';
+import type { Organisation, Route } from './published.js';
+
+/** Whether a request was resolved. */
+export enum CheckVerdict {
+  Allowed = 'allowed',
+  Denied = 'denied',
+}
+
+/** Outcome of the check. */
+export type CheckResult =
+  | { readonly verdict: CheckVerdict.Allowed; readonly resolution: Resolution }
+  | {
+      readonly verdict: CheckVerdict.Denied;
+      readonly status: OwnStatus;
+      readonly reason: ExchangeReason;
+    };
+
+/** What a request is checked against. */
+export interface RequestCheck {
+  readonly catalogue: CatalogueApi;
+  readonly store: StoreApi;
+  readonly random: () => number;
+}
+
+/**
+ * Knowledge older than this cannot vouch for a credential: it may have been revoked. Operators
+ * allow 5 s from their change; a second is left for the way to the target and its queue.
+ */
+const CREDENTIAL_AGE_MS = 4_000;
+
+/** Knowledge older than this cannot tell that a route or credential does not exist. */
+const DENIAL_AGE_MS = 2_500;
+
+const deny = (status: OwnStatus, reason: ExchangeReason): CheckResult => ({
+  verdict: CheckVerdict.Denied,
+  status,
+  reason,
+});
+
+const TOO_OLD = deny(OwnStatus.NotRun, ExchangeReason.KnowledgeTooOld);
+
+const NO_ROUTE = deny(OwnStatus.NotFound, ExchangeReason.NoRoute);
+
+const NO_ORGANISATION = deny(OwnStatus.Unauthorized, ExchangeReason.UnknownCredential);
+
+const drawService = ({ services }: Route, random: () => number): string | undefined => {
+  const total = services.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random() * total;
+  return services.find(({ weight }) => {
+    left -= weight;
+    return left < 0;
+  })?.service;
+};
+
+const allow = (
+  { random }: RequestCheck,
+  route: Route,
+  organisation: Organisation | undefined,
+): CheckResult => {
+  const service = drawService(route, random);
+  return service === undefined
+    ? deny(OwnStatus.NotRun, ExchangeReason.NoTarget)
+    : {
+        verdict: CheckVerdict.Allowed,
+        resolution: { route, service, ...(organisation === undefined ? {} : { organisation }) },
+      };
+};
+
+const checkCredential = (
+  check: RequestCheck,
+  route: Route,
+  credential: string | undefined,
+): CheckResult => {
+  const ageMs = check.store.ageMs();
+  if (ageMs > CREDENTIAL_AGE_MS) {
+    return TOO_OLD;
+  }
+  const organisation =
+    credential === undefined ? undefined : check.catalogue.organisationOf(credential);
+  if (organisation === undefined) {
+    return ageMs > DENIAL_AGE_MS ? TOO_OLD : NO_ORGANISATION;
+  }
+  return allow(check, route, organisation);
+};
+
+/**
+ * Resolves a request to a route, a service and an organisation.
+ *
+ * @example
+ * checkRequest({ catalogue, store, random }, request).verdict;
+ */
+export const checkRequest = (check: RequestCheck, request: CallerRequest): CheckResult => {
+  const { catalogue, store } = check;
+  if (catalogue.version() === 0) {
+    return deny(OwnStatus.NotRun, ExchangeReason.NotConfigured);
+  }
+  const route = catalogue.routeOf(request.host, request.path);
+  if (route === undefined) {
+    return store.ageMs() > DENIAL_AGE_MS ? TOO_OLD : NO_ROUTE;
+  }
+  return route.isPublic || !catalogue.needsCredentials()
+    ? allow(check, route, undefined)
+    : checkCredential(check, route, request.credential);
+};
--- /dev/null
+++ b/packages/gateway/src/retry-budget-service.ts
@@ -0,0 +1,89 @@
+/** @module Limits what is sent to a second target, so that the fleet keeps the operators' bound. */
+import { createInstance } from '@ebonysill/kernel';
+import { ServiceName, type FindService, type Registration } from './directory.js';
+import GatewayShare from './GatewayShare.js';
+import type { Runtime } from './runtime.js';
+import SlidingCounter from './SlidingCounter.js';
+
+/** The bound that all gateways together keep. */
+export interface RetryBudgetBound {
+  /** Repetitions for each request. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Repetitions allowed besides, over the whole fleet. */
+  readonly extraCount: number;
+}
+
+/** Part of the bound that is used; the rest covers requests that were counted late or elsewhere. */
+const SAFETY_FACTOR = 0.75;
+
+interface ServiceCounters {
+  readonly requests: SlidingCounter;
+  readonly repetitions: SlidingCounter;
+}
+
+/** Counts requests and repetitions by service. */
+class RetryBudgetService {
+  readonly #counters = new Map<string, ServiceCounters>();
+
+  readonly #share: GatewayShare;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    private readonly bound: RetryBudgetBound,
+    find: FindService,
+  ) {
+    this.#share = GatewayShare.create(find(ServiceName.Members));
+  }
+
+  static create(runtime: Runtime, bound: RetryBudgetBound, find: FindService): RetryBudgetService {
+    return new RetryBudgetService(runtime, bound, find);
+  }
+
+  readonly noteRequest = (service: string): void => {
+    this.#countersOf(service).requests.add();
+  };
+
+  readonly take = (service: string): boolean => {
+    const { requests, repetitions } = this.#countersOf(service);
+    const { ratio, extraCount } = this.bound;
+    const allowed = ratio * requests.count() + this.#share.of(extraCount);
+    if (repetitions.count() + 1 > allowed * SAFETY_FACTOR) {
+      return false;
+    }
+    repetitions.add();
+    return true;
+  };
+
+  #countersOf(service: string): ServiceCounters {
+    const known = this.#counters.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const { nowMs } = this.runtime;
+    const counters = {
+      requests: SlidingCounter.create(this.bound.windowMs, nowMs),
+      repetitions: SlidingCounter.create(this.bound.windowMs, nowMs),
+    };
+    this.#counters.set(service, counters);
+    return counters;
+  }
+}
+
+/**
+ * Registers the service that limits repetitions.
+ *
+ * @example
+ * retryBudgetRegistration(runtime, { ratio: 0.2, windowMs: 10_000, extraCount: 184 });
+ */
+export const retryBudgetRegistration = (
+  runtime: Runtime,
+  bound: RetryBudgetBound,
+): Registration<ServiceName.RetryBudget> => ({
+  name: ServiceName.RetryBudget,
+  requires: [ServiceName.Members],
+  create: (find) => {
+    const service = RetryBudgetService.create(runtime, bound, find);
+    return createInstance({ noteRequest: service.noteRequest, take: service.take }, {});
+  },
+});
--- /dev/null
+++ b/packages/gateway/src/store-service.ts
@@ -0,0 +1,179 @@
+/**
+ * @module Keeps this process's copy of the store current.
+ *
+ * Everything is read page by page, then changes are waited for from the revision of the first
+ * page. A watch that is answered, with changes or without, vouches for the copy.
+ */
+import { createInstance } from '@ebonysill/kernel';
+import { log, setTimer } from './build-effects.js';
+import { ServiceName, type Registration } from './directory.js';
+import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
+import {
+  EventKind,
+  StoreFailure,
+  StoreReadKind,
+  type Event,
+  type StoreFailedEvent,
+  type StoreReadEvent,
+} from './event.js';
+import type { Runtime } from './runtime.js';
+import TimerKind from './TimerKind.js';
+
+/** Wait of one watch; a watch that stays silent longer shows a dead connection. */
+const WATCH_WAIT_MS = 1_500;
+
+/** Shortest pause after a failure; with the jitter it keeps 30 processes far below the store's rate. */
+const RETRY_BASE_MS = 120;
+
+/** Jitter on the pause after a failure, so that processes spread out. */
+const RETRY_JITTER_MS = 200;
+
+/** Fastest pace of watches while many items change; bounds the calls during a storm of changes. */
+const MIN_WATCH_GAP_MS = 60;
+
+const TIMER_KEY = 0;
+
+/** Reads and watches the store. */
+class StoreService {
+  #isLoaded = false;
+
+  #revision = 0;
+
+  #firstPageRevision: number | undefined;
+
+  #vouchedAtMs = Number.NEGATIVE_INFINITY;
+
+  #vouchedAtSuspendAwareMs = Number.NEGATIVE_INFINITY;
+
+  #isLost = false;
+
+  #askedAtMs = 0;
+
+  private constructor(private readonly runtime: Runtime) {}
+
+  static create(runtime: Runtime): StoreService {
+    return new StoreService(runtime);
+  }
+
+  readonly isLoaded = (): boolean => this.#isLoaded;
+
+  readonly ageMs = (): number =>
+    Math.max(
+      this.runtime.nowMs() - this.#vouchedAtMs,
+      this.runtime.suspendAwareMs() - this.#vouchedAtSuspendAwareMs,
+    );
+
+  start(): readonly Effect[] {
+    return this.#readPages(undefined);
+  }
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.StoreRead:
+        return event.read === StoreReadKind.Page ? this.#onPage(event) : this.#onWatch(event);
+      case EventKind.StoreFailed:
+        return this.#onFailed(event);
+      case EventKind.TimerFired:
+        return event.timer === TimerKind.StoreRetry ? this.#retry() : [];
+      default:
+        return [];
+    }
+  }
+
+  #readPages(afterKey: string | undefined): readonly Effect[] {
+    this.#askedAtMs = this.runtime.nowMs();
+    return [
+      {
+        kind: EffectKind.ReadStore,
+        read: StoreReadKind.Page,
+        afterRevision: 0,
+        waitMs: 0,
+        ...(afterKey === undefined ? {} : { afterKey }),
+      },
+    ];
+  }
+
+  #watch(): readonly Effect[] {
+    this.#askedAtMs = this.runtime.nowMs();
+    return [
+      {
+        kind: EffectKind.ReadStore,
+        read: StoreReadKind.Watch,
+        afterRevision: this.#revision,
+        waitMs: WATCH_WAIT_MS,
+      },
+    ];
+  }
+
+  #onPage({ revision, nextAfterKey }: StoreReadEvent): readonly Effect[] {
+    this.#firstPageRevision ??= revision;
+    if (nextAfterKey !== undefined) {
+      return this.#readPages(nextAfterKey);
+    }
+    this.#revision = this.#firstPageRevision;
+    this.#firstPageRevision = undefined;
+    this.#isLoaded = true;
+    return [...this.#vouch(), ...this.#watch()];
+  }
+
+  #onWatch({ revision }: StoreReadEvent): readonly Effect[] {
+    this.#revision = Math.max(this.#revision, revision);
+    const sinceAskedMs = this.runtime.nowMs() - this.#askedAtMs;
+    const regained = this.#vouch();
+    return sinceAskedMs < MIN_WATCH_GAP_MS
+      ? [...regained, setTimer(TimerKind.StoreRetry, TIMER_KEY, MIN_WATCH_GAP_MS - sinceAskedMs)]
+      : [...regained, ...this.#watch()];
+  }
+
+  #vouch(): readonly Effect[] {
+    this.#vouchedAtMs = this.runtime.nowMs();
+    this.#vouchedAtSuspendAwareMs = this.runtime.suspendAwareMs();
+    if (!this.#isLost) {
+      return [];
+    }
+    this.#isLost = false;
+    return [log(LogLevel.Info, LogTopic.StoreRegained, { version: this.#revision })];
+  }
+
+  #onFailed({ failure, read, detail }: StoreFailedEvent): readonly Effect[] {
+    if (failure === StoreFailure.HistoryGone) {
+      this.#isLoaded = false;
+    }
+    if (read === StoreReadKind.Page) {
+      this.#firstPageRevision = undefined;
+    }
+    const delayMs = RETRY_BASE_MS + this.runtime.random() * RETRY_JITTER_MS;
+    return [...this.#noteLost(`${failure}: ${detail}`), setTimer(TimerKind.StoreRetry, 0, delayMs)];
+  }
+
+  #noteLost(detail: string): readonly Effect[] {
+    if (this.#isLost) {
+      return [];
+    }
+    this.#isLost = true;
+    const knowledgeAgeMs = Math.round(this.ageMs());
+    return [log(LogLevel.Warn, LogTopic.StoreLost, { detail, knowledgeAgeMs })];
+  }
+
+  #retry(): readonly Effect[] {
+    return this.#isLoaded ? this.#watch() : this.#readPages(undefined);
+  }
+}
+
+/**
+ * Registers the service that keeps the copy of the store.
+ *
+ * @example
+ * const services = [storeRegistration(runtime), catalogueRegistration()];
+ */
+export const storeRegistration = (runtime: Runtime): Registration<ServiceName.Store> => ({
+  name: ServiceName.Store,
+  requires: [],
+  create: () => {
+    const service = StoreService.create(runtime);
+    return createInstance(
+      { isLoaded: service.isLoaded, ageMs: service.ageMs },
+      { start: () => service.start(), handle: (event) => service.handle(event) },
+    );
+  },
+});
--- /dev/null
+++ b/packages/gateway/src/targets-service.ts
@@ -0,0 +1,239 @@
+/** @module The targets that may be used, from what they publish of themselves. */
+import { createInstance } from '@ebonysill/kernel';
+import { log, setTimer } from './build-effects.js';
+import { ServiceName, type FindService, type Registration, type StoreApi } from './directory.js';
+import { LogLevel, LogTopic, type Effect } from './effect.js';
+import {
+  EventKind,
+  ItemKind,
+  ItemScope,
+  StoreReadKind,
+  type Event,
+  type StoreItem,
+  type StoreReadEvent,
+} from './event.js';
+import { TargetPhase, type PublishedTarget } from './published.js';
+import type { Runtime } from './runtime.js';
+import TimerKind from './TimerKind.js';
+
+/**
+ * Time after a failure of the store in which an entry that vanished may merely have lapsed.
+ * Entries are published anew within about two seconds of the store's return.
+ */
+const LAPSE_GRACE_MS = 2_500;
+
+/** How often lapsed entries are looked at. */
+const LAPSE_CHECK_INTERVAL_MS = 250;
+
+interface KnownTarget {
+  readonly target: PublishedTarget;
+  readonly coldUntilMs: number;
+  /** When the entry counts as gone; undefined while the store holds it. */
+  readonly lapsesAtMs?: number;
+}
+
+/** Follows the published targets and the zones that operators took out. */
+class TargetsService {
+  readonly #known = new Map<string, KnownTarget>();
+
+  readonly #zonesOut = new Set<string>();
+
+  /** Identifiers seen in the pages of the read that is under way. */
+  #seen: Set<string> | undefined;
+
+  #storeFailedAtMs = Number.NEGATIVE_INFINITY;
+
+  readonly #store: StoreApi;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    find: FindService,
+  ) {
+    this.#store = find(ServiceName.Store);
+  }
+
+  static create(runtime: Runtime, find: FindService): TargetsService {
+    return new TargetsService(runtime, find);
+  }
+
+  readonly usable = (service: string): readonly PublishedTarget[] =>
+    [...this.#known.values()]
+      .map(({ target }) => target)
+      .filter(
+        (target) =>
+          target.service === service &&
+          target.phase === TargetPhase.Available &&
+          !this.#zonesOut.has(target.availabilityZone),
+      );
+
+  readonly coldMsLeft = (instanceId: string): number =>
+    Math.max(0, (this.#known.get(instanceId)?.coldUntilMs ?? 0) - this.runtime.nowMs());
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.StoreRead:
+        return this.#onRead(event);
+      case EventKind.StoreFailed:
+        this.#storeFailedAtMs = this.runtime.nowMs();
+        this.#seen = undefined;
+        return [];
+      case EventKind.TimerFired:
+        return event.timer === TimerKind.LapseCheck ? this.#dropLapsed() : [];
+      default:
+        return [];
+    }
+  }
+
+  #onRead({ read, items, nextAfterKey }: StoreReadEvent): readonly Effect[] {
+    if (read === StoreReadKind.Watch) {
+      return items.flatMap((item) => this.#onItem(item));
+    }
+    const seen = this.#seen ?? new Set<string>();
+    this.#seen = seen;
+    items.forEach((item) => seen.add(TargetsService.#keyOf(item)));
+    const effects = items.flatMap((item) => this.#onItem(item));
+    return nextAfterKey === undefined ? [...effects, ...this.#reconcile(seen)] : effects;
+  }
+
+  /** After a whole read, what was not in it has been removed. */
+  #reconcile(seen: ReadonlySet<string>): readonly Effect[] {
+    this.#seen = undefined;
+    const zones = [...this.#zonesOut].filter((zone) => !seen.has(`${ItemScope.Zone}/${zone}`));
+    const targets = [...this.#known.keys()].filter((id) => !seen.has(`${ItemScope.Target}/${id}`));
+    return [
+      ...zones.flatMap((zone) => this.#onZoneBack(zone)),
+      ...targets.flatMap((id) => this.#onRemoved(id)),
+    ];
+  }
+
+  static #keyOf(item: StoreItem): string {
+    switch (item.kind) {
+      case ItemKind.Target:
+        return `${item.scope}/${item.target.instanceId}`;
+      case ItemKind.ZoneOut:
+        return `${item.scope}/${item.zone}`;
+      case ItemKind.Configuration:
+        return item.scope;
+      case ItemKind.Unreadable:
+      case ItemKind.Removed:
+        return `${item.scope}/${item.id}`;
+      default:
+        return item satisfies never;
+    }
+  }
+
+  #onItem(item: StoreItem): readonly Effect[] {
+    switch (item.kind) {
+      case ItemKind.Target:
+        return this.#onPublished(item.target);
+      case ItemKind.ZoneOut:
+        return this.#onZoneOut(item.zone);
+      case ItemKind.Removed:
+        return this.#onGone(item.scope, item.id);
+      case ItemKind.Unreadable:
+        return this.#onUnreadable(item.scope, item.id, item.detail ?? '');
+      default:
+        return [];
+    }
+  }
+
+  #onGone(scope: ItemScope, id: string): readonly Effect[] {
+    switch (scope) {
+      case ItemScope.Zone:
+        return this.#onZoneBack(id);
+      case ItemScope.Target:
+        return this.#onRemoved(id);
+      default:
+        return [];
+    }
+  }
+
+  /** An entry that cannot be read names no target; one that was readable before no longer holds. */
+  #onUnreadable(scope: ItemScope, id: string, detail: string): readonly Effect[] {
+    const line = log(LogLevel.Warn, LogTopic.ItemUnreadable, { instanceId: id, detail });
+    if (scope !== ItemScope.Target) {
+      return [line];
+    }
+    this.#known.delete(id);
+    return [line];
+  }
+
+  #onPublished(target: PublishedTarget): readonly Effect[] {
+    const before = this.#known.get(target.instanceId);
+    const coldUntilMs = this.runtime.nowMs() + target.coldRemainingMs;
+    this.#known.set(target.instanceId, { target, coldUntilMs });
+    const fields = {
+      instanceId: target.instanceId,
+      service: target.service,
+      zone: target.availabilityZone,
+      detail: `${target.phase} at ${target.address}`,
+    };
+    if (before === undefined) {
+      return [log(LogLevel.Info, LogTopic.TargetAdded, fields)];
+    }
+    return before.target.phase === target.phase
+      ? []
+      : [log(LogLevel.Info, LogTopic.TargetChanged, fields)];
+  }
+
+  #onRemoved(id: string): readonly Effect[] {
+    const known = this.#known.get(id);
+    if (known === undefined) {
+      return [];
+    }
+    const mayHaveLapsed =
+      this.runtime.nowMs() - this.#storeFailedAtMs < LAPSE_GRACE_MS &&
+      known.target.phase === TargetPhase.Available;
+    if (!mayHaveLapsed) {
+      return this.#drop(id, 'entry removed');
+    }
+    this.#known.set(id, { ...known, lapsesAtMs: this.runtime.nowMs() + LAPSE_GRACE_MS });
+    return [setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)];
+  }
+
+  #drop(instanceId: string, detail: string): readonly Effect[] {
+    this.#known.delete(instanceId);
+    const knowledgeAgeMs = Math.round(this.#store.ageMs());
+    return [log(LogLevel.Info, LogTopic.TargetRemoved, { instanceId, detail, knowledgeAgeMs })];
+  }
+
+  #dropLapsed(): readonly Effect[] {
+    const nowMs = this.runtime.nowMs();
+    const lapsing = [...this.#known].filter(([, { lapsesAtMs }]) => lapsesAtMs !== undefined);
+    const due = lapsing.filter(([, { lapsesAtMs = 0 }]) => lapsesAtMs <= nowMs);
+    const dropped = due.flatMap(([id]) => this.#drop(id, 'entry did not come back'));
+    return lapsing.length > due.length
+      ? [...dropped, setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)]
+      : dropped;
+  }
+
+  #onZoneOut(zone: string): readonly Effect[] {
+    if (this.#zonesOut.has(zone)) {
+      return [];
+    }
+    this.#zonesOut.add(zone);
+    return [log(LogLevel.Info, LogTopic.ZoneOut, { zone })];
+  }
+
+  #onZoneBack(zone: string): readonly Effect[] {
+    return this.#zonesOut.delete(zone) ? [log(LogLevel.Info, LogTopic.ZoneBack, { zone })] : [];
+  }
+}
+
+/**
+ * Registers the service that follows targets.
+ *
+ * @example
+ * const services = [storeRegistration(runtime), targetsRegistration(runtime)];
+ */
+export const targetsRegistration = (runtime: Runtime): Registration<ServiceName.Targets> => ({
+  name: ServiceName.Targets,
+  requires: [ServiceName.Store],
+  create: (find) => {
+    const service = TargetsService.create(runtime, find);
+    return createInstance(
+      { usable: service.usable, coldMsLeft: service.coldMsLeft },
+      { handle: (event) => service.handle(event) },
+    );
+  },
+});
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -7,6 +7,12 @@
   type EntrySettings,
   type SidecarSettings,
 } from './process-settings.js';
+export {
+  gatewaySettingsSchema,
+  rankAgentSettingsSchema,
+  type GatewaySettings,
+  type RankAgentSettings,
+} from './gateway-settings.js';
 export {
   SettingsVerdict,
   describeProblem,
