feat(rank-agent): change expert maps on all ranks or none by prepare, hold, arm and release

Cause: the most loaded rank had 3.33 times the mean load of experts, and every pass waits for it.

Change: a process beside each rank reads its engine's counts, which are free there, and carries orders out; the agent with the least name plans a placement by local search and drives the change. The driver's own engine holds a pass, all ranks arm the map for it, and the pass is released only after every rank has shown that it is armed.

Ruled out: reading counts from the entry processes (priced, and the group pauses for each read).

--- a/packages/gateway-io/src/peer-schema.ts
+++ b/packages/gateway-io/src/peer-schema.ts
@@ -7,37 +7,50 @@
   role: z.enum(PeerRole),
   address: z.string(),
   availabilityZone: z.string(),
+  serviceName: z.string().optional(),
+  groupName: z.string().optional(),
 });
 
-const placement = z.array(z.array(z.array(z.number())));
+const lists = z.array(z.array(z.number()));
+
+const placement = z.array(lists);
+
+const report = z.object({
+  groupName: z.string(),
+  epoch: z.number(),
+  rank: z.number(),
+  rankCount: z.number(),
+  isOpen: z.boolean(),
+  step: z.number(),
+  mapVersion: z.number(),
+  preparedVersion: z.number(),
+  armedVersion: z.number(),
+  heldStep: z.number(),
+  runningCount: z.number(),
+  waitingCount: z.number(),
+  pace: z.number(),
+});
 
 const group = { groupName: z.string(), epoch: z.number() };
 
 const schema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal(PeerMessageKind.Hello), member }),
   z.object({ kind: z.literal(PeerMessageKind.Members), members: z.array(member) }),
+  z.object({
+    kind: z.literal(PeerMessageKind.EngineLimits),
+    placesPerRank: z.number(),
+    spareCapacity: z.number(),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.Load),
     counts: z.array(z.object({ instanceId: z.string(), count: z.number() })),
   }),
+  z.object({ kind: z.literal(PeerMessageKind.RankState), report }),
   z.object({
-    kind: z.literal(PeerMessageKind.RankState),
-    ...group,
+    kind: z.literal(PeerMessageKind.RankTally),
+    groupName: z.string(),
     rank: z.number(),
-    rankCount: z.number(),
-    isOpen: z.boolean(),
-    step: z.number(),
-    mapVersion: z.number(),
-    preparedVersion: z.number(),
-    armedVersion: z.number(),
-    heldStep: z.number(),
-    pace: z.number(),
-  }),
-  z.object({
-    kind: z.literal(PeerMessageKind.Counts),
-    ...group,
-    layerSet: z.number(),
-    counts: z.array(z.number()),
+    tally: z.object({ epoch: z.number(), counts: lists, mapVersion: z.number(), experts: lists }),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.PrepareMap),
@@ -67,5 +80,5 @@
  */
 export const parsePeerMessage = (value: unknown): PeerMessage | undefined => {
   const result = schema.safeParse(value);
-  return result.success ? result.data : undefined;
+  return result.success ? (result.data as PeerMessage) : undefined;
 };
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -3,6 +3,7 @@
 import { catalogueRegistration } from './catalogue-service.js';
 import { chooseLeastLoaded, type ChooseTarget } from './choose-target.js';
 import type { AnyRegistration } from './directory.js';
+import { engineAdviceRegistration } from './engine-advice-service.js';
 import { exchangesRegistration } from './exchanges-service.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
@@ -42,6 +43,7 @@
     targetsRegistration(runtime),
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration(runtime),
+    engineAdviceRegistration(),
     admissionRegistration(runtime),
     retryBudgetRegistration(runtime, retryBudget),
     exchangesRegistration({ runtime, availabilityZone, chooseTarget }),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -3,6 +3,7 @@
 import type { Effect } from './effect.js';
 import type { Event } from './event.js';
 import type { Member, PeerRole } from './peer-message.js';
+import type { Order, OrderOutcome, RankReport } from './rank-data.js';
 import type {
   CallerLimits,
   Organisation,
@@ -22,6 +23,7 @@
   RetryBudget = 'retry-budget',
   Exchanges = 'exchanges',
   Lifecycle = 'lifecycle',
+  EngineAdvice = 'engine-advice',
   RankMonitor = 'rank-monitor',
   GroupDriver = 'group-driver',
 }
@@ -58,7 +60,9 @@
 
 /** Other processes of the system. */
 export interface MembersApi {
-  readonly self: Member;
+  readonly self: () => Member;
+  /** Makes the group of the engine beside this process known. */
+  readonly joinGroup: (groupName: string) => void;
   /** Members of a role that were heard lately, this process not among them. */
   readonly others: (role: PeerRole) => readonly Member[];
 }
@@ -118,6 +122,17 @@
   readonly openCount: () => number;
 }
 
+/** Takes the outcome of an order and answers with effects. */
+export type OnOrder = (outcome: OrderOutcome) => readonly Effect[];
+
+/** The engine beside this process. */
+export interface RankMonitorApi {
+  /** Latest report; undefined while the engine does not answer. */
+  readonly report: () => RankReport | undefined;
+  /** Gives an order; `onOrder` is called once with its outcome. */
+  readonly order: (order: Order, onOrder: OnOrder) => readonly Effect[];
+}
+
 /** Every service's API by name. */
 export interface Directory {
   readonly [ServiceName.Store]: StoreApi;
@@ -129,7 +144,8 @@
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
   readonly [ServiceName.Exchanges]: ExchangesApi;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
-  readonly [ServiceName.RankMonitor]: object;
+  readonly [ServiceName.EngineAdvice]: object;
+  readonly [ServiceName.RankMonitor]: RankMonitorApi;
   readonly [ServiceName.GroupDriver]: object;
 }
 
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -3,7 +3,7 @@
 import type { PeerMessage } from './peer-message.js';
 import type { PublishedConfiguration, PublishedTarget } from './published.js';
 import type TimerKind from './TimerKind.js';
-import type { OrderOutcome, RankReport } from './rank-data.js';
+import type { OrderOutcome, RankReport, RankTally } from './rank-data.js';
 
 /** Kind of an event. */
 export enum EventKind {
@@ -165,8 +165,8 @@
 /** The engine beside this process told how often its requests chose each expert. */
 export interface ExpertsCountedEvent {
   readonly kind: EventKind.ExpertsCounted;
-  /** By layer set and expert, since the engine started; absent when it did not answer. */
-  readonly counts?: readonly (readonly number[])[];
+  /** Absent when the engine did not answer. */
+  readonly tally?: RankTally;
 }
 
 /** The engine answered an order, or did not. */
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -363,10 +363,7 @@
       : [line, ...this.#giveUp(exchange, ExchangeReason.NotRunByTarget)];
   }
 
-  #onCallFailed(
-    exchange: Exchange,
-    { stage, detail }: TargetCallFailedEvent,
-  ): readonly Effect[] {
+  #onCallFailed(exchange: Exchange, { stage, detail }: TargetCallFailedEvent): readonly Effect[] {
     this.#endCall(exchange);
     if (stage === CallStage.Sent) {
       exchange.attemptCount += 1;
@@ -456,11 +453,7 @@
       : this.#refuse(exchange, reason, RETRY_AFTER_MS);
   }
 
-  #refuse(
-    exchange: Exchange,
-    reason: ExchangeReason,
-    retryAfterMs: number,
-  ): readonly Effect[] {
+  #refuse(exchange: Exchange, reason: ExchangeReason, retryAfterMs: number): readonly Effect[] {
     return [
       ownAnswer(exchange.id, OwnStatus.NotRun, reason, retryAfterMs),
       ...this.#end(exchange, ExchangeOutcome.Refused, reason, OwnStatus.NotRun),
--- a/packages/gateway/src/lifecycle-service.ts
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -88,10 +88,7 @@
     if (drainedMs < graceMs - STOP_MARGIN_MS) {
       return [setTimer(TimerKind.DrainEnd, 0, DRAIN_CHECK_MS)];
     }
-    return [
-      log(LogLevel.Info, LogTopic.Stopped, { count: openCount }),
-      { kind: EffectKind.Stop },
-    ];
+    return [log(LogLevel.Info, LogTopic.Stopped, { count: openCount }), { kind: EffectKind.Stop }];
   }
 }
 
--- a/packages/gateway/src/members-service.ts
+++ b/packages/gateway/src/members-service.ts
@@ -46,15 +46,22 @@
 class MembersService {
   readonly #known = new Map<string, KnownMember>();
 
+  #groupName: string | undefined;
+
   private constructor(private readonly options: MembersOptions) {}
 
   static create(options: MembersOptions): MembersService {
     return new MembersService(options);
   }
 
-  get self(): Member {
-    return this.options.self;
-  }
+  readonly self = (): Member => ({
+    ...this.options.self,
+    ...(this.#groupName === undefined ? {} : { groupName: this.#groupName }),
+  });
+
+  readonly joinGroup = (groupName: string): void => {
+    this.#groupName = groupName;
+  };
 
   readonly others = (role: PeerRole): readonly Member[] => {
     const nowMs = this.options.runtime.nowMs();
@@ -79,7 +86,7 @@
   }
 
   #greet(): readonly Effect[] {
-    const hello = { kind: PeerMessageKind.Hello, member: this.options.self } as const;
+    const hello = { kind: PeerMessageKind.Hello, member: this.self() } as const;
     return [
       setTimer(TimerKind.Membership, TIMER_KEY, HEARTBEAT_INTERVAL_MS),
       ...this.#contacts().map((address) => sendToPeer(address, hello)),
@@ -119,15 +126,26 @@
     const heard = [...this.#known.values()]
       .filter(
         ({ member, heardAtMs }) =>
-          heardAtMs !== undefined && heardAtMs + EXPIRY_MS > nowMs && member.name !== asking.name,
+          heardAtMs !== undefined &&
+          heardAtMs + EXPIRY_MS > nowMs &&
+          MembersService.#concerns(member, asking) &&
+          member.name !== asking.name,
       )
       .map(({ member }) => member);
     return sendToPeer(address, {
       kind: PeerMessageKind.Members,
-      members: [this.options.self, ...heard],
+      members: [this.self(), ...heard],
     });
   }
 
+  /** Gateways concern everybody; agents only those of the same group. */
+  static #concerns(member: Member, asking: Member): boolean {
+    return (
+      member.role === PeerRole.Gateway ||
+      (asking.role === PeerRole.RankAgent && member.groupName === asking.groupName)
+    );
+  }
+
   #hear(member: Member): readonly Effect[] {
     const nowMs = this.options.runtime.nowMs();
     const isNew = !this.#known.has(member.name);
@@ -183,7 +201,7 @@
   create: () => {
     const service = MembersService.create(options);
     return createInstance(
-      { self: service.self, others: service.others },
+      { self: service.self, joinGroup: service.joinGroup, others: service.others },
       { start: () => service.start(), handle: (event) => service.handle(event) },
     );
   },
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -1,5 +1,5 @@
 /** @module Messages between the processes of the system, apart from their encoding. */
-import type { RankPlacement } from './rank-data.js';
+import type { RankPlacement, RankReport, RankTally } from './rank-data.js';
 
 /** Role of a process. */
 export enum PeerRole {
@@ -11,9 +11,10 @@
 export enum PeerMessageKind {
   Hello = 'hello',
   Members = 'members',
+  EngineLimits = 'engine-limits',
   Load = 'load',
   RankState = 'rank-state',
-  Counts = 'counts',
+  RankTally = 'rank-tally',
   PrepareMap = 'prepare-map',
   HoldStep = 'hold-step',
   ArmMap = 'arm-map',
@@ -28,6 +29,10 @@
   /** IP address and port. */
   readonly address: string;
   readonly availabilityZone: string;
+  /** Service of the engine beside an agent. */
+  readonly serviceName?: string;
+  /** Group of the engine beside an agent, once it is known. */
+  readonly groupName?: string;
 }
 
 /** Makes a process known to another one and asks for the members that it knows. */
@@ -42,6 +47,15 @@
   readonly members: readonly Member[];
 }
 
+/** Tells an agent what its engine can hold, as operators published it. */
+export interface EngineLimitsMessage {
+  readonly kind: PeerMessageKind.EngineLimits;
+  /** Experts that one rank holds in each layer set at most. */
+  readonly placesPerRank: number;
+  /** Experts of one layer set that may be new to a rank in one change. */
+  readonly spareCapacity: number;
+}
+
 /** Requests that one gateway has at one target. */
 export interface TargetCount {
   readonly instanceId: string;
@@ -57,26 +71,15 @@
 /** State of a rank, told by the agent beside it. */
 export interface RankStateMessage {
   readonly kind: PeerMessageKind.RankState;
-  readonly groupName: string;
-  readonly epoch: number;
-  readonly rank: number;
-  readonly rankCount: number;
-  readonly isOpen: boolean;
-  readonly step: number;
-  readonly mapVersion: number;
-  readonly preparedVersion: number;
-  readonly armedVersion: number;
-  readonly heldStep: number;
-  readonly pace: number;
+  readonly report: RankReport;
 }
 
-/** Choices of experts in one layer set at one rank since the last message. */
-export interface CountsMessage {
-  readonly kind: PeerMessageKind.Counts;
+/** Choices of experts at one rank since its last message, and the experts that it holds. */
+export interface RankTallyMessage {
+  readonly kind: PeerMessageKind.RankTally;
   readonly groupName: string;
-  readonly epoch: number;
-  readonly layerSet: number;
-  readonly counts: readonly number[];
+  readonly rank: number;
+  readonly tally: RankTally;
 }
 
 /** Asks an agent to have its rank copy the experts of a map. */
@@ -117,9 +120,10 @@
 export type PeerMessage =
   | HelloMessage
   | MembersMessage
+  | EngineLimitsMessage
   | LoadMessage
   | RankStateMessage
-  | CountsMessage
+  | RankTallyMessage
   | PrepareMapMessage
   | StepMessage
   | ArmMapMessage
--- a/packages/gateway/src/rank-data.ts
+++ b/packages/gateway/src/rank-data.ts
@@ -27,6 +27,16 @@
   readonly pace: number;
 }
 
+/** Choices of experts at one rank, and the experts that it holds. */
+export interface RankTally {
+  readonly epoch: number;
+  /** By layer set and expert, since the engine started. */
+  readonly counts: readonly (readonly number[])[];
+  readonly mapVersion: number;
+  /** Experts that the rank holds under that version, by layer set. */
+  readonly experts: readonly (readonly number[])[];
+}
+
 /** What an order does. */
 export enum OrderKind {
   /** Copies the experts of a new map. */
--- /dev/null
+++ b/packages/rank-agent/src/GroupView.ts
@@ -0,0 +1,66 @@
+/** @module What the driver of a group knows of its ranks. */
+import type { RankPlacement, RankReport, RankTally } from '@ebonysill/gateway';
+
+/** A rank as its agent told it. */
+export interface KnownRank {
+  readonly agentAddress: string;
+  readonly report: RankReport;
+  readonly heardAtMs: number;
+}
+
+/** State older than this does not count: three times the interval of unchanged state. */
+const STATE_EXPIRY_MS = 1_400;
+
+/** Collects the states of all ranks of one group. */
+export default class GroupView {
+  readonly #ranks = new Map<number, KnownRank>();
+
+  readonly #tallies = new Map<number, RankTally>();
+
+  private constructor(private readonly nowMs: () => number) {}
+
+  /**
+   * Creates a view without ranks.
+   *
+   * @example
+   * const view = GroupView.create(runtime.nowMs);
+   */
+  static create(nowMs: () => number): GroupView {
+    return new GroupView(nowMs);
+  }
+
+  /** Takes a rank's state. */
+  noteReport(agentAddress: string, report: RankReport): void {
+    this.#ranks.set(report.rank, { agentAddress, report, heardAtMs: this.nowMs() });
+  }
+
+  /** Takes a rank's experts. */
+  noteTally(rank: number, tally: RankTally): void {
+    this.#tallies.set(rank, tally);
+  }
+
+  /** States of all ranks in order; undefined unless all are known, fresh and of one epoch. */
+  complete(): readonly KnownRank[] | undefined {
+    const fresh = [...this.#ranks.values()]
+      .filter(({ heardAtMs }) => this.nowMs() - heardAtMs < STATE_EXPIRY_MS)
+      .sort((left, right) => left.report.rank - right.report.rank);
+    const first = fresh[0]?.report;
+    const isComplete =
+      first !== undefined &&
+      fresh.length === first.rankCount &&
+      fresh.every(({ report }) => report.epoch === first.epoch && report.isOpen);
+    return isComplete ? fresh : undefined;
+  }
+
+  /** The placement in use; undefined unless all ranks told theirs under `mapVersion`. */
+  placement(mapVersion: number, rankCount: number): RankPlacement | undefined {
+    const tallies = Array.from({ length: rankCount }, (_, rank) => this.#tallies.get(rank));
+    const isKnown = tallies.every((tally) => tally?.mapVersion === mapVersion);
+    const setCount = tallies[0]?.experts.length ?? 0;
+    return isKnown && setCount > 0
+      ? Array.from({ length: setCount }, (_, set) =>
+          tallies.map((tally) => tally?.experts[set] ?? []),
+        )
+      : undefined;
+  }
+}
--- /dev/null
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -0,0 +1,506 @@
+/**
+ * @module Drives changes of a group's expert map.
+ *
+ * All ranks prepare the new map. Then the driver has its own engine hold a pass that is a few
+ * passes away, has every rank arm the map for that pass, and releases the pass only after every
+ * rank has shown that it is armed. Since no rank can begin a pass without the others, a hold on one
+ * rank keeps all of them from beginning it with different maps, whatever is lost or late.
+ */
+import {
+  EventKind,
+  LogLevel,
+  LogTopic,
+  OrderKind,
+  OrderOutcome,
+  PeerMessageKind,
+  PeerRole,
+  ServiceName,
+  TimerKind,
+  log,
+  sendToPeer,
+  setTimer,
+  type Effect,
+  type EngineLimitsMessage,
+  type Event,
+  type FindService,
+  type MembersApi,
+  type PeerMessage,
+  type PeerMessageEvent,
+  type RankMonitorApi,
+  type RankPlacement,
+  type RankReport,
+  type Registration,
+  type Runtime,
+} from '@ebonysill/gateway';
+import { createInstance } from '@ebonysill/kernel';
+import GroupView, { type KnownRank } from './GroupView.js';
+import { skewOf } from './placement.js';
+import { planPlacement } from './plan-placement.js';
+import PopularityMeter from './PopularityMeter.js';
+
+/** Time between two looks while nothing is under way. */
+const IDLE_INTERVAL_MS = 250;
+
+/** Time between two looks while a change is under way; a repeated message costs little. */
+const ACTIVE_INTERVAL_MS = 40;
+
+/** Passes between the present one and the one that is held: time for all ranks to arm. */
+const LEAD_PASSES = 4;
+
+/** Preparing copies weights, which takes seconds; longer than this, a rank is in trouble. */
+const PREPARE_TIMEOUT_MS = 15_000;
+
+/** How often a rank that has not prepared is asked again. */
+const PREPARE_REPEAT_MS = 1_000;
+
+/** Pause after a change, so that its effect is in the counts. */
+const SETTLE_MS = 1_000;
+
+/** A change must lower the skew by this part: it costs copies and slower passes meanwhile. */
+const MIN_SKEW_GAIN = 0.06;
+
+/** Choices below which popularity is not known well enough to act. */
+const MIN_CHOICES = 4_000;
+
+/** Experts of one layer set that are new to a rank in one change at most; copies take time. */
+const MAX_NEW_PER_RANK = 2;
+
+/** A pass that stays held without a driver for this long is settled. */
+const ORPHAN_HOLD_MS = 600;
+
+/** Orders without an answer are carried out within this time, if at all. */
+const LATE_ORDER_MS = 12_500;
+
+/** Versions of one driver differ from those of others by the rank that they contain. */
+const VERSION_STRIDE = 1_024;
+
+const TIMER_KEY = 0;
+
+/** How far a change has come. */
+enum DriverPhase {
+  Idle = 'idle',
+  Preparing = 'preparing',
+  Holding = 'holding',
+  Arming = 'arming',
+  Releasing = 'releasing',
+  Aborting = 'aborting',
+}
+
+/** The change that is under way. */
+interface Change {
+  readonly epoch: number;
+  readonly version: number;
+  readonly placement: RankPlacement;
+  readonly startedAtMs: number;
+  step: number;
+  askedAtMs: number;
+  isHoldAsked: boolean;
+}
+
+/** Drives one group when this process is the one to do so. */
+class GroupDriverService {
+  #phase = DriverPhase.Idle;
+
+  #change: Change | undefined;
+
+  #phaseAtMs = 0;
+
+  #settleUntilMs = 0;
+
+  #orphanSinceMs: number | undefined;
+
+  #highestVersion = 0;
+
+  #limits: EngineLimitsMessage | undefined;
+
+  readonly #view: GroupView;
+
+  readonly #popularity: PopularityMeter;
+
+  readonly #members: MembersApi;
+
+  readonly #monitor: RankMonitorApi;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    find: FindService,
+  ) {
+    this.#view = GroupView.create(runtime.nowMs);
+    this.#popularity = PopularityMeter.create(runtime.nowMs);
+    this.#members = find(ServiceName.Members);
+    this.#monitor = find(ServiceName.RankMonitor);
+  }
+
+  static create(runtime: Runtime, find: FindService): GroupDriverService {
+    return new GroupDriverService(runtime, find);
+  }
+
+  start(): readonly Effect[] {
+    return [setTimer(TimerKind.MapChange, TIMER_KEY, IDLE_INTERVAL_MS)];
+  }
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.TimerFired:
+        return event.timer === TimerKind.MapChange ? this.#onTimer() : [];
+      case EventKind.PeerMessageReceived:
+        return this.#onMessage(event);
+      case EventKind.RankReported:
+        return event.report === undefined ? [] : this.#onOwnReport(event.report);
+      case EventKind.ExpertsCounted:
+        if (event.tally !== undefined) {
+          const rank = this.#monitor.report()?.rank ?? 0;
+          this.#view.noteTally(rank, event.tally);
+          this.#popularity.note(rank, event.tally);
+        }
+        return [];
+      default:
+        return [];
+    }
+  }
+
+  #onTimer(): readonly Effect[] {
+    const effects = this.#look();
+    const delayMs = this.#phase === DriverPhase.Idle ? IDLE_INTERVAL_MS : ACTIVE_INTERVAL_MS;
+    return [...effects, setTimer(TimerKind.MapChange, TIMER_KEY, delayMs)];
+  }
+
+  #onOwnReport(report: RankReport): readonly Effect[] {
+    this.#view.noteReport(this.#members.self().address, report);
+    return this.#phase === DriverPhase.Idle ? [] : this.#look();
+  }
+
+  #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
+    const groupName = this.#monitor.report()?.groupName;
+    switch (message.kind) {
+      case PeerMessageKind.EngineLimits:
+        this.#limits = message;
+        return [];
+      case PeerMessageKind.RankState:
+        if (message.report.groupName !== groupName) {
+          return [];
+        }
+        this.#view.noteReport(address, message.report);
+        return this.#phase === DriverPhase.Idle ? [] : this.#look();
+      case PeerMessageKind.RankTally:
+        if (message.groupName === groupName) {
+          this.#view.noteTally(message.rank, message.tally);
+          this.#popularity.note(message.rank, message.tally);
+        }
+        return [];
+      case PeerMessageKind.ReleaseStep:
+        return this.#onReleaseAsked(message.epoch, message.step);
+      default:
+        return [];
+    }
+  }
+
+  /** Another driver settles a hold that an earlier life of this process left behind. */
+  #onReleaseAsked(epoch: number, step: number): readonly Effect[] {
+    const report = this.#monitor.report();
+    const isOrphan =
+      this.#phase === DriverPhase.Idle && report?.epoch === epoch && report.heldStep === step;
+    return isOrphan ? this.#release(epoch, step) : [];
+  }
+
+  #isDriver(): boolean {
+    const self = this.#members.self();
+    return (
+      self.groupName !== undefined &&
+      this.#members
+        .others(PeerRole.RankAgent)
+        .filter(({ groupName }) => groupName === self.groupName)
+        .every(({ name }) => self.name < name)
+    );
+  }
+
+  #look(): readonly Effect[] {
+    const change = this.#change;
+    if (change === undefined) {
+      return this.#isDriver() ? this.#lookIdle() : [];
+    }
+    const report = this.#monitor.report();
+    if (report !== undefined && report.epoch !== change.epoch) {
+      return this.#finish(change, 'the group formed anew');
+    }
+    return report === undefined ? [] : this.#advance(change, report);
+  }
+
+  #advance(change: Change, report: RankReport): readonly Effect[] {
+    switch (this.#phase) {
+      case DriverPhase.Preparing:
+        return this.#lookPreparing(change);
+      case DriverPhase.Holding:
+        return this.#lookHolding(change, report);
+      case DriverPhase.Arming:
+        return this.#lookArming(change);
+      case DriverPhase.Releasing:
+        return this.#lookReleasing(change, report);
+      case DriverPhase.Aborting:
+        return this.#lookAborting(change);
+      default:
+        return [];
+    }
+  }
+
+  #enter(phase: DriverPhase): void {
+    this.#phase = phase;
+    this.#phaseAtMs = this.runtime.nowMs();
+  }
+
+  #sincePhaseMs(): number {
+    return this.runtime.nowMs() - this.#phaseAtMs;
+  }
+
+  #lookIdle(): readonly Effect[] {
+    const ranks = this.#view.complete();
+    if (ranks === undefined) {
+      this.#orphanSinceMs = undefined;
+      return [];
+    }
+    const held = ranks.find(({ report }) => report.heldStep > 0);
+    if (held !== undefined) {
+      return this.#settleOrphan(ranks, held);
+    }
+    this.#orphanSinceMs = undefined;
+    const mapVersion = ranks[0]?.report.mapVersion ?? 0;
+    const isCalm = ranks.every(
+      ({ report }) => report.armedVersion === 0 && report.mapVersion === mapVersion,
+    );
+    return isCalm && this.runtime.nowMs() >= this.#settleUntilMs
+      ? this.#propose(ranks, mapVersion)
+      : [];
+  }
+
+  #propose(ranks: readonly KnownRank[], mapVersion: number): readonly Effect[] {
+    const current = this.#view.placement(mapVersion, ranks.length);
+    const popularity = this.#popularity.estimate();
+    const limits = this.#limits;
+    if (
+      current === undefined ||
+      limits === undefined ||
+      this.#popularity.total() < MIN_CHOICES ||
+      popularity.length !== current.length
+    ) {
+      return [];
+    }
+    const { placesPerRank, spareCapacity } = limits;
+    const maxNewPerRank = Math.min(spareCapacity, MAX_NEW_PER_RANK);
+    const placement = planPlacement(current, popularity, { placesPerRank, maxNewPerRank });
+    const before = skewOf(current, popularity);
+    const after = skewOf(placement, popularity);
+    this.#settleUntilMs = this.runtime.nowMs() + SETTLE_MS;
+    return after > before * (1 - MIN_SKEW_GAIN) ? [] : this.#begin(ranks, placement, before, after);
+  }
+
+  #begin(
+    ranks: readonly KnownRank[],
+    placement: RankPlacement,
+    skewBefore: number,
+    skewAfter: number,
+  ): readonly Effect[] {
+    const own = this.#monitor.report();
+    if (own === undefined) {
+      return [];
+    }
+    const seen = ranks.flatMap(({ report }) => [report.mapVersion, report.preparedVersion]);
+    const highest = Math.max(this.#highestVersion, ...seen);
+    const version = (Math.floor(highest / VERSION_STRIDE) + 1) * VERSION_STRIDE + own.rank;
+    this.#highestVersion = version;
+    const nowMs = this.runtime.nowMs();
+    this.#change = {
+      epoch: own.epoch,
+      version,
+      placement,
+      startedAtMs: nowMs,
+      step: 0,
+      askedAtMs: Number.NEGATIVE_INFINITY,
+      isHoldAsked: false,
+    };
+    this.#enter(DriverPhase.Preparing);
+    return [
+      log(LogLevel.Info, LogTopic.MapChangeStarted, {
+        epoch: own.epoch,
+        version,
+        skew: skewBefore,
+        detail: `planned skew ${skewAfter.toFixed(3)}`,
+      }),
+      ...this.#look(),
+    ];
+  }
+
+  #lookPreparing(change: Change): readonly Effect[] {
+    const { epoch, version, placement } = change;
+    const ranks = this.#view.complete();
+    if (this.#sincePhaseMs() > PREPARE_TIMEOUT_MS) {
+      return this.#finish(change, 'not all ranks prepared in time');
+    }
+    if (ranks?.every(({ report }) => report.preparedVersion === version) === true) {
+      this.#enter(DriverPhase.Holding);
+      return this.#look();
+    }
+    const nowMs = this.runtime.nowMs();
+    if (nowMs - change.askedAtMs < PREPARE_REPEAT_MS) {
+      return [];
+    }
+    change.askedAtMs = nowMs;
+    const { groupName = '' } = this.#members.self();
+    const message = {
+      kind: PeerMessageKind.PrepareMap,
+      groupName,
+      epoch,
+      version,
+      placement,
+    } as const;
+    return this.#toRanks(ranks, ({ preparedVersion }) => preparedVersion !== version, message);
+  }
+
+  /** Sends to the ranks that a condition holds for; this rank's own agent hears itself. */
+  #toRanks(
+    ranks: readonly KnownRank[] | undefined,
+    isDue: (report: RankReport) => boolean,
+    message: PeerMessage,
+  ): readonly Effect[] {
+    return (ranks ?? [])
+      .filter(({ report }) => isDue(report))
+      .map(({ agentAddress }) => sendToPeer(agentAddress, message));
+  }
+
+  #lookHolding(change: Change, report: RankReport): readonly Effect[] {
+    if (change.step > 0 && report.heldStep === change.step) {
+      this.#enter(DriverPhase.Arming);
+      return this.#look();
+    }
+    if (change.isHoldAsked) {
+      return [];
+    }
+    // A pass that was asked for and has begun can no longer be held.
+    change.step = Math.max(change.step, report.step + LEAD_PASSES);
+    change.isHoldAsked = true;
+    const { epoch, step } = change;
+    return this.#monitor.order({ kind: OrderKind.Hold, epoch, step }, (outcome) => {
+      change.isHoldAsked = false;
+      if (outcome === OrderOutcome.Refused) {
+        change.step = 0;
+      }
+      return [];
+    });
+  }
+
+  #lookArming(change: Change): readonly Effect[] {
+    const { epoch, version, step } = change;
+    const ranks = this.#view.complete();
+    if (ranks?.every(({ report }) => report.armedVersion === version) === true) {
+      this.#enter(DriverPhase.Releasing);
+      return this.#look();
+    }
+    const isReplaced = ranks?.some(
+      ({ report }) => report.preparedVersion !== version && report.armedVersion !== version,
+    );
+    if (isReplaced === true) {
+      this.#enter(DriverPhase.Aborting);
+      return [];
+    }
+    const { groupName = '' } = this.#members.self();
+    const message = { kind: PeerMessageKind.ArmMap, groupName, epoch, version, step } as const;
+    return this.#throttled(change, () =>
+      this.#toRanks(ranks, ({ armedVersion }) => armedVersion !== version, message),
+    );
+  }
+
+  /** Repeats messages no more often than the interval of looks. */
+  #throttled(change: Change, build: () => readonly Effect[]): readonly Effect[] {
+    const nowMs = this.runtime.nowMs();
+    if (nowMs - change.askedAtMs < ACTIVE_INTERVAL_MS) {
+      return [];
+    }
+    change.askedAtMs = nowMs;
+    return build();
+  }
+
+  #lookReleasing(change: Change, report: RankReport): readonly Effect[] {
+    if (report.heldStep !== change.step) {
+      return this.#finish(change, 'in force');
+    }
+    return this.#throttled(change, () => this.#release(change.epoch, change.step));
+  }
+
+  #release(epoch: number, step: number): readonly Effect[] {
+    return this.#monitor.order({ kind: OrderKind.Release, epoch, step }, (outcome) => [
+      log(LogLevel.Info, LogTopic.OrderAnswered, { detail: OrderKind.Release, outcome, step }),
+    ]);
+  }
+
+  /** Waits until no rank is armed and no order without an answer can arm one any more. */
+  #lookAborting(change: Change): readonly Effect[] {
+    const { epoch, version } = change;
+    const ranks = this.#view.complete();
+    const isClear = ranks?.every(({ report }) => report.armedVersion !== version) === true;
+    if (isClear && this.#sincePhaseMs() > LATE_ORDER_MS) {
+      this.#enter(DriverPhase.Releasing);
+      return this.#look();
+    }
+    const { groupName = '' } = this.#members.self();
+    const message = { kind: PeerMessageKind.DisarmMap, groupName, epoch, version } as const;
+    return this.#throttled(change, () =>
+      this.#toRanks(ranks, ({ armedVersion }) => armedVersion === version, message),
+    );
+  }
+
+  /** A driver that died left a pass held: its change is completed if any rank is armed for it. */
+  #settleOrphan(
+    ranks: readonly KnownRank[],
+    { agentAddress, report }: KnownRank,
+  ): readonly Effect[] {
+    const nowMs = this.runtime.nowMs();
+    this.#orphanSinceMs ??= nowMs;
+    if (nowMs - this.#orphanSinceMs < ORPHAN_HOLD_MS) {
+      return [];
+    }
+    const { groupName, epoch, heldStep: step } = report;
+    const version = Math.max(...ranks.map((one) => one.report.armedVersion));
+    const isSettled = ranks.every((one) => one.report.armedVersion === version);
+    if (isSettled) {
+      return agentAddress === this.#members.self().address
+        ? this.#release(epoch, step)
+        : [sendToPeer(agentAddress, { kind: PeerMessageKind.ReleaseStep, groupName, epoch, step })];
+    }
+    const message = { kind: PeerMessageKind.ArmMap, groupName, epoch, version, step } as const;
+    return this.#toRanks(ranks, ({ armedVersion }) => armedVersion !== version, message);
+  }
+
+  #finish({ epoch, version, step, startedAtMs }: Change, detail: string): readonly Effect[] {
+    this.#change = undefined;
+    this.#enter(DriverPhase.Idle);
+    this.#settleUntilMs = this.runtime.nowMs() + SETTLE_MS;
+    return [
+      log(LogLevel.Info, LogTopic.MapChangeEnded, {
+        epoch,
+        version,
+        step,
+        detail,
+        durationMs: Math.round(this.runtime.nowMs() - startedAtMs),
+      }),
+    ];
+  }
+}
+
+/**
+ * Registers the service that drives a group.
+ *
+ * @example
+ * const services = [rankMonitorRegistration(runtime), groupDriverRegistration(runtime)];
+ */
+export const groupDriverRegistration = (
+  runtime: Runtime,
+): Registration<ServiceName.GroupDriver> => ({
+  name: ServiceName.GroupDriver,
+  requires: [ServiceName.Members, ServiceName.RankMonitor],
+  create: (find) => {
+    const service = GroupDriverService.create(runtime, find);
+    return createInstance(
+      {},
+      { start: () => service.start(), handle: (event) => service.handle(event) },
+    );
+  },
+});
--- /dev/null
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -0,0 +1,276 @@
+/**
+ * @module Follows the engine beside this process and gives it orders.
+ *
+ * Orders of a group's driver reach the engine only through the agent beside it. An order without an
+ * answer may be carried out seconds later, so its effect is looked for in the engine's report.
+ */
+import {
+  EffectKind,
+  EventKind,
+  LogLevel,
+  LogTopic,
+  OrderKind,
+  OrderOutcome,
+  PeerMessageKind,
+  PeerRole,
+  ServiceName,
+  TimerKind,
+  log,
+  sendToPeer,
+  setTimer,
+  type Effect,
+  type Event,
+  type FindService,
+  type MembersApi,
+  type OnOrder,
+  type Order,
+  type OrderAnsweredEvent,
+  type PeerMessageEvent,
+  type RankReport,
+  type RankTally,
+  type Registration,
+  type Runtime,
+} from '@ebonysill/gateway';
+import { createInstance } from '@ebonysill/kernel';
+
+/** Time between two looks at the engine; about two passes. */
+const REPORT_INTERVAL_MS = 150;
+
+/** Time between two looks while a change is under way. */
+const FAST_INTERVAL_MS = 30;
+
+/** How long a message of a driver counts as a change under way. */
+const FAST_SPAN_MS = 500;
+
+/** Time between two messages on unchanged state. */
+const STATE_INTERVAL_MS = 450;
+
+/** Time between two looks at the counts of experts. */
+const TALLY_INTERVAL_MS = 1_000;
+
+const TIMER_KEY = 0;
+
+/** State that a driver must know of at once. */
+const signatureOf = (report: RankReport): string =>
+  [
+    report.epoch,
+    report.isOpen,
+    report.mapVersion,
+    report.preparedVersion,
+    report.armedVersion,
+    report.heldStep,
+  ].join('/');
+
+/** Follows one engine. */
+class RankMonitorService {
+  #report: RankReport | undefined;
+
+  #signature = '';
+
+  #sentAtMs = Number.NEGATIVE_INFINITY;
+
+  #driverHeardAtMs = Number.NEGATIVE_INFINITY;
+
+  #nextOrderId = 1;
+
+  readonly #pending = new Map<number, OnOrder>();
+
+  readonly #members: MembersApi;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    find: FindService,
+  ) {
+    this.#members = find(ServiceName.Members);
+  }
+
+  static create(runtime: Runtime, find: FindService): RankMonitorService {
+    return new RankMonitorService(runtime, find);
+  }
+
+  readonly report = (): RankReport | undefined => this.#report;
+
+  readonly order = (order: Order, onOrder: OnOrder): readonly Effect[] => {
+    const orderId = this.#nextOrderId;
+    this.#nextOrderId += 1;
+    this.#pending.set(orderId, onOrder);
+    this.#driverHeardAtMs = this.runtime.nowMs();
+    return [{ kind: EffectKind.GiveOrder, orderId, order }];
+  };
+
+  start(): readonly Effect[] {
+    return [
+      { kind: EffectKind.AskRank },
+      setTimer(TimerKind.RankReport, TIMER_KEY, REPORT_INTERVAL_MS),
+      setTimer(TimerKind.ExpertCount, TIMER_KEY, TALLY_INTERVAL_MS),
+    ];
+  }
+
+  handle(event: Event): readonly Effect[] {
+    switch (event.kind) {
+      case EventKind.TimerFired:
+        return this.#onTimer(event.timer);
+      case EventKind.RankReported:
+        return this.#onReport(event.report);
+      case EventKind.ExpertsCounted:
+        return event.tally === undefined ? [] : this.#onTally(event.tally);
+      case EventKind.OrderAnswered:
+        return this.#onOrderAnswered(event);
+      case EventKind.PeerMessageReceived:
+        return this.#onMessage(event);
+      default:
+        return [];
+    }
+  }
+
+  #onTimer(timer: TimerKind): readonly Effect[] {
+    switch (timer) {
+      case TimerKind.RankReport:
+        return [
+          { kind: EffectKind.AskRank },
+          setTimer(TimerKind.RankReport, TIMER_KEY, this.#intervalMs()),
+        ];
+      case TimerKind.ExpertCount:
+        return [
+          { kind: EffectKind.CountExperts },
+          setTimer(TimerKind.ExpertCount, TIMER_KEY, TALLY_INTERVAL_MS),
+        ];
+      default:
+        return [];
+    }
+  }
+
+  #intervalMs(): number {
+    const isFast = this.runtime.nowMs() - this.#driverHeardAtMs < FAST_SPAN_MS;
+    return isFast ? FAST_INTERVAL_MS : REPORT_INTERVAL_MS;
+  }
+
+  #onReport(report: RankReport | undefined): readonly Effect[] {
+    this.#report = report;
+    if (report === undefined) {
+      return [];
+    }
+    this.#members.joinGroup(report.groupName);
+    const signature = signatureOf(report);
+    const nowMs = this.runtime.nowMs();
+    if (signature === this.#signature && nowMs - this.#sentAtMs < STATE_INTERVAL_MS) {
+      return [];
+    }
+    this.#signature = signature;
+    this.#sentAtMs = nowMs;
+    return this.#toDriver((address) =>
+      sendToPeer(address, { kind: PeerMessageKind.RankState, report }),
+    );
+  }
+
+  #onTally(tally: RankTally): readonly Effect[] {
+    const report = this.#report;
+    if (report === undefined) {
+      return [];
+    }
+    const { groupName, rank } = report;
+    return this.#toDriver((address) =>
+      sendToPeer(address, { kind: PeerMessageKind.RankTally, groupName, rank, tally }),
+    );
+  }
+
+  /** The agent with the least name of the group drives; nothing is sent to oneself. */
+  #toDriver(build: (address: string) => Effect): readonly Effect[] {
+    const groupName = this.#report?.groupName;
+    const self = this.#members.self();
+    const least = this.#members
+      .others(PeerRole.RankAgent)
+      .filter((member) => member.groupName === groupName)
+      .reduce((best, member) => (member.name < best.name ? member : best), self);
+    return least.name === self.name ? [] : [build(least.address)];
+  }
+
+  #onMessage({ message }: PeerMessageEvent): readonly Effect[] {
+    switch (message.kind) {
+      case PeerMessageKind.PrepareMap:
+        return this.#prepare(message.epoch, message.version, {
+          kind: OrderKind.Prepare,
+          epoch: message.epoch,
+          version: message.version,
+          placement: message.placement,
+        });
+      case PeerMessageKind.ArmMap:
+        return this.#arm(message.epoch, message.version, message.step);
+      case PeerMessageKind.DisarmMap:
+        return this.#disarm(message.epoch, message.version);
+      default:
+        return [];
+    }
+  }
+
+  #prepare(epoch: number, version: number, order: Order): readonly Effect[] {
+    const report = this.#report;
+    const isDue =
+      report?.epoch === epoch && report.armedVersion === 0 && report.preparedVersion < version;
+    return isDue ? this.#giveLogged(order) : this.#lookSoon();
+  }
+
+  #arm(epoch: number, version: number, step: number): readonly Effect[] {
+    const report = this.#report;
+    const isDue =
+      report?.epoch === epoch && report.preparedVersion === version && report.armedVersion === 0;
+    return isDue
+      ? this.#giveLogged({ kind: OrderKind.Arm, epoch, version, step })
+      : this.#lookSoon();
+  }
+
+  #disarm(epoch: number, version: number): readonly Effect[] {
+    const report = this.#report;
+    const isDue = report?.epoch === epoch && report.armedVersion === version;
+    return isDue ? this.#giveLogged({ kind: OrderKind.Disarm, epoch, version }) : this.#lookSoon();
+  }
+
+  /** The driver waits for this rank's state. */
+  #lookSoon(): readonly Effect[] {
+    this.#driverHeardAtMs = this.runtime.nowMs();
+    this.#signature = '';
+    return [{ kind: EffectKind.AskRank }];
+  }
+
+  #giveLogged(order: Order): readonly Effect[] {
+    return this.order(order, (outcome) => [
+      log(
+        outcome === OrderOutcome.Accepted ? LogLevel.Info : LogLevel.Warn,
+        LogTopic.OrderAnswered,
+        {
+          detail: order.kind,
+          outcome,
+          epoch: order.epoch,
+          ...('version' in order ? { version: order.version } : {}),
+          ...('step' in order ? { step: order.step } : {}),
+        },
+      ),
+    ]);
+  }
+
+  #onOrderAnswered({ orderId, outcome }: OrderAnsweredEvent): readonly Effect[] {
+    const onOrder = this.#pending.get(orderId);
+    this.#pending.delete(orderId);
+    return onOrder === undefined ? [] : [...onOrder(outcome), ...this.#lookSoon()];
+  }
+}
+
+/**
+ * Registers the service that follows an engine.
+ *
+ * @example
+ * const services = [membersRegistration(options), rankMonitorRegistration(runtime)];
+ */
+export const rankMonitorRegistration = (
+  runtime: Runtime,
+): Registration<ServiceName.RankMonitor> => ({
+  name: ServiceName.RankMonitor,
+  requires: [ServiceName.Members],
+  create: (find) => {
+    const service = RankMonitorService.create(runtime, find);
+    return createInstance(
+      { report: service.report, order: service.order },
+      { start: () => service.start(), handle: (event) => service.handle(event) },
+    );
+  },
+});
--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -39,6 +39,8 @@
 export const rankAgentSettingsSchema = z.strictObject({
   ...peerFields,
   metricsPort: portField,
+  /** Service of the engine beside this process. */
+  serviceName: nameField,
   /** The engine beside this process. */
   engineAddress: addressField,
 });
