--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -1,5 +1,4 @@
 /** @module The HTTP server for callers. */
-import { Buffer } from 'node:buffer';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import {
   EventKind,
--- a/packages/gateway-io/src/DatagramPort.ts
+++ b/packages/gateway-io/src/DatagramPort.ts
@@ -3,7 +3,7 @@
 import { EventKind, type Event, type SendToPeerEffect } from '@ebonysill/gateway';
 import { pack, unpack } from 'msgpackr';
 import type { ListenAddress } from './CallerServer.js';
-import { parsePeerMessage } from './peer-schema.js';
+import parsePeerMessage from './parsePeerMessage.js';
 
 /** What a port is created from. */
 export interface DatagramPortOptions {
--- a/packages/gateway-io/src/TargetClient.ts
+++ b/packages/gateway-io/src/TargetClient.ts
@@ -1,16 +1,22 @@
-/** @module Calls targets, each call on a connection of its own. */
+/**
+ * @module Calls targets, each call on a connection of its own.
+ *
+ * Node's client is used here and not undici: undici takes a connection that is reset, or that ends
+ * within a chunk, for the end of a whole answer when the connection is not to be kept.
+ */
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import {
   CallStage,
   EventKind,
   type Event,
+  type HeaderField,
   type StartCallEffect,
   type TargetCall,
   type TargetHead,
 } from '@ebonysill/gateway';
-import { Client, type Dispatcher } from 'undici';
 
-/** Encodes a call's header fields, names and values in turn. */
-export type EncodeCall = (call: TargetCall) => string[];
+/** Encodes a call's header fields. */
+export type EncodeCall = (call: TargetCall) => readonly HeaderField[];
 
 /** Decodes the head of an answer from its status and its header fields, names and values in turn. */
 export type DecodeHead = (status: number, rawHeaders: readonly string[]) => TargetHead;
@@ -26,16 +32,11 @@
 const CONNECT_TIMEOUT_MS = 300;
 
 interface OpenCall {
-  readonly client: Client;
+  readonly request: ClientRequest;
+  readonly connectTimer: NodeJS.Timeout;
   isSent: boolean;
 }
 
-/** What undici tells of a call. */
-type CallHandler = Dispatcher.DispatchHandler;
-
-const asText = (value: string | Buffer): string =>
-  typeof value === 'string' ? value : value.toString('latin1');
-
 /** Sends calls. A connection that served another call could answer with that call's bytes. */
 export default class TargetClient {
   readonly #open = new Map<number, OpenCall>();
@@ -54,67 +55,83 @@
 
   /** Sends a call. */
   start({ callId, call }: StartCallEffect): void {
-    const client = new Client(`http://${call.address}`, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
+    const [host = '', port = ''] = call.address.split(':');
+    const outgoing = request({
+      host,
+      port: Number(port),
+      method: call.method,
+      path: call.path,
+      headers: this.#headersOf(call),
+      agent: false,
     });
-    this.#open.set(callId, { client, isSent: false });
-    client.dispatch(
-      {
-        method: call.method as Dispatcher.HttpMethod,
-        path: call.path,
-        headers: this.options.encode(call),
-        body: call.body.length === 0 ? null : call.body,
-        reset: true,
-      },
-      this.#createHandler(callId),
-    );
+    const connectTimer = setTimeout(() => this.#fail(callId, 'no connection'), CONNECT_TIMEOUT_MS);
+    this.#open.set(callId, { request: outgoing, connectTimer, isSent: false });
+    outgoing.on('socket', (socket) => socket.on('connect', () => this.#onConnected(callId)));
+    outgoing.on('response', (answer) => this.#onAnswer(callId, answer));
+    outgoing.on('error', (error) => this.#fail(callId, error.message));
+    outgoing.end(call.body);
   }
 
   /** Closes a call's connection; nothing more is told of it. */
   cancel(callId: number): void {
-    this.#close(callId);
+    this.#take(callId)?.request.destroy();
+  }
+
+  #headersOf(call: TargetCall): string[] {
+    const framing: readonly HeaderField[] = [
+      { name: 'connection', value: 'close' },
+      ...(call.body.length === 0 && call.method === 'GET'
+        ? []
+        : [{ name: 'content-length', value: String(call.body.length) }]),
+    ];
+    return [...this.options.encode(call), ...framing].flatMap(({ name, value }) => [name, value]);
+  }
+
+  #onConnected(callId: number): void {
+    const open = this.#open.get(callId);
+    if (open !== undefined) {
+      open.isSent = true;
+      clearTimeout(open.connectTimer);
+    }
   }
 
-  #createHandler(callId: number): CallHandler {
+  #onAnswer(callId: number, answer: IncomingMessage): void {
     const { post, decode } = this.options;
-    return {
-      onRequestStart: () => {
-        const open = this.#open.get(callId);
-        if (open !== undefined) {
-          open.isSent = true;
-        }
-      },
-      onResponseStart: (controller, status) => {
-        const rawHeaders = (controller.rawHeaders as (string | Buffer)[]).map(asText);
-        const head = decode(status, rawHeaders);
-        post({ kind: EventKind.TargetHeadReceived, callId, head });
-      },
-      onResponseData: (_controller, data) => {
+    if (!this.#open.has(callId)) {
+      return;
+    }
+    answer.on('data', (data: Uint8Array) => {
+      if (this.#open.has(callId)) {
         post({ kind: EventKind.TargetDataReceived, callId, data });
-      },
-      onResponseEnd: () => {
-        if (this.#close(callId) !== undefined) {
-          post({ kind: EventKind.TargetAnswerEnded, callId });
-        }
-      },
-      onResponseError: (_controller, error) => {
-        const open = this.#close(callId);
-        if (open !== undefined) {
-          const stage = open.isSent ? CallStage.Sent : CallStage.NotSent;
-          post({ kind: EventKind.TargetCallFailed, callId, stage, detail: error.message });
-        }
-      },
-    };
+      }
+    });
+    answer.on('end', () => this.#onEnd(callId, answer.complete));
+    answer.on('error', (error) => this.#fail(callId, error.message));
+    const head = decode(answer.statusCode ?? 0, answer.rawHeaders);
+    post({ kind: EventKind.TargetHeadReceived, callId, head });
+  }
+
+  #onEnd(callId: number, isComplete: boolean): void {
+    if (!isComplete) {
+      this.#fail(callId, 'the answer ends early');
+    } else if (this.#take(callId) !== undefined) {
+      this.options.post({ kind: EventKind.TargetAnswerEnded, callId });
+    }
+  }
+
+  #fail(callId: number, detail: string): void {
+    const open = this.#take(callId);
+    if (open !== undefined) {
+      open.request.destroy();
+      const stage = open.isSent ? CallStage.Sent : CallStage.NotSent;
+      this.options.post({ kind: EventKind.TargetCallFailed, callId, stage, detail });
+    }
   }
 
-  #close(callId: number): OpenCall | undefined {
+  #take(callId: number): OpenCall | undefined {
     const open = this.#open.get(callId);
     this.#open.delete(callId);
-    // The client reports a connection that it closes itself as an error of its own call.
-    open?.client.destroy().catch(() => undefined);
+    clearTimeout(open?.connectTimer);
     return open;
   }
 }
--- a/packages/gateway-io/src/index.ts
+++ b/packages/gateway-io/src/index.ts
@@ -9,7 +9,7 @@
 export { default as DatagramPort } from './DatagramPort.js';
 export { default as LogPort } from './LogPort.js';
 export { default as MetricsRecorder } from './MetricsRecorder.js';
-export { parsePeerMessage } from './peer-schema.js';
+export { default as parsePeerMessage } from './parsePeerMessage.js';
 export { default as ProcessHost, type ProcessPorts, type RankPort } from './ProcessHost.js';
 export { default as StatusServer, type StatusAnswer } from './StatusServer.js';
 export { default as TargetClient, type DecodeHead, type EncodeCall } from './TargetClient.js';
--- a/packages/gateway-io/src/peer-schema.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -78,7 +78,9 @@
  * @example
  * parsePeerMessage(unpack(datagram))?.kind;
  */
-export const parsePeerMessage = (value: unknown): PeerMessage | undefined => {
+const parsePeerMessage = (value: unknown): PeerMessage | undefined => {
   const result = schema.safeParse(value);
   return result.success ? (result.data as PeerMessage) : undefined;
 };
+
+export default parsePeerMessage;
--- a/packages/gateway/src/admission-service.ts
+++ b/packages/gateway/src/admission-service.ts
@@ -28,6 +28,11 @@
 /** When a refused caller may come back: about the time in which the first streams end. */
 const RETRY_AFTER_MS = 200;
 
+/** What the service is created from. */
+export interface AdmissionOptions {
+  readonly runtime: Runtime;
+}
+
 /** Judges streams by the length of passes. */
 class AdmissionService {
   readonly #running = new Map<string, number>();
@@ -78,9 +83,11 @@
  * Registers the service that limits streams.
  *
  * @example
- * const services = [admissionRegistration(runtime)];
+ * const services = [admissionRegistration({ runtime })];
  */
-export const admissionRegistration = (runtime: Runtime): Registration<ServiceName.Admission> => ({
+export const admissionRegistration = ({
+  runtime,
+}: AdmissionOptions): Registration<ServiceName.Admission> => ({
   name: ServiceName.Admission,
   requires: [],
   create: () => createInstance(AdmissionService.create(runtime), {}),
--- a/packages/gateway/src/catalogue-service.ts
+++ b/packages/gateway/src/catalogueRegistration.ts
@@ -94,9 +94,9 @@
  * Registers the service that holds the configuration.
  *
  * @example
- * const services = [storeRegistration(runtime), catalogueRegistration()];
+ * const services = [storeRegistration({ runtime }), catalogueRegistration()];
  */
-export const catalogueRegistration = (): Registration<ServiceName.Catalogue> => ({
+const catalogueRegistration = (): Registration<ServiceName.Catalogue> => ({
   name: ServiceName.Catalogue,
   requires: [ServiceName.Store],
   create: (find) => {
@@ -104,3 +104,5 @@
     return createInstance(service, { handle: (event) => service.handle(event) });
   },
 });
+
+export default catalogueRegistration;
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,9 +1,9 @@
 /** @module The services that make up a gateway. */
 import { admissionRegistration } from './admission-service.js';
-import { catalogueRegistration } from './catalogue-service.js';
+import catalogueRegistration from './catalogueRegistration.js';
 import { chooseLeastLoaded, type ChooseTarget } from './choose-target.js';
 import type { AnyRegistration } from './directory.js';
-import { engineAdviceRegistration } from './engine-advice-service.js';
+import engineAdviceRegistration from './engineAdviceRegistration.js';
 import { exchangesRegistration } from './exchanges-service.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
@@ -38,13 +38,13 @@
   const { chooseTarget = chooseLeastLoaded } = options;
   const { availabilityZone } = self;
   return [
-    storeRegistration(runtime),
+    storeRegistration({ runtime }),
     catalogueRegistration(),
-    targetsRegistration(runtime),
+    targetsRegistration({ runtime }),
     membersRegistration({ runtime, self, seeds }),
-    loadsRegistration(runtime),
+    loadsRegistration({ runtime }),
     engineAdviceRegistration(),
-    admissionRegistration(runtime),
+    admissionRegistration({ runtime }),
     retryBudgetRegistration(runtime, retryBudget),
     exchangesRegistration({ runtime, availabilityZone, chooseTarget }),
     lifecycleRegistration({ runtime, graceMs }),
--- a/packages/gateway/src/engine-advice-service.ts
+++ b/packages/gateway/src/engineAdviceRegistration.ts
@@ -30,7 +30,7 @@
  * @example
  * const services = [catalogueRegistration(), engineAdviceRegistration()];
  */
-export const engineAdviceRegistration = (): Registration<ServiceName.EngineAdvice> => ({
+const engineAdviceRegistration = (): Registration<ServiceName.EngineAdvice> => ({
   name: ServiceName.EngineAdvice,
   requires: [ServiceName.Catalogue],
   create: (find) => {
@@ -38,3 +38,5 @@
     return createInstance({}, { handle: (event) => advise(event, catalogue) });
   },
 });
+
+export default engineAdviceRegistration;
--- a/packages/gateway/src/event-splitter.ts
+++ b/packages/gateway/src/event-splitter.ts
@@ -1,5 +1,4 @@
 /** @module Cuts the bytes of an event stream into whole events. */
-import { Buffer } from 'node:buffer';
 
 /** One whole event, with the blank line that ends it. */
 export interface StreamEvent {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -112,13 +112,54 @@
     return this.resolution.route.kind === CallKind.Streaming;
   }
 
-  /** Forgets the answer of a call that failed. */
-  resetAnswer(): void {
+  /** Notes that a call to a target begins, and forgets the answer of the one before. */
+  noteCall(callId: number, target: PublishedTarget): void {
+    this.callId = callId;
+    this.target = target;
+    this.triedIds.add(target.instanceId);
     this.head = undefined;
     this.body.length = 0;
     this.splitter = EventSplitter.create();
   }
 
+  /** Notes that the call in progress is over. */
+  noteCallEnded(): void {
+    this.callId = undefined;
+  }
+
+  /** Notes that no connection to the target could be opened. */
+  noteUnreachable(): void {
+    this.unreachableCount += 1;
+  }
+
+  /** Notes that a target turned the request away without running it. */
+  noteTurnedAway(): void {
+    this.attemptCount += 1;
+  }
+
+  /** Notes that a target may have run the request. */
+  noteAttempt(): void {
+    this.attemptCount += 1;
+    this.mayHaveRun = true;
+  }
+
+  /** Notes that a call was given up while its target may be at work. */
+  noteGivenUp(): void {
+    this.mayHaveRun ||= this.callId !== undefined;
+  }
+
+  /** Takes the head of the target's answer. */
+  noteHead(head: TargetHead): void {
+    this.head = head;
+  }
+
+  /** Notes that the head goes to the caller; false when one went before. */
+  noteBegun(): boolean {
+    const isFirst = !this.isBegun;
+    this.isBegun = true;
+    return isFirst;
+  }
+
   /** Notes that an event goes to the caller; returns the pause before it, if there was one. */
   noteEvent(nowMs: number, id: string | undefined): number | undefined {
     this.lastEventId = id ?? this.lastEventId;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -189,10 +189,7 @@
   #call(exchange: Exchange, target: PublishedTarget): readonly Effect[] {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
-    exchange.callId = callId;
-    exchange.target = target;
-    exchange.triedIds.add(target.instanceId);
-    exchange.resetAnswer();
+    exchange.noteCall(callId, target);
     this.#exchangeOfCall.set(callId, exchange);
     this.#loads.started(target.instanceId);
     this.#admission.started(exchange.resolution.service, exchange.isStream);
@@ -224,7 +221,7 @@
     this.#exchangeOfCall.delete(callId);
     this.#loads.ended(target.instanceId);
     this.#admission.ended(resolution.service, exchange.isStream);
-    exchange.callId = undefined;
+    exchange.noteCallEnded();
   }
 
   #cancelCall(exchange: Exchange): readonly Effect[] {
@@ -241,7 +238,7 @@
         ...this.#afterCut(exchange, ExchangeReason.CallCut, 'the answer is to another request'),
       ];
     }
-    exchange.head = head;
+    exchange.noteHead(head);
     return [];
   }
 
@@ -286,11 +283,9 @@
 
   /** A stream that goes on at another target keeps the head of its first one. */
   static #begin(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
-    if (exchange.isBegun) {
-      return [];
-    }
-    exchange.isBegun = true;
-    return [{ kind: EffectKind.BeginAnswer, exchangeId: exchange.id, status, headers }];
+    return exchange.noteBegun()
+      ? [{ kind: EffectKind.BeginAnswer, exchangeId: exchange.id, status, headers }]
+      : [];
   }
 
   #onEnd(exchange: Exchange): readonly Effect[] {
@@ -318,11 +313,10 @@
   /** An answer that was read whole: delivered, or tried again if a repetition may do better. */
   #onWholeAnswer(exchange: Exchange, head: TargetHead): readonly Effect[] {
     const { status, isSigned, headers } = head;
-    exchange.attemptCount += 1;
-    exchange.mayHaveRun = true;
     if (exchange.isBegun || (isSuccess(status) && !isSigned)) {
       return this.#afterCut(exchange, ExchangeReason.CallCut, 'not an answer to this request');
     }
+    exchange.noteAttempt();
     const isFailure = status >= FIRST_SERVER_ERROR || PROMISE_STATUSES.includes(status);
     const repeated = isFailure
       ? this.#repeat(exchange, ExchangeReason.TargetFailed, `status ${status}`)
@@ -347,13 +341,13 @@
 
   /** The target proved that it did not run the request, so any kind of call may go elsewhere. */
   #afterNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
-    exchange.attemptCount += 1;
+    exchange.noteTurnedAway();
     const { route, service } = exchange.resolution;
     const mayRepeat =
       exchange.attemptCount <= Math.max(1, route.maxAttempts - 1) &&
       this.#hasTime(exchange) &&
       this.#budget.take(service);
-    const line = this.#callFailed(
+    const line = ExchangesService.#callFailed(
       exchange,
       ExchangeReason.NotRunByTarget,
       `status ${head.status} from ${head.faultyInstanceId ?? exchange.target?.instanceId ?? ''}`,
@@ -366,12 +360,11 @@
   #onCallFailed(exchange: Exchange, { stage, detail }: TargetCallFailedEvent): readonly Effect[] {
     this.#endCall(exchange);
     if (stage === CallStage.Sent) {
-      exchange.attemptCount += 1;
       return this.#afterCut(exchange, ExchangeReason.CallCut, detail);
     }
     this.#avoid(exchange);
-    exchange.unreachableCount += 1;
-    const line = this.#callFailed(exchange, ExchangeReason.TargetUnreachable, detail);
+    exchange.noteUnreachable();
+    const line = ExchangesService.#callFailed(exchange, ExchangeReason.TargetUnreachable, detail);
     return exchange.unreachableCount < MAX_UNREACHABLE && this.#hasTime(exchange)
       ? [line, ...this.#callSome(exchange, ExchangeReason.TargetUnreachable)]
       : [line, ...this.#giveUp(exchange, ExchangeReason.TargetUnreachable)];
@@ -379,7 +372,7 @@
 
   /** The target may have run the request, and its answer did not come whole. */
   #afterCut(exchange: Exchange, reason: ExchangeReason, detail: string): readonly Effect[] {
-    exchange.mayHaveRun = true;
+    exchange.noteAttempt();
     this.#avoid(exchange);
     return this.#repeat(exchange, reason, detail) ?? this.#fail(exchange, reason);
   }
@@ -404,7 +397,10 @@
       this.#choose(exchange) !== undefined &&
       this.#budget.take(service);
     return mayRepeat
-      ? [this.#callFailed(exchange, reason, detail), ...this.#callSome(exchange, reason)]
+      ? [
+          ExchangesService.#callFailed(exchange, reason, detail),
+          ...this.#callSome(exchange, reason),
+        ]
       : undefined;
   }
 
@@ -412,7 +408,7 @@
     return deadlineAtMs - this.options.runtime.nowMs() > MIN_REPEAT_MS;
   }
 
-  #callFailed(exchange: Exchange, reason: ExchangeReason, detail: string): Effect {
+  static #callFailed(exchange: Exchange, reason: ExchangeReason, detail: string): Effect {
     const { request, target, attemptCount } = exchange;
     return log(LogLevel.Warn, LogTopic.CallFailed, {
       requestId: request.attemptId,
@@ -428,8 +424,7 @@
     if (exchange === undefined) {
       return [];
     }
-    const isCalled = exchange.callId !== undefined;
-    exchange.mayHaveRun ||= isCalled;
+    exchange.noteGivenUp();
     return [
       ...this.#cancelCall(exchange),
       ...this.#fail(exchange, ExchangeReason.DeadlinePassed, OwnStatus.Timeout),
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -21,6 +21,11 @@
   readonly heardAtMs: number;
 }
 
+/** What the service is created from. */
+export interface LoadsOptions {
+  readonly runtime: Runtime;
+}
+
 /** Sums the load of targets. */
 class LoadsService {
   readonly #own = new Map<string, number>();
@@ -101,9 +106,9 @@
  * Registers the service that sums loads.
  *
  * @example
- * const services = [membersRegistration(options), loadsRegistration(runtime)];
+ * const services = [membersRegistration(options), loadsRegistration({ runtime })];
  */
-export const loadsRegistration = (runtime: Runtime): Registration<ServiceName.Loads> => ({
+export const loadsRegistration = ({ runtime }: LoadsOptions): Registration<ServiceName.Loads> => ({
   name: ServiceName.Loads,
   requires: [ServiceName.Members],
   create: (find) => {
--- a/packages/gateway/src/own-answers.ts
+++ b/packages/gateway/src/own-answers.ts
@@ -1,5 +1,4 @@
 /** @module Answers that this process gives itself. */
-import { Buffer } from 'node:buffer';
 import { EffectKind, type AnswerWholeEffect } from './effect.js';
 import type { ExchangeReason } from './exchange.js';
 
--- a/packages/gateway/src/store-service.ts
+++ b/packages/gateway/src/store-service.ts
@@ -33,6 +33,11 @@
 
 const TIMER_KEY = 0;
 
+/** What the service is created from. */
+export interface StoreOptions {
+  readonly runtime: Runtime;
+}
+
 /** Reads and watches the store. */
 class StoreService {
   #isLoaded = false;
@@ -164,9 +169,9 @@
  * Registers the service that keeps the copy of the store.
  *
  * @example
- * const services = [storeRegistration(runtime), catalogueRegistration()];
+ * const services = [storeRegistration({ runtime }), catalogueRegistration()];
  */
-export const storeRegistration = (runtime: Runtime): Registration<ServiceName.Store> => ({
+export const storeRegistration = ({ runtime }: StoreOptions): Registration<ServiceName.Store> => ({
   name: ServiceName.Store,
   requires: [],
   create: () => {
--- a/packages/gateway/src/targets-service.ts
+++ b/packages/gateway/src/targets-service.ts
@@ -32,6 +32,11 @@
   readonly lapsesAtMs?: number;
 }
 
+/** What the service is created from. */
+export interface TargetsOptions {
+  readonly runtime: Runtime;
+}
+
 /** Follows the published targets and the zones that operators took out. */
 class TargetsService {
   readonly #known = new Map<string, KnownTarget>();
@@ -224,9 +229,11 @@
  * Registers the service that follows targets.
  *
  * @example
- * const services = [storeRegistration(runtime), targetsRegistration(runtime)];
+ * const services = [storeRegistration({ runtime }), targetsRegistration({ runtime })];
  */
-export const targetsRegistration = (runtime: Runtime): Registration<ServiceName.Targets> => ({
+export const targetsRegistration = ({
+  runtime,
+}: TargetsOptions): Registration<ServiceName.Targets> => ({
   name: ServiceName.Targets,
   requires: [ServiceName.Store],
   create: (find) => {
--- /dev/null
+++ b/packages/gateway/tests/exchanges.test.ts
@@ -0,0 +1,243 @@
+/** @module Exchanges: at most once, honest refusals, whole answers. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { CallKind, CallStage, EffectKind, EventKind, StoreReadKind } from '../src/index.js';
+import {
+  Harness,
+  configurationItem,
+  configurationOf,
+  headOf,
+  routeOf,
+  targetItem,
+  targetOf,
+} from './harness.js';
+
+const gatewayWith = (kind: CallKind, isResumable = false): Harness =>
+  Harness.create([
+    configurationItem(
+      configurationOf(1, [
+        routeOf({ kind, isResumable, maxPauseMs: kind === CallKind.Streaming ? 120 : 0 }),
+      ]),
+    ),
+    targetItem(targetOf('t-1')),
+    targetItem(targetOf('t-2')),
+  ]);
+
+const cut = (harness: Harness): void => {
+  harness.post({
+    kind: EventKind.TargetCallFailed,
+    callId: harness.lastCallId(),
+    stage: CallStage.Sent,
+    detail: 'reset',
+  });
+};
+
+const answer = (harness: Harness, head = headOf()): void => {
+  const callId = harness.lastCallId();
+  harness.post({ kind: EventKind.TargetHeadReceived, callId, head });
+  harness.post({ kind: EventKind.TargetDataReceived, callId, data: Buffer.from('body') });
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId });
+};
+
+const streamed = (harness: Harness): string =>
+  harness.effects
+    .flatMap((effect) =>
+      effect.kind === EffectKind.ContinueAnswer ? [Buffer.from(effect.data).toString()] : [],
+    )
+    .join('');
+
+test('answers whole', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request();
+  answer(harness);
+  expect(harness.statuses()).toEqual([200]);
+});
+
+test('never sends a non-idempotent call twice', () => {
+  const harness = gatewayWith(CallKind.NonIdempotent);
+  harness.request({ method: 'POST' });
+  cut(harness);
+  expect(harness.calledIds().length).toEqual(1);
+  expect(harness.statuses()).toEqual([502]);
+});
+
+test('sends a non-idempotent call on when nothing was sent', () => {
+  const harness = gatewayWith(CallKind.NonIdempotent);
+  harness.request({ method: 'POST' });
+  harness.post({
+    kind: EventKind.TargetCallFailed,
+    callId: harness.lastCallId(),
+    stage: CallStage.NotSent,
+    detail: 'refused',
+  });
+  expect(new Set(harness.calledIds()).size).toEqual(2);
+});
+
+test('sends a non-idempotent call on after proof', () => {
+  const harness = gatewayWith(CallKind.NonIdempotent);
+  harness.request({ method: 'POST' });
+  answer(harness, headOf({ status: 503, isNotRun: true }));
+  expect(new Set(harness.calledIds()).size).toEqual(2);
+});
+
+test('never promises for a target that promised nothing', () => {
+  const harness = gatewayWith(CallKind.NonIdempotent);
+  harness.request({ method: 'POST' });
+  answer(harness, headOf({ status: 503 }));
+  expect(harness.statuses()).toEqual([502]);
+});
+
+test('repeats an idempotent call once', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request();
+  cut(harness);
+  cut(harness);
+  expect(new Set(harness.calledIds()).size).toEqual(2);
+  expect(harness.calledIds().length).toEqual(2);
+  expect(harness.statuses()).toEqual([502]);
+});
+
+test('counts a cut after the head as an attempt', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request();
+  const callId = harness.lastCallId();
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId });
+  const second = harness.lastCallId();
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId: second });
+  expect(harness.calledIds().length).toEqual(2);
+});
+
+test('drops an answer to another request', () => {
+  const harness = gatewayWith(CallKind.NonIdempotent);
+  harness.request({ method: 'POST' });
+  answer(harness, headOf({ attemptId: 'attempt-0' }));
+  expect(harness.statuses()).toEqual([502]);
+});
+
+test('drops an unsigned success', () => {
+  const harness = gatewayWith(CallKind.NonIdempotent);
+  harness.request({ method: 'POST' });
+  answer(harness, headOf({ isSigned: false }));
+  expect(harness.statuses()).toEqual([502]);
+});
+
+test('resumes a stream after its last whole event', () => {
+  const harness = gatewayWith(CallKind.Streaming, true);
+  harness.request({ method: 'POST' });
+  const head = headOf({ isEventStream: true });
+  const first = harness.lastCallId();
+  harness.post({ kind: EventKind.TargetHeadReceived, callId: first, head });
+  const torn = Buffer.from('id: 1\ndata: a\n\nid: 2\nda');
+  harness.post({ kind: EventKind.TargetDataReceived, callId: first, data: torn });
+  cut(harness);
+  const calls = harness.effects.filter((effect) => effect.kind === EffectKind.StartCall);
+  expect(calls.map(({ call }) => call.resumeAfter)).toEqual([undefined, '1']);
+  const second = harness.lastCallId();
+  harness.post({ kind: EventKind.TargetHeadReceived, callId: second, head });
+  const rest = Buffer.from('id: 2\ndata: b\n\n');
+  harness.post({ kind: EventKind.TargetDataReceived, callId: second, data: rest });
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId: second });
+  expect(streamed(harness)).toEqual('id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  expect(harness.effects.filter(({ kind }) => kind === EffectKind.BeginAnswer).length).toEqual(1);
+  expect(harness.effects.filter(({ kind }) => kind === EffectKind.EndAnswer).length).toEqual(1);
+});
+
+test('cuts a stream that cannot be resumed', () => {
+  const harness = gatewayWith(CallKind.Streaming);
+  harness.request({ method: 'POST' });
+  const callId = harness.lastCallId();
+  const head = headOf({ isEventStream: true });
+  harness.post({ kind: EventKind.TargetHeadReceived, callId, head });
+  const data = Buffer.from('id: 1\ndata: a\n\n');
+  harness.post({ kind: EventKind.TargetDataReceived, callId, data });
+  cut(harness);
+  expect(harness.calledIds().length).toEqual(1);
+  expect(harness.effects.some(({ kind }) => kind === EffectKind.AbortAnswer)).toEqual(true);
+  expect(harness.effects.some(({ kind }) => kind === EffectKind.EndAnswer)).toEqual(false);
+});
+
+test('cancels when the caller leaves', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request();
+  const effects = harness.post({ kind: EventKind.CallerGone, exchangeId: 1 });
+  expect(effects.some(({ kind }) => kind === EffectKind.CancelCall)).toEqual(true);
+});
+
+test('answers at the timeout of the route', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request();
+  harness.advance(1_999);
+  expect(harness.statuses()).toEqual([]);
+  harness.advance(1);
+  expect(harness.statuses()).toEqual([504]);
+});
+
+test('hands on the time that is left', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request({ remainingMs: 900 });
+  harness.advance(300);
+  cut(harness);
+  const calls = harness.effects.filter((effect) => effect.kind === EffectKind.StartCall);
+  expect(calls.map(({ call }) => call.remainingMs)).toEqual([900, 600]);
+});
+
+test('denies an unknown credential', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request({ credential: 'key-0' });
+  expect(harness.statuses()).toEqual([401]);
+});
+
+test('denies a path without a route', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.request({ path: '/b/x' });
+  expect(harness.statuses()).toEqual([404]);
+});
+
+test('denies nothing on old knowledge', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.advance(3_000, false);
+  harness.request({ path: '/b/x' });
+  harness.request({ credential: 'key-0' });
+  expect(harness.statuses()).toEqual([503, 503]);
+});
+
+test('vouches for no credential on old knowledge', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.advance(4_100, false);
+  harness.request();
+  expect(harness.calledIds()).toEqual([]);
+  expect(harness.statuses()).toEqual([503]);
+});
+
+test('counts suspended time as age', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  harness.suspendedMs = 5_000;
+  harness.request();
+  expect(harness.calledIds()).toEqual([]);
+  harness.read(StoreReadKind.Watch, []);
+  harness.request();
+  expect(harness.calledIds().length).toEqual(1);
+});
+
+test('never takes an older configuration', () => {
+  const harness = gatewayWith(CallKind.Idempotent);
+  const older = configurationOf(0, [routeOf({ pathPrefix: '/b/' })]);
+  harness.read(StoreReadKind.Watch, [configurationItem(older)]);
+  harness.request();
+  expect(harness.calledIds().length).toEqual(1);
+});
+
+test('takes the longest prefix', () => {
+  const harness = Harness.create([
+    configurationItem(
+      configurationOf(1, [
+        routeOf(),
+        routeOf({ pathPrefix: '/a/b/', services: [{ service: 'other', weight: 1 }] }),
+      ]),
+    ),
+    targetItem(targetOf('t-1')),
+    targetItem(targetOf('t-2', { service: 'other' })),
+  ]);
+  harness.request({ path: '/a/b/c' });
+  expect(harness.calledIds()).toEqual(['t-2']);
+});
--- /dev/null
+++ b/packages/gateway/tests/harness.ts
@@ -0,0 +1,261 @@
+/** @module One gateway on virtual time, with its effects kept for inspection. */
+import { Kernel } from '@ebonysill/kernel';
+import {
+  CallKind,
+  EffectKind,
+  EventKind,
+  ItemKind,
+  ItemScope,
+  PeerRole,
+  ServiceName,
+  StoreReadKind,
+  TargetPhase,
+  createGatewayServices,
+  type CallerRequest,
+  type Directory,
+  type Effect,
+  type Event,
+  type PublishedConfiguration,
+  type PublishedTarget,
+  type Route,
+  type SetTimerEffect,
+  type StoreItem,
+  type TargetHead,
+} from '../src/index.js';
+
+/** A route for tests, with differences. */
+export const routeOf = (changes: Partial<Route> = {}): Route => ({
+  name: 'r-1',
+  host: 'app.example',
+  pathPrefix: '/a/',
+  kind: CallKind.Idempotent,
+  services: [{ service: 'plain', weight: 1 }],
+  timeoutMs: 2_000,
+  objectiveMs: 300,
+  maxPauseMs: 0,
+  maxAttempts: 2,
+  priority: 1,
+  isPublic: false,
+  isResumable: false,
+  ...changes,
+});
+
+/** A configuration for tests. */
+export const configurationOf = (
+  version: number,
+  routes: readonly Route[],
+  credentials: readonly string[] = ['key-1'],
+): PublishedConfiguration => ({
+  version,
+  routes,
+  services: [{ name: 'plain', healthPath: '/health', coldPerSecond: 0 }],
+  organisations: [{ name: 'org-1', credentials }],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 4_194_304,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  },
+});
+
+/** A target for tests. */
+export const targetOf = (
+  instanceId: string,
+  changes: Partial<PublishedTarget> = {},
+): PublishedTarget => ({
+  instanceId,
+  service: 'plain',
+  address: '10.0.0.1:80',
+  availabilityZone: 'zone-a',
+  slots: 100,
+  phase: TargetPhase.Available,
+  coldRemainingMs: 0,
+  ...changes,
+});
+
+/** A request for tests. */
+export const requestOf = (changes: Partial<CallerRequest> = {}): CallerRequest => ({
+  attemptId: 'attempt-1',
+  host: 'app.example',
+  method: 'GET',
+  path: '/a/x',
+  credential: 'key-1',
+  remainingMs: 3_000,
+  promptTokens: 0,
+  headers: [],
+  body: Buffer.alloc(0),
+  ...changes,
+});
+
+/** The head of an answer for tests. */
+export const headOf = (changes: Partial<TargetHead> = {}): TargetHead => ({
+  status: 200,
+  isNotRun: false,
+  isSigned: true,
+  isEventStream: false,
+  headers: [],
+  ...changes,
+});
+
+/** An item that publishes a target. */
+export const targetItem = (target: PublishedTarget): StoreItem => ({
+  kind: ItemKind.Target,
+  scope: ItemScope.Target,
+  target,
+});
+
+/** An item that publishes a configuration. */
+export const configurationItem = (configuration: PublishedConfiguration): StoreItem => ({
+  kind: ItemKind.Configuration,
+  scope: ItemScope.Configuration,
+  configuration,
+});
+
+interface PendingTimer {
+  readonly effect: SetTimerEffect;
+  readonly dueAtMs: number;
+}
+
+/** Drives one gateway by hand. */
+export class Harness {
+  nowMs = 0;
+
+  /** How far the clock that counts suspended time is ahead. */
+  suspendedMs = 0;
+
+  readonly effects: Effect[] = [];
+
+  readonly #timers = new Map<string, PendingTimer>();
+
+  readonly kernel: Kernel<Directory, Event, Effect>;
+
+  #revision = 1;
+
+  #exchangeId = 0;
+
+  private constructor() {
+    this.kernel = Kernel.create<Directory, Event, Effect>({
+      services: createGatewayServices({
+        runtime: {
+          nowMs: () => this.nowMs,
+          suspendAwareMs: () => this.nowMs + this.suspendedMs,
+          random: () => 0.5,
+        },
+        self: {
+          name: 'gateway-1',
+          role: PeerRole.Gateway,
+          address: '10.0.0.9:7000',
+          availabilityZone: 'zone-a',
+        },
+        seeds: [],
+        retryBudget: { ratio: 0.2, windowMs: 10_000, extraCount: 120 },
+        graceMs: 8_000,
+      }),
+      nowMs: () => this.nowMs,
+      perform: (effect) => this.#perform(effect),
+      onDrained: () => undefined,
+      onBroken: (error) => {
+        throw error;
+      },
+    });
+    this.kernel.start();
+  }
+
+  /**
+   * Creates a gateway whose store held these items.
+   *
+   * @example
+   * const harness = Harness.create([targetItem(targetOf('t-1'))]);
+   */
+  static create(items: readonly StoreItem[]): Harness {
+    const harness = new Harness();
+    harness.read(StoreReadKind.Page, items);
+    return harness;
+  }
+
+  /** Lets the store answer. */
+  read(read: StoreReadKind, items: readonly StoreItem[]): void {
+    this.#revision += 1;
+    this.kernel.post({ kind: EventKind.StoreRead, read, items, revision: this.#revision });
+  }
+
+  /** Receives a request; returns the effects that answer it. */
+  request(changes: Partial<CallerRequest> = {}): readonly Effect[] {
+    this.#exchangeId += 1;
+    return this.post({
+      kind: EventKind.RequestReceived,
+      exchangeId: this.#exchangeId,
+      request: requestOf(changes),
+    });
+  }
+
+  /** Posts an event; returns the effects that answer it. */
+  post(event: Event): readonly Effect[] {
+    const before = this.effects.length;
+    this.kernel.post(event);
+    return this.effects.slice(before);
+  }
+
+  /** Lets time pass; timers fire in order, and the store vouches when asked to. */
+  advance(spanMs: number, isStoreUp = true): readonly Effect[] {
+    const before = this.effects.length;
+    const endMs = this.nowMs + spanMs;
+    let next = this.#nextDue(endMs);
+    while (next !== undefined) {
+      const { effect, dueAtMs } = next;
+      this.nowMs = Math.max(this.nowMs, dueAtMs);
+      this.#timers.delete(`${effect.timer}/${effect.key}`);
+      this.kernel.post({ kind: EventKind.TimerFired, timer: effect.timer, key: effect.key });
+      next = this.#nextDue(endMs);
+    }
+    this.nowMs = endMs;
+    if (isStoreUp) {
+      this.read(StoreReadKind.Watch, []);
+    }
+    return this.effects.slice(before);
+  }
+
+  /** Identifiers of the targets called so far, in order. */
+  calledIds(): readonly string[] {
+    return this.effects.flatMap((effect) =>
+      effect.kind === EffectKind.StartCall ? [effect.call.instanceId] : [],
+    );
+  }
+
+  /** Number of the last call. */
+  lastCallId(): number {
+    const ids = this.effects.flatMap((effect) =>
+      effect.kind === EffectKind.StartCall ? [effect.callId] : [],
+    );
+    return ids.at(-1) ?? 0;
+  }
+
+  /** Statuses of whole answers so far, in order. */
+  statuses(): readonly number[] {
+    return this.effects.flatMap((effect) =>
+      effect.kind === EffectKind.AnswerWhole ? [effect.status] : [],
+    );
+  }
+
+  /** Whether the process is ready for new connections. */
+  isReady(): boolean {
+    return this.kernel.find(ServiceName.Lifecycle).isReady();
+  }
+
+  #nextDue(endMs: number): PendingTimer | undefined {
+    return [...this.#timers.values()]
+      .filter(({ dueAtMs }) => dueAtMs <= endMs)
+      .sort((left, right) => left.dueAtMs - right.dueAtMs)[0];
+  }
+
+  #perform(effect: Effect): void {
+    this.effects.push(effect);
+    if (effect.kind === EffectKind.SetTimer) {
+      const dueAtMs = this.nowMs + effect.delayMs;
+      this.#timers.set(`${effect.timer}/${effect.key}`, { effect, dueAtMs });
+    }
+    if (effect.kind === EffectKind.ClearTimer) {
+      this.#timers.delete(`${effect.timer}/${effect.key}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/targets.test.ts
@@ -0,0 +1,124 @@
+/** @module Targets: leaving, gone, lapsed, zones out. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import {
+  EventKind,
+  ItemKind,
+  ItemScope,
+  StoreFailure,
+  StoreReadKind,
+  TargetPhase,
+  type StoreItem,
+} from '../src/index.js';
+import {
+  Harness,
+  configurationItem,
+  configurationOf,
+  routeOf,
+  targetItem,
+  targetOf,
+} from './harness.js';
+
+const gateway = (): Harness =>
+  Harness.create([
+    configurationItem(configurationOf(1, [routeOf()])),
+    targetItem(targetOf('t-1')),
+    targetItem(targetOf('t-2', { availabilityZone: 'zone-b' })),
+  ]);
+
+const removed = (scope: ItemScope, id: string): StoreItem => ({
+  kind: ItemKind.Removed,
+  scope,
+  id,
+});
+
+/** Identifiers of the targets of thirty requests. */
+const usedIds = (harness: Harness): readonly string[] => {
+  const before = harness.calledIds().length;
+  Array.from({ length: 30 }, () => harness.request());
+  return [...new Set(harness.calledIds().slice(before))].sort();
+};
+
+const failStore = (harness: Harness): void => {
+  harness.post({
+    kind: EventKind.StoreFailed,
+    read: StoreReadKind.Watch,
+    failure: StoreFailure.Unreachable,
+    detail: 'reset',
+  });
+};
+
+test('uses all targets', () => {
+  expect(usedIds(gateway())).toEqual(['t-1', 't-2']);
+});
+
+test('leaves a leaving target', () => {
+  const harness = gateway();
+  const leaving = targetOf('t-1', { phase: TargetPhase.Leaving });
+  harness.read(StoreReadKind.Watch, [targetItem(leaving)]);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
+
+test('leaves a removed target', () => {
+  const harness = gateway();
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
+
+test('leaves a zone that is out, until it is back', () => {
+  const harness = gateway();
+  harness.read(StoreReadKind.Watch, [
+    { kind: ItemKind.ZoneOut, scope: ItemScope.Zone, zone: 'zone-b' },
+  ]);
+  expect(usedIds(harness)).toEqual(['t-1']);
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Zone, 'zone-b')]);
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+});
+
+test('keeps a target that lapsed with the store', () => {
+  const harness = gateway();
+  failStore(harness);
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+});
+
+test('drops a lapsed target that does not come back', () => {
+  const harness = gateway();
+  failStore(harness);
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
+  harness.advance(3_000);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
+
+test('keeps a lapsed target that comes back', () => {
+  const harness = gateway();
+  failStore(harness);
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
+  harness.advance(1_000);
+  harness.read(StoreReadKind.Watch, [targetItem(targetOf('t-1'))]);
+  harness.advance(3_000);
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+});
+
+test('keeps no leaving target that lapsed', () => {
+  const harness = gateway();
+  const leaving = targetOf('t-1', { phase: TargetPhase.Leaving });
+  harness.read(StoreReadKind.Watch, [targetItem(leaving)]);
+  failStore(harness);
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
+
+test('uses no target whose entry cannot be read', () => {
+  const harness = gateway();
+  harness.read(StoreReadKind.Watch, [
+    { kind: ItemKind.Unreadable, scope: ItemScope.Target, id: 't-1', detail: 'no address' },
+  ]);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
+
+test('drops what a whole read does not name', () => {
+  const harness = gateway();
+  harness.read(StoreReadKind.Page, [targetItem(targetOf('t-2'))]);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
--- a/packages/rank-agent/src/create-agent-services.ts
+++ b/packages/rank-agent/src/create-agent-services.ts
@@ -28,6 +28,6 @@
   seeds,
 }: AgentOptions): readonly AnyRegistration[] => [
   membersRegistration({ runtime, self, seeds }),
-  rankMonitorRegistration(runtime),
-  groupDriverRegistration(runtime),
+  rankMonitorRegistration({ runtime }),
+  groupDriverRegistration({ runtime }),
 ];
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -11,7 +11,6 @@
   LogLevel,
   LogTopic,
   OrderKind,
-  OrderOutcome,
   PeerMessageKind,
   PeerRole,
   ServiceName,
@@ -34,6 +33,7 @@
 } from '@ebonysill/gateway';
 import { createInstance } from '@ebonysill/kernel';
 import GroupView, { type KnownRank } from './GroupView.js';
+import { ChangePhase, MapChange } from './map-change.js';
 import { skewOf } from './placement.js';
 import { planPlacement } from './plan-placement.js';
 import PopularityMeter from './PopularityMeter.js';
@@ -76,34 +76,14 @@
 
 const TIMER_KEY = 0;
 
-/** How far a change has come. */
-enum DriverPhase {
-  Idle = 'idle',
-  Preparing = 'preparing',
-  Holding = 'holding',
-  Arming = 'arming',
-  Releasing = 'releasing',
-  Aborting = 'aborting',
-}
-
-/** The change that is under way. */
-interface Change {
-  readonly epoch: number;
-  readonly version: number;
-  readonly placement: RankPlacement;
-  readonly startedAtMs: number;
-  step: number;
-  askedAtMs: number;
-  isHoldAsked: boolean;
+/** What the service is created from. */
+export interface GroupDriverOptions {
+  readonly runtime: Runtime;
 }
 
 /** Drives one group when this process is the one to do so. */
 class GroupDriverService {
-  #phase = DriverPhase.Idle;
-
-  #change: Change | undefined;
-
-  #phaseAtMs = 0;
+  #change: MapChange | undefined;
 
   #settleUntilMs = 0;
 
@@ -135,10 +115,6 @@
     return new GroupDriverService(runtime, find);
   }
 
-  start(): readonly Effect[] {
-    return [setTimer(TimerKind.MapChange, TIMER_KEY, IDLE_INTERVAL_MS)];
-  }
-
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.TimerFired:
@@ -159,15 +135,20 @@
     }
   }
 
+  /** A change that has not held a pass yet leaves nothing behind. */
+  isDrained(): boolean {
+    return this.#change === undefined || this.#change.phase === ChangePhase.Preparing;
+  }
+
   #onTimer(): readonly Effect[] {
     const effects = this.#look();
-    const delayMs = this.#phase === DriverPhase.Idle ? IDLE_INTERVAL_MS : ACTIVE_INTERVAL_MS;
+    const delayMs = this.#change === undefined ? IDLE_INTERVAL_MS : ACTIVE_INTERVAL_MS;
     return [...effects, setTimer(TimerKind.MapChange, TIMER_KEY, delayMs)];
   }
 
   #onOwnReport(report: RankReport): readonly Effect[] {
     this.#view.noteReport(this.#members.self().address, report);
-    return this.#phase === DriverPhase.Idle ? [] : this.#look();
+    return this.#change === undefined ? [] : this.#look();
   }
 
   #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
@@ -181,7 +162,7 @@
           return [];
         }
         this.#view.noteReport(address, message.report);
-        return this.#phase === DriverPhase.Idle ? [] : this.#look();
+        return this.#change === undefined ? [] : this.#look();
       case PeerMessageKind.RankTally:
         if (message.groupName === groupName) {
           this.#view.noteTally(message.rank, message.tally);
@@ -199,7 +180,7 @@
   #onReleaseAsked(epoch: number, step: number): readonly Effect[] {
     const report = this.#monitor.report();
     const isOrphan =
-      this.#phase === DriverPhase.Idle && report?.epoch === epoch && report.heldStep === step;
+      this.#change === undefined && report?.epoch === epoch && report.heldStep === step;
     return isOrphan ? this.#release(epoch, step) : [];
   }
 
@@ -226,32 +207,23 @@
     return report === undefined ? [] : this.#advance(change, report);
   }
 
-  #advance(change: Change, report: RankReport): readonly Effect[] {
-    switch (this.#phase) {
-      case DriverPhase.Preparing:
+  #advance(change: MapChange, report: RankReport): readonly Effect[] {
+    switch (change.phase) {
+      case ChangePhase.Preparing:
         return this.#lookPreparing(change);
-      case DriverPhase.Holding:
+      case ChangePhase.Holding:
         return this.#lookHolding(change, report);
-      case DriverPhase.Arming:
+      case ChangePhase.Arming:
         return this.#lookArming(change);
-      case DriverPhase.Releasing:
+      case ChangePhase.Releasing:
         return this.#lookReleasing(change, report);
-      case DriverPhase.Aborting:
+      case ChangePhase.Aborting:
         return this.#lookAborting(change);
       default:
-        return [];
+        return change.phase satisfies never;
     }
   }
 
-  #enter(phase: DriverPhase): void {
-    this.#phase = phase;
-    this.#phaseAtMs = this.runtime.nowMs();
-  }
-
-  #sincePhaseMs(): number {
-    return this.runtime.nowMs() - this.#phaseAtMs;
-  }
-
   #lookIdle(): readonly Effect[] {
     const ranks = this.#view.complete();
     if (ranks === undefined) {
@@ -307,17 +279,8 @@
     const highest = Math.max(this.#highestVersion, ...seen);
     const version = (Math.floor(highest / VERSION_STRIDE) + 1) * VERSION_STRIDE + own.rank;
     this.#highestVersion = version;
-    const nowMs = this.runtime.nowMs();
-    this.#change = {
-      epoch: own.epoch,
-      version,
-      placement,
-      startedAtMs: nowMs,
-      step: 0,
-      askedAtMs: Number.NEGATIVE_INFINITY,
-      isHoldAsked: false,
-    };
-    this.#enter(DriverPhase.Preparing);
+    const { nowMs } = this.runtime;
+    this.#change = MapChange.create({ epoch: own.epoch, version, placement, nowMs });
     return [
       log(LogLevel.Info, LogTopic.MapChangeStarted, {
         epoch: own.epoch,
@@ -329,21 +292,19 @@
     ];
   }
 
-  #lookPreparing(change: Change): readonly Effect[] {
+  #lookPreparing(change: MapChange): readonly Effect[] {
     const { epoch, version, placement } = change;
     const ranks = this.#view.complete();
-    if (this.#sincePhaseMs() > PREPARE_TIMEOUT_MS) {
+    if (change.sincePhaseMs() > PREPARE_TIMEOUT_MS) {
       return this.#finish(change, 'not all ranks prepared in time');
     }
     if (ranks?.every(({ report }) => report.preparedVersion === version) === true) {
-      this.#enter(DriverPhase.Holding);
+      change.enter(ChangePhase.Holding);
       return this.#look();
     }
-    const nowMs = this.runtime.nowMs();
-    if (nowMs - change.askedAtMs < PREPARE_REPEAT_MS) {
+    if (!change.isDue(PREPARE_REPEAT_MS)) {
       return [];
     }
-    change.askedAtMs = nowMs;
     const { groupName = '' } = this.#members.self();
     const message = {
       kind: PeerMessageKind.PrepareMap,
@@ -352,11 +313,15 @@
       version,
       placement,
     } as const;
-    return this.#toRanks(ranks, ({ preparedVersion }) => preparedVersion !== version, message);
+    return GroupDriverService.#toRanks(
+      ranks,
+      ({ preparedVersion }) => preparedVersion !== version,
+      message,
+    );
   }
 
   /** Sends to the ranks that a condition holds for; this rank's own agent hears itself. */
-  #toRanks(
+  static #toRanks(
     ranks: readonly KnownRank[] | undefined,
     isDue: (report: RankReport) => boolean,
     message: PeerMessage,
@@ -366,63 +331,48 @@
       .map(({ agentAddress }) => sendToPeer(agentAddress, message));
   }
 
-  #lookHolding(change: Change, report: RankReport): readonly Effect[] {
+  #lookHolding(change: MapChange, report: RankReport): readonly Effect[] {
     if (change.step > 0 && report.heldStep === change.step) {
-      this.#enter(DriverPhase.Arming);
+      change.enter(ChangePhase.Arming);
       return this.#look();
     }
     if (change.isHoldAsked) {
       return [];
     }
-    // A pass that was asked for and has begun can no longer be held.
-    change.step = Math.max(change.step, report.step + LEAD_PASSES);
-    change.isHoldAsked = true;
-    const { epoch, step } = change;
+    const { epoch } = change;
+    const step = change.askHold(report.step, LEAD_PASSES);
     return this.#monitor.order({ kind: OrderKind.Hold, epoch, step }, (outcome) => {
-      change.isHoldAsked = false;
-      if (outcome === OrderOutcome.Refused) {
-        change.step = 0;
-      }
+      change.noteHoldAnswered(outcome);
       return [];
     });
   }
 
-  #lookArming(change: Change): readonly Effect[] {
+  #lookArming(change: MapChange): readonly Effect[] {
     const { epoch, version, step } = change;
     const ranks = this.#view.complete();
     if (ranks?.every(({ report }) => report.armedVersion === version) === true) {
-      this.#enter(DriverPhase.Releasing);
+      change.enter(ChangePhase.Releasing);
       return this.#look();
     }
     const isReplaced = ranks?.some(
       ({ report }) => report.preparedVersion !== version && report.armedVersion !== version,
     );
     if (isReplaced === true) {
-      this.#enter(DriverPhase.Aborting);
+      change.enter(ChangePhase.Aborting);
       return [];
     }
     const { groupName = '' } = this.#members.self();
     const message = { kind: PeerMessageKind.ArmMap, groupName, epoch, version, step } as const;
-    return this.#throttled(change, () =>
-      this.#toRanks(ranks, ({ armedVersion }) => armedVersion !== version, message),
-    );
-  }
-
-  /** Repeats messages no more often than the interval of looks. */
-  #throttled(change: Change, build: () => readonly Effect[]): readonly Effect[] {
-    const nowMs = this.runtime.nowMs();
-    if (nowMs - change.askedAtMs < ACTIVE_INTERVAL_MS) {
-      return [];
-    }
-    change.askedAtMs = nowMs;
-    return build();
+    return change.isDue(ACTIVE_INTERVAL_MS)
+      ? GroupDriverService.#toRanks(ranks, ({ armedVersion }) => armedVersion !== version, message)
+      : [];
   }
 
-  #lookReleasing(change: Change, report: RankReport): readonly Effect[] {
+  #lookReleasing(change: MapChange, report: RankReport): readonly Effect[] {
     if (report.heldStep !== change.step) {
       return this.#finish(change, 'in force');
     }
-    return this.#throttled(change, () => this.#release(change.epoch, change.step));
+    return change.isDue(ACTIVE_INTERVAL_MS) ? this.#release(change.epoch, change.step) : [];
   }
 
   #release(epoch: number, step: number): readonly Effect[] {
@@ -432,19 +382,19 @@
   }
 
   /** Waits until no rank is armed and no order without an answer can arm one any more. */
-  #lookAborting(change: Change): readonly Effect[] {
+  #lookAborting(change: MapChange): readonly Effect[] {
     const { epoch, version } = change;
     const ranks = this.#view.complete();
     const isClear = ranks?.every(({ report }) => report.armedVersion !== version) === true;
-    if (isClear && this.#sincePhaseMs() > LATE_ORDER_MS) {
-      this.#enter(DriverPhase.Releasing);
+    if (isClear && change.sincePhaseMs() > LATE_ORDER_MS) {
+      change.enter(ChangePhase.Releasing);
       return this.#look();
     }
     const { groupName = '' } = this.#members.self();
     const message = { kind: PeerMessageKind.DisarmMap, groupName, epoch, version } as const;
-    return this.#throttled(change, () =>
-      this.#toRanks(ranks, ({ armedVersion }) => armedVersion === version, message),
-    );
+    return change.isDue(ACTIVE_INTERVAL_MS)
+      ? GroupDriverService.#toRanks(ranks, ({ armedVersion }) => armedVersion === version, message)
+      : [];
   }
 
   /** A driver that died left a pass held: its change is completed if any rank is armed for it. */
@@ -466,12 +416,15 @@
         : [sendToPeer(agentAddress, { kind: PeerMessageKind.ReleaseStep, groupName, epoch, step })];
     }
     const message = { kind: PeerMessageKind.ArmMap, groupName, epoch, version, step } as const;
-    return this.#toRanks(ranks, ({ armedVersion }) => armedVersion !== version, message);
+    return GroupDriverService.#toRanks(
+      ranks,
+      ({ armedVersion }) => armedVersion !== version,
+      message,
+    );
   }
 
-  #finish({ epoch, version, step, startedAtMs }: Change, detail: string): readonly Effect[] {
+  #finish({ epoch, version, step, startedAtMs }: MapChange, detail: string): readonly Effect[] {
     this.#change = undefined;
-    this.#enter(DriverPhase.Idle);
     this.#settleUntilMs = this.runtime.nowMs() + SETTLE_MS;
     return [
       log(LogLevel.Info, LogTopic.MapChangeEnded, {
@@ -489,18 +442,22 @@
  * Registers the service that drives a group.
  *
  * @example
- * const services = [rankMonitorRegistration(runtime), groupDriverRegistration(runtime)];
+ * const services = [rankMonitorRegistration({ runtime }), groupDriverRegistration({ runtime })];
  */
-export const groupDriverRegistration = (
-  runtime: Runtime,
-): Registration<ServiceName.GroupDriver> => ({
+export const groupDriverRegistration = ({
+  runtime,
+}: GroupDriverOptions): Registration<ServiceName.GroupDriver> => ({
   name: ServiceName.GroupDriver,
   requires: [ServiceName.Members, ServiceName.RankMonitor],
   create: (find) => {
     const service = GroupDriverService.create(runtime, find);
     return createInstance(
       {},
-      { start: () => service.start(), handle: (event) => service.handle(event) },
+      {
+        start: () => [setTimer(TimerKind.MapChange, TIMER_KEY, IDLE_INTERVAL_MS)],
+        handle: (event) => service.handle(event),
+        isDrained: () => service.isDrained(),
+      },
     );
   },
 });
--- /dev/null
+++ b/packages/rank-agent/src/map-change.ts
@@ -0,0 +1,119 @@
+/** @module One change of a group's expert map, as far as it has come. */
+import { OrderOutcome, type RankPlacement } from '@ebonysill/gateway';
+
+/** How far a change has come. */
+export enum ChangePhase {
+  /** Ranks copy the experts that are new to them. */
+  Preparing = 'preparing',
+  /** The driver's engine is asked to hold a pass. */
+  Holding = 'holding',
+  /** Ranks are asked to change map at the held pass. */
+  Arming = 'arming',
+  /** All ranks are armed; the pass may begin. */
+  Releasing = 'releasing',
+  /** Ranks are asked to keep the present map. */
+  Aborting = 'aborting',
+}
+
+/** What a change is created from. */
+export interface MapChangeOptions {
+  readonly epoch: number;
+  readonly version: number;
+  readonly placement: RankPlacement;
+  readonly nowMs: () => number;
+}
+
+/** Follows one change. */
+export class MapChange {
+  readonly startedAtMs: number;
+
+  #phase = ChangePhase.Preparing;
+
+  #phaseAtMs: number;
+
+  #step = 0;
+
+  #askedAtMs = Number.NEGATIVE_INFINITY;
+
+  #isHoldAsked = false;
+
+  private constructor(private readonly options: MapChangeOptions) {
+    this.startedAtMs = options.nowMs();
+    this.#phaseAtMs = this.startedAtMs;
+  }
+
+  /**
+   * Creates a change whose ranks prepare.
+   *
+   * @example
+   * const change = MapChange.create({ epoch: 1, version: 1_024, placement, nowMs });
+   */
+  static create(options: MapChangeOptions): MapChange {
+    return new MapChange(options);
+  }
+
+  get epoch(): number {
+    return this.options.epoch;
+  }
+
+  get version(): number {
+    return this.options.version;
+  }
+
+  get placement(): RankPlacement {
+    return this.options.placement;
+  }
+
+  get phase(): ChangePhase {
+    return this.#phase;
+  }
+
+  /** Pass at which the map changes; 0 before one is chosen. */
+  get step(): number {
+    return this.#step;
+  }
+
+  /** Whether an order to hold is not answered yet. */
+  get isHoldAsked(): boolean {
+    return this.#isHoldAsked;
+  }
+
+  /** Goes on to a phase. */
+  enter(phase: ChangePhase): void {
+    this.#phase = phase;
+    this.#phaseAtMs = this.options.nowMs();
+    this.#askedAtMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Time since the phase began. */
+  sincePhaseMs(): number {
+    return this.options.nowMs() - this.#phaseAtMs;
+  }
+
+  /** Whether to ask again, no more often than `intervalMs`; counts as asked when it is. */
+  isDue(intervalMs: number): boolean {
+    const nowMs = this.options.nowMs();
+    if (nowMs - this.#askedAtMs < intervalMs) {
+      return false;
+    }
+    this.#askedAtMs = nowMs;
+    return true;
+  }
+
+  /** Chooses the pass to hold; one that was chosen before is kept while it can still be held. */
+  askHold(presentStep: number, leadPasses: number): number {
+    this.#isHoldAsked = true;
+    if (this.#step <= presentStep) {
+      this.#step = presentStep + leadPasses;
+    }
+    return this.#step;
+  }
+
+  /** Takes the answer to the order to hold; a refused pass is chosen anew. */
+  noteHoldAnswered(outcome: OrderOutcome): void {
+    this.#isHoldAsked = false;
+    if (outcome === OrderOutcome.Refused) {
+      this.#step = 0;
+    }
+  }
+}
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -50,6 +50,12 @@
 
 const TIMER_KEY = 0;
 
+const FIRST_LOOKS: readonly Effect[] = [
+  { kind: EffectKind.AskRank },
+  setTimer(TimerKind.RankReport, TIMER_KEY, REPORT_INTERVAL_MS),
+  setTimer(TimerKind.ExpertCount, TIMER_KEY, TALLY_INTERVAL_MS),
+];
+
 /** State that a driver must know of at once. */
 const signatureOf = (report: RankReport): string =>
   [
@@ -61,6 +67,11 @@
     report.heldStep,
   ].join('/');
 
+/** What the service is created from. */
+export interface RankMonitorOptions {
+  readonly runtime: Runtime;
+}
+
 /** Follows one engine. */
 class RankMonitorService {
   #report: RankReport | undefined;
@@ -98,14 +109,6 @@
     return [{ kind: EffectKind.GiveOrder, orderId, order }];
   };
 
-  start(): readonly Effect[] {
-    return [
-      { kind: EffectKind.AskRank },
-      setTimer(TimerKind.RankReport, TIMER_KEY, REPORT_INTERVAL_MS),
-      setTimer(TimerKind.ExpertCount, TIMER_KEY, TALLY_INTERVAL_MS),
-    ];
-  }
-
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.TimerFired:
@@ -259,18 +262,18 @@
  * Registers the service that follows an engine.
  *
  * @example
- * const services = [membersRegistration(options), rankMonitorRegistration(runtime)];
+ * const services = [membersRegistration(options), rankMonitorRegistration({ runtime })];
  */
-export const rankMonitorRegistration = (
-  runtime: Runtime,
-): Registration<ServiceName.RankMonitor> => ({
+export const rankMonitorRegistration = ({
+  runtime,
+}: RankMonitorOptions): Registration<ServiceName.RankMonitor> => ({
   name: ServiceName.RankMonitor,
   requires: [ServiceName.Members],
   create: (find) => {
     const service = RankMonitorService.create(runtime, find);
     return createInstance(
       { report: service.report, order: service.order },
-      { start: () => service.start(), handle: (event) => service.handle(event) },
+      { start: () => FIRST_LOOKS, handle: (event) => service.handle(event) },
     );
   },
 });
