--- a/packages/gateway/src/admission-service.ts
+++ b/packages/gateway/src/admission-service.ts
@@ -16,8 +16,8 @@
 import type { Route } from './published.js';
 import type { Runtime } from './runtime.js';
 
-/** Part of the pause objective at which nothing more is admitted; passes vary by about a fifth. */
-const PAUSE_HEADROOM = 0.8;
+/** Part of the pause objective at which nothing more is admitted; single passes last a third longer. */
+const PAUSE_HEADROOM = 0.7;
 
 /** Streams that a gateway may run whatever the passes take, so that it keeps seeing them. */
 const MIN_STREAMS = 1;
