feat(gateway): cold targets, drain, changed settings; prove map changes under faults

Tests: maps change on all ranks or none under lost answers, late orders, lost messages, killed and paused agents and crashing engines, 24 seeds each on virtual time.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -151,10 +151,10 @@
     this.#take(exchangeId)?.destroy();
   }
 
-  /** Stops listening and closes every connection. */
-  close(): void {
+  /** Stops listening, and closes connections on which no request is in progress. */
+  closeIdle(): void {
     this.#server.close();
-    this.#server.closeAllConnections();
+    this.#server.closeIdleConnections();
   }
 
   #take(exchangeId: number): ServerResponse | undefined {
--- a/packages/gateway-io/src/MetricsRecorder.ts
+++ b/packages/gateway-io/src/MetricsRecorder.ts
@@ -1,6 +1,5 @@
 /** @module Counters and latency histograms, from the log effects of decisions. */
 import { LogTopic, type LogEffect } from '@ebonysill/gateway';
-import { build, type Histogram } from 'hdr-histogram-js';
 
 const MAX_DURATION_MS = 60_000;
 
@@ -8,25 +7,31 @@
 
 const PERCENTILES: readonly number[] = [50, 90, 99];
 
-const createHistogram = (): Histogram =>
-  build({ highestTrackableValue: MAX_DURATION_MS, numberOfSignificantValueDigits: 2 });
+/** Histogram of durations. */
+export interface DurationHistogram {
+  readonly recordValue: (valueMs: number) => void;
+  readonly getValueAtPercentile: (percentile: number) => number;
+}
+
+/** Creates a histogram up to a duration. */
+export type CreateHistogram = (highestMs: number) => DurationHistogram;
 
 /** Counts decisions by topic and ended requests by route, outcome and reason. */
 export default class MetricsRecorder {
   readonly #counters = new Map<string, number>();
 
-  readonly #histograms = new Map<string, Histogram>();
+  readonly #histograms = new Map<string, DurationHistogram>();
 
-  private constructor() {}
+  private constructor(private readonly createHistogram: CreateHistogram | undefined) {}
 
   /**
-   * Creates a recorder without counts.
+   * Creates a recorder without counts; without `createHistogram` it keeps no durations.
    *
    * @example
-   * const metrics = MetricsRecorder.create();
+   * const metrics = MetricsRecorder.create(createLatencyHistogram);
    */
-  static create(): MetricsRecorder {
-    return new MetricsRecorder();
+  static create(createHistogram?: CreateHistogram): MetricsRecorder {
+    return new MetricsRecorder(createHistogram);
   }
 
   /** Counts one decision. */
@@ -71,7 +76,10 @@
     if (known === undefined && this.#histograms.size >= MAX_SERIES) {
       return;
     }
-    const histogram = known ?? createHistogram();
+    const histogram = known ?? this.createHistogram?.(MAX_DURATION_MS);
+    if (histogram === undefined) {
+      return;
+    }
     this.#histograms.set(key, histogram);
     histogram.recordValue(Math.min(valueMs, MAX_DURATION_MS));
   }
--- a/packages/gateway-io/src/ProcessHost.ts
+++ b/packages/gateway-io/src/ProcessHost.ts
@@ -112,6 +112,9 @@
       case EffectKind.AbortAnswer:
         callers?.abortAnswer(effect.exchangeId);
         return;
+      case EffectKind.CloseIdleCallers:
+        callers?.closeIdle();
+        return;
       case EffectKind.ApplyLimits:
         callers?.applyLimits(effect.limits);
         return;
--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -1,6 +1,6 @@
 /** @module Checks messages of other processes. */
 import { PeerMessageKind, PeerRole, type PeerMessage } from '@ebonysill/gateway';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const member = z.object({
   name: z.string(),
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -3,6 +3,7 @@
 import catalogueRegistration from './catalogueRegistration.js';
 import { chooseLeastLoaded, type ChooseTarget } from './choose-target.js';
 import type { AnyRegistration } from './directory.js';
+import { coldStartsRegistration } from './cold-starts-service.js';
 import engineAdviceRegistration from './engineAdviceRegistration.js';
 import { exchangesRegistration } from './exchanges-service.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
@@ -46,6 +47,7 @@
     engineAdviceRegistration(),
     admissionRegistration({ runtime }),
     retryBudgetRegistration(runtime, retryBudget),
+    coldStartsRegistration({ runtime }),
     exchangesRegistration({ runtime, availabilityZone, chooseTarget }),
     lifecycleRegistration({ runtime, graceMs }),
   ];
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -21,6 +21,7 @@
   Loads = 'loads',
   Admission = 'admission',
   RetryBudget = 'retry-budget',
+  ColdStarts = 'cold-starts',
   Exchanges = 'exchanges',
   Lifecycle = 'lifecycle',
   EngineAdvice = 'engine-advice',
@@ -109,6 +110,13 @@
   readonly take: (service: string) => boolean;
 }
 
+/** Limits what cold targets get. */
+export interface ColdStartsApi {
+  /** Whether this gateway may send a target one more request now. */
+  readonly mayStart: (target: PublishedTarget) => boolean;
+  readonly noteStart: (target: PublishedTarget) => void;
+}
+
 /** Whether the process is ready for new connections. */
 export interface LifecycleApi {
   readonly isReady: () => boolean;
@@ -142,6 +150,7 @@
   readonly [ServiceName.Loads]: LoadsApi;
   readonly [ServiceName.Admission]: AdmissionApi;
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
+  readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Exchanges]: ExchangesApi;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
   readonly [ServiceName.EngineAdvice]: object;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -19,6 +19,7 @@
   SetTimer = 'set-timer',
   ClearTimer = 'clear-timer',
   SendToPeer = 'send-to-peer',
+  CloseIdleCallers = 'close-idle-callers',
   ApplyLimits = 'apply-limits',
   AskRank = 'ask-rank',
   CountExperts = 'count-experts',
@@ -112,6 +113,11 @@
   readonly message: PeerMessage;
 }
 
+/** Stops listening, and closes connections on which no request is in progress. */
+export interface CloseIdleCallersEffect {
+  readonly kind: EffectKind.CloseIdleCallers;
+}
+
 /** Puts the bounds on what callers may send into force. */
 export interface ApplyLimitsEffect {
   readonly kind: EffectKind.ApplyLimits;
@@ -146,6 +152,7 @@
   Started = 'process started',
   Draining = 'drain started',
   Stopped = 'process stopped',
+  SettingsChanged = 'settings changed',
   ConfigurationApplied = 'configuration applied',
   ConfigurationStale = 'configuration too old to vouch for',
   ZoneOut = 'availability zone taken out',
@@ -220,6 +227,7 @@
   | SetTimerEffect
   | ClearTimerEffect
   | SendToPeerEffect
+  | CloseIdleCallersEffect
   | ApplyLimitsEffect
   | AskRankEffect
   | CountExpertsEffect
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -16,6 +16,7 @@
   StoreRead = 'store-read',
   StoreFailed = 'store-failed',
   TimerFired = 'timer-fired',
+  SeedsChanged = 'seeds-changed',
   PeerMessageReceived = 'peer-message-received',
   RankReported = 'rank-reported',
   ExpertsCounted = 'experts-counted',
@@ -148,6 +149,13 @@
   readonly key: number;
 }
 
+/** The settings name other processes to greet first. */
+export interface SeedsChangedEvent {
+  readonly kind: EventKind.SeedsChanged;
+  /** IP addresses and ports. */
+  readonly seeds: readonly string[];
+}
+
 /** Another process of the system sent a message. */
 export interface PeerMessageEvent {
   readonly kind: EventKind.PeerMessageReceived;
@@ -187,6 +195,7 @@
   | StoreReadEvent
   | StoreFailedEvent
   | TimerFiredEvent
+  | SeedsChangedEvent
   | PeerMessageEvent
   | RankReportedEvent
   | ExpertsCountedEvent
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -6,6 +6,7 @@
   AdmissionVerdict,
   ServiceName,
   type AdmissionApi,
+  type ColdStartsApi,
   type FindService,
   type LoadsApi,
   type Registration,
@@ -77,6 +78,8 @@
 
   readonly #budget: RetryBudgetApi;
 
+  readonly #coldStarts: ColdStartsApi;
+
   private constructor(
     private readonly options: ExchangesOptions,
     find: FindService,
@@ -86,6 +89,7 @@
     this.#loads = find(ServiceName.Loads);
     this.#admission = find(ServiceName.Admission);
     this.#budget = find(ServiceName.RetryBudget);
+    this.#coldStarts = find(ServiceName.ColdStarts);
     this.#check = {
       catalogue: find(ServiceName.Catalogue),
       store: this.#store,
@@ -174,7 +178,7 @@
     const { runtime, availabilityZone, chooseTarget } = this.options;
     const untried = this.#targets
       .usable(resolution.service)
-      .filter(({ instanceId }) => !triedIds.has(instanceId));
+      .filter((target) => !triedIds.has(target.instanceId) && this.#coldStarts.mayStart(target));
     const sound = untried.filter(
       ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
     );
@@ -192,6 +196,7 @@
     exchange.noteCall(callId, target);
     this.#exchangeOfCall.set(callId, exchange);
     this.#loads.started(target.instanceId);
+    this.#coldStarts.noteStart(target);
     this.#admission.started(exchange.resolution.service, exchange.isStream);
     return [{ kind: EffectKind.StartCall, callId, call: this.#buildCall(exchange, target) }];
   }
@@ -518,6 +523,7 @@
     ServiceName.Loads,
     ServiceName.Admission,
     ServiceName.RetryBudget,
+    ServiceName.ColdStarts,
   ],
   create: (find) => {
     const service = ExchangesService.create(options, find);
--- a/packages/gateway/src/lifecycle-service.ts
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -21,11 +21,11 @@
   readonly graceMs: number;
 }
 
-/** Left of the grace period for closing sockets and flushing logs. */
-const STOP_MARGIN_MS = 700;
+/** Left of the grace period when idle connections are closed; answers to come are awaited. */
+const CLOSE_MARGIN_MS = 1_500;
 
-/** Shortest drain: the balancer stops sending new connections after two missed checks a second. */
-const MIN_DRAIN_MS = 3_500;
+/** Left of the grace period when the process ends whatever is in progress. */
+const STOP_MARGIN_MS = 400;
 
 /** How often the end of the drain is looked for. */
 const DRAIN_CHECK_MS = 100;
@@ -70,7 +70,7 @@
     this.#drainStartedAtMs = this.options.runtime.nowMs();
     return [
       log(LogLevel.Info, LogTopic.Draining, { count: this.#exchanges.openCount() }),
-      setTimer(TimerKind.DrainEnd, 0, MIN_DRAIN_MS),
+      setTimer(TimerKind.DrainEnd, 0, this.options.graceMs - CLOSE_MARGIN_MS),
     ];
   };
 
@@ -85,10 +85,17 @@
     const { runtime, graceMs } = this.options;
     const drainedMs = runtime.nowMs() - (this.#drainStartedAtMs ?? 0);
     const openCount = this.#exchanges.openCount();
-    if (drainedMs < graceMs - STOP_MARGIN_MS) {
-      return [setTimer(TimerKind.DrainEnd, 0, DRAIN_CHECK_MS)];
+    if (openCount > 0 && drainedMs < graceMs - STOP_MARGIN_MS) {
+      return [
+        { kind: EffectKind.CloseIdleCallers },
+        setTimer(TimerKind.DrainEnd, 0, DRAIN_CHECK_MS),
+      ];
     }
-    return [log(LogLevel.Info, LogTopic.Stopped, { count: openCount }), { kind: EffectKind.Stop }];
+    return [
+      { kind: EffectKind.CloseIdleCallers },
+      log(LogLevel.Info, LogTopic.Stopped, { count: openCount }),
+      { kind: EffectKind.Stop },
+    ];
   }
 }
 
--- a/packages/gateway/src/members-service.ts
+++ b/packages/gateway/src/members-service.ts
@@ -48,7 +48,11 @@
 
   #groupName: string | undefined;
 
-  private constructor(private readonly options: MembersOptions) {}
+  #seeds: readonly string[];
+
+  private constructor(private readonly options: MembersOptions) {
+    this.#seeds = options.seeds;
+  }
 
   static create(options: MembersOptions): MembersService {
     return new MembersService(options);
@@ -78,6 +82,9 @@
     switch (event.kind) {
       case EventKind.TimerFired:
         return event.timer === TimerKind.Membership ? [...this.#expire(), ...this.#greet()] : [];
+      case EventKind.SeedsChanged:
+        this.#seeds = event.seeds;
+        return [log(LogLevel.Info, LogTopic.SettingsChanged, { count: event.seeds.length })];
       case EventKind.PeerMessageReceived:
         return this.#onMessage(event);
       default:
@@ -95,7 +102,8 @@
 
   /** Seeds first; known gateways, in an order drawn at random, when there are too few. */
   #contacts(): readonly string[] {
-    const { seeds, self, runtime } = this.options;
+    const { self, runtime } = this.options;
+    const seeds = this.#seeds;
     const known = this.others(PeerRole.Gateway).map(({ address }) => address);
     const live = seeds.filter((seed) => known.includes(seed));
     const others = known
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -189,6 +189,13 @@
     });
   }
 
+  /** Lets all callers leave. */
+  leaveAll(): void {
+    for (let exchangeId = 1; exchangeId <= this.#exchangeId; exchangeId += 1) {
+      this.kernel.post({ kind: EventKind.CallerGone, exchangeId });
+    }
+  }
+
   /** Posts an event; returns the effects that answer it. */
   post(event: Event): readonly Effect[] {
     const before = this.effects.length;
--- a/packages/rank-agent/src/SetPlanner.ts
+++ b/packages/rank-agent/src/SetPlanner.ts
@@ -38,6 +38,8 @@
 
 const COST_ROOT = 1 / 8;
 
+const costOf = (powerSum: number): number => Math.max(0, powerSum) ** COST_ROOT;
+
 /** Searches a placement of one layer set. */
 export default class SetPlanner {
   readonly #ranks: Set<number>[];
@@ -86,7 +88,7 @@
   plan(): readonly (readonly number[])[] {
     for (let step = 0; step < MAX_STEPS; step += 1) {
       const best = this.#bestStep();
-      if (best === undefined || best.cost > this.#cost(this.#powerSum) * (1 - MIN_STEP_GAIN)) {
+      if (best === undefined || best.cost > costOf(this.#powerSum) * (1 - MIN_STEP_GAIN)) {
         break;
       }
       this.#apply(best);
@@ -94,10 +96,6 @@
     return this.#ranks.map((experts) => [...experts].sort((left, right) => left - right));
   }
 
-  #cost(powerSum: number): number {
-    return Math.max(0, powerSum) ** COST_ROOT;
-  }
-
   #shareOf(expert: number): number {
     const holders = this.#holders[expert]?.size ?? 0;
     return (this.popularity[expert] ?? 0) / Math.max(1, holders);
@@ -169,7 +167,7 @@
       const load = this.#loads[rank] ?? 0;
       powerSum += powerOf(Math.max(0, load + change)) - powerOf(load);
     });
-    return this.#cost(powerSum);
+    return costOf(powerSum);
   }
 
   #addGiven(
--- /dev/null
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -0,0 +1,477 @@
+/** @module Engines of one group in lock-step, and the agents beside them, on virtual time. */
+import { Kernel } from '@ebonysill/kernel';
+import {
+  EffectKind,
+  EventKind,
+  OrderKind,
+  OrderOutcome,
+  PeerMessageKind,
+  PeerRole,
+  type Directory,
+  type Effect,
+  type Event,
+  type Order,
+  type RankPlacement,
+  type RankReport,
+} from '@ebonysill/gateway';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { createAgentServices } from '../src/index.js';
+
+const RANK_COUNT = 4;
+
+const EXPERT_COUNT = 8;
+
+const PLACES = 4;
+
+const PASS_MS = 60;
+
+const PREPARE_MS = 400;
+
+const DELAY_MS = 2;
+
+const LATE_SPAN_MS = 10_000;
+
+const RESTART_MS = 900;
+
+/** Faults that strike by chance. */
+export interface GroupFaults {
+  /** Orders that get no answer; half of them are carried out late, half at once. */
+  readonly lostAnswer: number;
+  /** Messages between agents that are lost. */
+  readonly lostMessage: number;
+  /** Agents killed, per second and agent. */
+  readonly killsPerSecond: number;
+  /** Agents paused, per second and agent. */
+  readonly pausesPerSecond: number;
+  /** Engines that restart, per second and engine. */
+  readonly crashesPerSecond: number;
+}
+
+/** No fault at all. */
+export const NO_FAULTS: GroupFaults = {
+  lostAnswer: 0,
+  lostMessage: 0,
+  killsPerSecond: 0,
+  pausesPerSecond: 0,
+  crashesPerSecond: 0,
+};
+
+interface PreparedMap {
+  readonly version: number;
+  readonly placement: RankPlacement;
+  readonly readyAtMs: number;
+}
+
+interface Engine {
+  mapVersion: number;
+  placement: RankPlacement;
+  prepared: PreparedMap | undefined;
+  armed: { readonly version: number; readonly step: number } | undefined;
+  heldStep: number;
+  counts: number[];
+}
+
+interface Agent {
+  kernel: Kernel<Directory, Event, Effect> | undefined;
+  pausedUntilMs: number;
+  life: number;
+}
+
+interface Task {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+const PLACEMENT_0: RankPlacement = [
+  Array.from({ length: RANK_COUNT }, (_, rank) =>
+    Array.from({ length: EXPERT_COUNT }, (_expert, expert) => expert).filter(
+      (expert) => expert % RANK_COUNT === rank,
+    ),
+  ),
+];
+
+const createEngine = (): Engine => ({
+  mapVersion: 0,
+  placement: PLACEMENT_0,
+  prepared: undefined,
+  armed: undefined,
+  heldStep: 0,
+  counts: Array.from({ length: EXPERT_COUNT }, () => 0),
+});
+
+/** Engines and agents of one group. */
+export class FakeGroup {
+  nowMs = 0;
+
+  step = 0;
+
+  epoch = 1;
+
+  /** Passes that began with different maps. */
+  readonly violations: string[] = [];
+
+  /** Changes of map that came into force. */
+  changeCount = 0;
+
+  faults: GroupFaults = NO_FAULTS;
+
+  readonly #engines = Array.from({ length: RANK_COUNT }, createEngine);
+
+  readonly #agents: Agent[] = Array.from({ length: RANK_COUNT }, () => ({
+    kernel: undefined,
+    pausedUntilMs: 0,
+    life: 0,
+  }));
+
+  readonly #tasks: Task[] = [];
+
+  #nextTask = 0;
+
+  #openAtMs = 0;
+
+  #hot = 0;
+
+  readonly #random: () => number;
+
+  private constructor(seed: number) {
+    const generator = xoroshiro128plus(seed);
+    this.#random = () => (generator.next() >>> 0) / 2 ** 32;
+    this.#agents.forEach((_, rank) => this.#startAgent(rank));
+    this.#after(PASS_MS, () => this.#pass());
+    this.#after(1_000, () => this.#strike());
+    this.#after(4_000, () => this.#shift());
+  }
+
+  /**
+   * Creates a group whose agents start.
+   *
+   * @example
+   * FakeGroup.create(7).run(20_000);
+   */
+  static create(seed: number): FakeGroup {
+    return new FakeGroup(seed);
+  }
+
+  /** Lets time pass. */
+  run(spanMs: number): void {
+    const endMs = this.nowMs + spanMs;
+    let task = this.#takeDue(endMs);
+    while (task !== undefined) {
+      this.nowMs = Math.max(this.nowMs, task.atMs);
+      task.run();
+      task = this.#takeDue(endMs);
+    }
+    this.nowMs = endMs;
+  }
+
+  /** Kills the agent beside a rank; it starts again after a while. */
+  kill(rank: number): void {
+    const agent = this.#agents[rank];
+    if (agent?.kernel === undefined) {
+      return;
+    }
+    agent.kernel.kill();
+    agent.kernel = undefined;
+    agent.life += 1;
+    this.#after(RESTART_MS, () => this.#startAgent(rank));
+  }
+
+  /** Whether some pass is held. */
+  isHeld(): boolean {
+    return this.#engines.some(({ heldStep }) => heldStep > this.step);
+  }
+
+  #takeDue(endMs: number): Task | undefined {
+    let best = -1;
+    this.#tasks.forEach((task, index) => {
+      const present = this.#tasks[best];
+      if (
+        task.atMs <= endMs &&
+        (present === undefined ||
+          task.atMs < present.atMs ||
+          (task.atMs === present.atMs && task.order < present.order))
+      ) {
+        best = index;
+      }
+    });
+    return best < 0 ? undefined : this.#tasks.splice(best, 1)[0];
+  }
+
+  #after(delayMs: number, run: () => void): void {
+    this.#tasks.push({ atMs: this.nowMs + delayMs, order: this.#nextTask, run });
+    this.#nextTask += 1;
+  }
+
+  #chance(probability: number): boolean {
+    return this.#random() < probability;
+  }
+
+  #startAgent(rank: number): void {
+    const agent = this.#agents[rank];
+    if (agent === undefined || agent.kernel !== undefined) {
+      return;
+    }
+    const { life } = agent;
+    const timers = new Map<string, number>();
+    const kernel = Kernel.create<Directory, Event, Effect>({
+      services: createAgentServices({
+        runtime: {
+          nowMs: () => this.nowMs,
+          suspendAwareMs: () => this.nowMs,
+          random: this.#random,
+        },
+        self: {
+          name: `agent-${rank}`,
+          role: PeerRole.RankAgent,
+          address: `10.0.0.${rank}:7000`,
+          availabilityZone: 'zone-a',
+        },
+        seeds: this.#agents.map((_, other) => `10.0.0.${other}:7000`),
+      }),
+      nowMs: () => this.nowMs,
+      perform: (effect) => this.#perform(rank, life, timers, effect),
+      onDrained: () => undefined,
+      onBroken: (error) => {
+        throw error;
+      },
+    });
+    agent.kernel = kernel;
+    kernel.start();
+    this.#post(rank, life, {
+      kind: EventKind.PeerMessageReceived,
+      address: '10.0.1.1:7000',
+      message: {
+        kind: PeerMessageKind.EngineLimits,
+        placesPerRank: PLACES,
+        spareCapacity: 2,
+      },
+    });
+  }
+
+  /** Events wait while their agent is paused, and are dropped after its life. */
+  #post(rank: number, life: number, event: Event): void {
+    const agent = this.#agents[rank];
+    if (agent?.kernel === undefined || agent.life !== life) {
+      return;
+    }
+    if (agent.pausedUntilMs > this.nowMs) {
+      this.#after(agent.pausedUntilMs - this.nowMs, () => this.#post(rank, life, event));
+      return;
+    }
+    agent.kernel.post(event);
+  }
+
+  #perform(rank: number, life: number, timers: Map<string, number>, effect: Effect): void {
+    switch (effect.kind) {
+      case EffectKind.SetTimer: {
+        const { timer, key, delayMs } = effect;
+        const name = `${timer}/${key}`;
+        const token = this.#nextTask;
+        timers.set(name, token);
+        this.#after(delayMs, () => {
+          if (timers.get(name) === token) {
+            this.#post(rank, life, { kind: EventKind.TimerFired, timer, key });
+          }
+        });
+        return;
+      }
+      case EffectKind.SendToPeer: {
+        const to = Number(effect.address.split(':')[0]?.split('.')[3]);
+        if (!this.#chance(this.faults.lostMessage)) {
+          const from = `10.0.0.${rank}:7000`;
+          this.#after(DELAY_MS, () =>
+            this.#post(to, this.#agents[to]?.life ?? 0, {
+              kind: EventKind.PeerMessageReceived,
+              address: from,
+              message: effect.message,
+            }),
+          );
+        }
+        return;
+      }
+      case EffectKind.AskRank:
+        this.#after(1, () =>
+          this.#post(rank, life, { kind: EventKind.RankReported, report: this.#report(rank) }),
+        );
+        return;
+      case EffectKind.CountExperts:
+        this.#after(1, () => this.#tally(rank, life));
+        return;
+      case EffectKind.GiveOrder:
+        this.#giveOrder(rank, life, effect.orderId, effect.order);
+        return;
+      default:
+    }
+  }
+
+  #giveOrder(rank: number, life: number, orderId: number, order: Order): void {
+    const answer = (outcome: OrderOutcome): void =>
+      this.#post(rank, life, { kind: EventKind.OrderAnswered, orderId, outcome });
+    if (!this.#chance(this.faults.lostAnswer)) {
+      this.#after(1, () => answer(this.#carryOut(rank, order)));
+      return;
+    }
+    const delayMs = this.#chance(0.5) ? 1 : 2_000 + this.#random() * LATE_SPAN_MS;
+    this.#after(delayMs, () => this.#carryOut(rank, order));
+    this.#after(400, () => answer(OrderOutcome.Unknown));
+  }
+
+  #carryOut(rank: number, order: Order): OrderOutcome {
+    const engine = this.#engines[rank];
+    if (engine === undefined || order.epoch !== this.epoch || this.nowMs < this.#openAtMs) {
+      return OrderOutcome.Refused;
+    }
+    switch (order.kind) {
+      case OrderKind.Prepare:
+        return this.#prepare(engine, order.version, order.placement);
+      case OrderKind.Arm:
+        return this.#arm(engine, order.version, order.step);
+      case OrderKind.Disarm:
+        if (engine.mapVersion === order.version) {
+          return OrderOutcome.Refused;
+        }
+        if (engine.armed?.version === order.version) {
+          engine.armed = undefined;
+        }
+        return OrderOutcome.Accepted;
+      case OrderKind.Hold:
+        if (order.step <= this.step) {
+          return OrderOutcome.Refused;
+        }
+        engine.heldStep = order.step;
+        return OrderOutcome.Accepted;
+      case OrderKind.Release:
+        if (engine.heldStep === order.step) {
+          engine.heldStep = 0;
+        }
+        return OrderOutcome.Accepted;
+      default:
+        return order satisfies never;
+    }
+  }
+
+  #prepare(engine: Engine, version: number, placement: RankPlacement): OrderOutcome {
+    const highest = Math.max(engine.mapVersion, engine.prepared?.version ?? 0);
+    if (version <= highest || engine.armed !== undefined) {
+      return OrderOutcome.Refused;
+    }
+    engine.prepared = { version, placement, readyAtMs: this.nowMs + PREPARE_MS };
+    return OrderOutcome.Accepted;
+  }
+
+  #arm(engine: Engine, version: number, step: number): OrderOutcome {
+    const isReady = engine.prepared?.version === version && engine.prepared.readyAtMs <= this.nowMs;
+    if (!isReady || step <= this.step) {
+      return OrderOutcome.Refused;
+    }
+    engine.armed = { version, step };
+    return OrderOutcome.Accepted;
+  }
+
+  #report(rank: number): RankReport {
+    const engine = this.#engines[rank] ?? createEngine();
+    const { prepared } = engine;
+    return {
+      groupName: 'group-1',
+      epoch: this.epoch,
+      rank,
+      rankCount: RANK_COUNT,
+      isOpen: this.nowMs >= this.#openAtMs,
+      step: this.step,
+      mapVersion: engine.mapVersion,
+      preparedVersion:
+        prepared !== undefined && prepared.readyAtMs <= this.nowMs ? prepared.version : 0,
+      armedVersion: engine.armed?.version ?? 0,
+      heldStep: engine.heldStep,
+      runningCount: 4,
+      waitingCount: 0,
+      pace: 1,
+    };
+  }
+
+  #tally(rank: number, life: number): void {
+    const engine = this.#engines[rank] ?? createEngine();
+    this.#post(rank, life, {
+      kind: EventKind.ExpertsCounted,
+      tally: {
+        epoch: this.epoch,
+        counts: [[...engine.counts]],
+        mapVersion: engine.mapVersion,
+        experts: [engine.placement[0]?.[rank] ?? []],
+      },
+    });
+  }
+
+  /** A pass begins on all ranks, unless one holds it. */
+  #pass(): void {
+    this.#after(PASS_MS, () => this.#pass());
+    const next = this.step + 1;
+    if (this.nowMs < this.#openAtMs || this.#engines.some(({ heldStep }) => heldStep === next)) {
+      return;
+    }
+    this.step = next;
+    const before = this.#engines[0]?.mapVersion;
+    this.#engines.forEach((engine) => FakeGroup.#switch(engine, next));
+    this.#check(next);
+    this.changeCount += this.#engines[0]?.mapVersion === before ? 0 : 1;
+    this.#engines.forEach((engine) => this.#count(engine));
+  }
+
+  static #switch(engine: Engine, step: number): void {
+    const { armed, prepared } = engine;
+    if (armed?.step === step && prepared !== undefined) {
+      /* eslint-disable no-param-reassign -- engines are the state of this fake */
+      engine.mapVersion = armed.version;
+      engine.placement = prepared.placement;
+      engine.armed = undefined;
+      /* eslint-enable no-param-reassign */
+    }
+  }
+
+  #check(step: number): void {
+    const maps = new Set(
+      this.#engines.map(({ mapVersion, placement }) => JSON.stringify([mapVersion, placement])),
+    );
+    if (maps.size > 1) {
+      this.violations.push(`step ${step}: ${this.#engines.map((one) => one.mapVersion).join()}`);
+    }
+  }
+
+  #count(engine: Engine): void {
+    engine.counts.forEach((count, expert) => {
+      const added = expert === this.#hot ? 1_000 : 100;
+      /* eslint-disable-next-line no-param-reassign -- engines are the state of this fake */
+      engine.counts[expert] = count + added;
+    });
+  }
+
+  #shift(): void {
+    this.#hot = Math.floor(this.#random() * EXPERT_COUNT);
+    this.#after(4_000, () => this.#shift());
+  }
+
+  #strike(): void {
+    this.#after(100, () => this.#strike());
+    const { killsPerSecond, pausesPerSecond, crashesPerSecond } = this.faults;
+    this.#agents.forEach((agent, rank) => {
+      if (this.#chance(killsPerSecond / 10)) {
+        this.kill(rank);
+      }
+      if (this.#chance(pausesPerSecond / 10)) {
+        /* eslint-disable-next-line no-param-reassign -- agents are the state of this fake */
+        agent.pausedUntilMs = this.nowMs + this.#random() * 3_000;
+      }
+      if (this.#chance(crashesPerSecond / 10)) {
+        this.#crash();
+      }
+    });
+  }
+
+  /** An engine restarts: the group forms anew, with the first map and nothing prepared or held. */
+  #crash(): void {
+    this.epoch += 1;
+    this.#openAtMs = this.nowMs + 600;
+    this.#engines.splice(0, RANK_COUNT, ...Array.from({ length: RANK_COUNT }, createEngine));
+  }
+}
--- /dev/null
+++ b/packages/rank-agent/tests/maps.test.ts
@@ -0,0 +1,101 @@
+/** @module Maps change on all ranks or none, whatever is lost, late, killed or paused. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { planPlacement, skewOf } from '../src/index.js';
+import { FakeGroup, NO_FAULTS, type GroupFaults } from './fake-group.js';
+
+const SEED_COUNT = 24;
+
+const FAULTY_MS = 30_000;
+
+/** Orders may be carried out up to 12 s late, and a hold is settled within a few seconds. */
+const CALM_MS = 40_000;
+
+/** Seeds under which a pass began with different maps, or after which the group stood still. */
+const badSeeds = (faults: Partial<GroupFaults>): readonly string[] =>
+  Array.from({ length: SEED_COUNT }, (_, index) => index + 1).flatMap((seed) => {
+    const group = FakeGroup.create(seed);
+    group.faults = { ...NO_FAULTS, ...faults };
+    group.run(FAULTY_MS);
+    group.faults = NO_FAULTS;
+    group.run(CALM_MS);
+    const { step, violations } = group;
+    group.run(2_000);
+    const problems = [...violations, ...(group.step > step ? [] : ['stands still'])];
+    return problems.map((problem) => `seed ${seed}: ${problem}`);
+  });
+
+test('changes maps', () => {
+  const group = FakeGroup.create(1);
+  group.run(20_000);
+  expect(group.changeCount > 2).toEqual(true);
+  expect(group.violations).toEqual([]);
+});
+
+test('holds no pass for long', () => {
+  const group = FakeGroup.create(1);
+  group.run(20_000);
+  expect(group.step > 300).toEqual(true);
+});
+
+test('orders without answers', () => {
+  expect(badSeeds({ lostAnswer: 0.35 })).toEqual([]);
+});
+
+test('lost messages', () => {
+  expect(badSeeds({ lostMessage: 0.3 })).toEqual([]);
+});
+
+test('killed agents', () => {
+  expect(badSeeds({ killsPerSecond: 0.1 })).toEqual([]);
+});
+
+test('paused agents', () => {
+  expect(badSeeds({ pausesPerSecond: 0.1 })).toEqual([]);
+});
+
+test('crashing engines', () => {
+  expect(badSeeds({ crashesPerSecond: 0.1 })).toEqual([]);
+});
+
+test('all faults at once', () => {
+  expect(
+    badSeeds({
+      lostAnswer: 0.2,
+      lostMessage: 0.1,
+      killsPerSecond: 0.05,
+      pausesPerSecond: 0.05,
+      crashesPerSecond: 0.01,
+    }),
+  ).toEqual([]);
+});
+
+const POPULARITY = [[8, 4, 2, 1, 1, 1, 1, 1]];
+
+const CURRENT = [
+  [
+    [0, 4],
+    [1, 5],
+    [2, 6],
+    [3, 7],
+  ],
+];
+
+test('evens out ranks', () => {
+  const planned = planPlacement(CURRENT, POPULARITY, { placesPerRank: 4, maxNewPerRank: 1 });
+  expect(skewOf(planned, POPULARITY) < 1.3).toEqual(true);
+  expect(skewOf(CURRENT, POPULARITY) > 1.8).toEqual(true);
+});
+
+test('keeps to its bounds', () => {
+  const [planned = []] = planPlacement(CURRENT, POPULARITY, {
+    placesPerRank: 3,
+    maxNewPerRank: 1,
+  });
+  const added = planned.map(
+    (experts, rank) => experts.filter((one) => CURRENT[0]?.[rank]?.includes(one) !== true).length,
+  );
+  expect(Math.max(...planned.map(({ length }) => length)) <= 3).toEqual(true);
+  expect(Math.max(...added) <= 1).toEqual(true);
+  expect(new Set(planned.flat()).size).toEqual(8);
+});
--- a/packages/settings/src/fields.ts
+++ b/packages/settings/src/fields.ts
@@ -1,5 +1,5 @@
 /** @module Schemas of fields that several files share. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_PORT = 65_535;
 
--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -1,5 +1,5 @@
 /** @module Settings files of gateways and of the agents beside ranks. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { ipField, nameField, portField } from './fields.js';
 
 const addressField = z
--- a/packages/settings/src/parse-settings.ts
+++ b/packages/settings/src/parse-settings.ts
@@ -7,7 +7,7 @@
   type Node,
   type ParseError,
 } from 'jsonc-parser';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Whether settings were accepted. */
 export enum SettingsVerdict {
--- a/packages/settings/src/parseConfiguration.ts
+++ b/packages/settings/src/parseConfiguration.ts
@@ -6,7 +6,7 @@
   ZoneState,
   type Configuration,
 } from '@ebonysill/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ipField, nameField, portField } from './fields.js';
 import { parseSettings, type SettingsResult } from './parse-settings.js';
 
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -1,5 +1,5 @@
 /** @module Settings files of the processes. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { ipField, nameField, portField, urlField } from './fields.js';
 
 const logLevelField = z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info');
