fix(gateway): end a drain without cutting streams, and see resets that come with the last bytes

Now idle connections are closed once the balancer has let go, streams that begin later than 3 s into the drain are refused, and what is in progress is awaited. - a reset that arrives together with the last bytes is told by Node (libuv's poll reports the hang-up with a partial read) as an ordinary end, so an answer without a length looked whole. A write shows the reset.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -151,9 +151,8 @@
     this.#take(exchangeId)?.destroy();
   }
 
-  /** Stops listening, and closes connections on which no request is in progress. */
+  /** Closes connections on which no request is in progress. */
   closeIdle(): void {
-    this.#server.close();
     this.#server.closeIdleConnections();
   }
 
--- a/packages/gateway-io/src/TargetClient.ts
+++ b/packages/gateway-io/src/TargetClient.ts
@@ -31,6 +31,9 @@
 /** A connection that takes longer has lost its opening packet, which is sent again after seconds. */
 const CONNECT_TIMEOUT_MS = 300;
 
+/** Servers pass over empty lines before a request. */
+const EMPTY_LINE = '\r\n';
+
 interface OpenCall {
   readonly request: ClientRequest;
   readonly connectTimer: NodeJS.Timeout;
@@ -105,12 +108,38 @@
         post({ kind: EventKind.TargetDataReceived, callId, data });
       }
     });
-    answer.on('end', () => this.#onEnd(callId, answer.complete));
+    const ending = TargetClient.#watchEnding(answer);
+    // An answer that never ends has failed in another way already.
+    ending.catch(() => undefined);
+    answer.on('end', () => {
+      ending.then(
+        () => this.#onEnd(callId, answer.complete),
+        (error: unknown) => this.#fail(callId, String(error)),
+      );
+    });
     answer.on('error', (error) => this.#fail(callId, error.message));
     const head = decode(answer.statusCode ?? 0, answer.rawHeaders);
     post({ kind: EventKind.TargetHeadReceived, callId, head });
   }
 
+  /**
+   * Settles when it is known whether an answer that ends with its connection was reset. Node tells a
+   * reset that comes together with the last bytes as an ordinary end; only a write shows it.
+   */
+  static async #watchEnding({ headers, socket }: IncomingMessage): Promise<void> {
+    const isFramed =
+      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    if (isFramed) {
+      return;
+    }
+    await new Promise<void>((resolve, reject) => {
+      socket.prependOnceListener('end', () => {
+        socket.write(EMPTY_LINE, (error) => (error ? reject(error) : resolve()));
+      });
+      socket.once('close', () => resolve());
+    });
+  }
+
   #onEnd(callId: number, isComplete: boolean): void {
     if (!isComplete) {
       this.#fail(callId, 'the answer ends early');
--- a/packages/gateway-io/tests/target-client.test.ts
+++ b/packages/gateway-io/tests/target-client.test.ts
@@ -70,6 +70,13 @@
   expect(event.kind).toEqual(EventKind.TargetCallFailed);
 });
 
+test('a reset that comes together with its answer', async () => {
+  const event = await lastEvent((socket) => {
+    socket.write(UNFRAMED, () => socket.resetAndDestroy());
+  });
+  expect(event.kind).toEqual(EventKind.TargetCallFailed);
+});
+
 test('an end within a chunked answer', async () => {
   const event = await lastEvent((socket) => socket.end(CHUNKED));
   expect(event.kind).toEqual(EventKind.TargetCallFailed);
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -121,15 +121,15 @@
 export interface LifecycleApi {
   readonly isReady: () => boolean;
   readonly isDraining: () => boolean;
+  /** Whether a stream that begins now can end before the process does. */
+  readonly mayBeginStreams: () => boolean;
+  /** Counts exchanges, which a drain waits for. */
+  readonly exchangeBegan: () => void;
+  readonly exchangeEnded: () => void;
   /** Begins the drain. */
   readonly drain: () => readonly Effect[];
 }
 
-/** Exchanges in progress. */
-export interface ExchangesApi {
-  readonly openCount: () => number;
-}
-
 /** Takes the outcome of an order and answers with effects. */
 export type OnOrder = (outcome: OrderOutcome) => readonly Effect[];
 
@@ -151,7 +151,7 @@
   readonly [ServiceName.Admission]: AdmissionApi;
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
-  readonly [ServiceName.Exchanges]: ExchangesApi;
+  readonly [ServiceName.Exchanges]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
   readonly [ServiceName.EngineAdvice]: object;
   readonly [ServiceName.RankMonitor]: RankMonitorApi;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -113,7 +113,7 @@
   readonly message: PeerMessage;
 }
 
-/** Stops listening, and closes connections on which no request is in progress. */
+/** Closes connections on which no request is in progress. */
 export interface CloseIdleCallersEffect {
   readonly kind: EffectKind.CloseIdleCallers;
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -31,6 +31,7 @@
   CallCut = 'call-cut',
   DeadlinePassed = 'deadline-passed',
   CallerLeft = 'caller-left',
+  Draining = 'draining',
 }
 
 /** What the exchange was resolved to when it was accepted. */
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -8,6 +8,7 @@
   type AdmissionApi,
   type ColdStartsApi,
   type FindService,
+  type LifecycleApi,
   type LoadsApi,
   type Registration,
   type RetryBudgetApi,
@@ -49,6 +50,9 @@
 /** When a caller may come back after a refusal for want of a target. */
 const RETRY_AFTER_MS = 250;
 
+/** When a caller may come back after a refusal by a process that ends: at once, to another one. */
+const RETRY_ELSEWHERE_MS = 20;
+
 /** Statuses that promise that the request did not run. */
 const PROMISE_STATUSES: readonly number[] = [408, 421, 429, 503];
 
@@ -80,6 +84,8 @@
 
   readonly #coldStarts: ColdStartsApi;
 
+  readonly #lifecycle: LifecycleApi;
+
   private constructor(
     private readonly options: ExchangesOptions,
     find: FindService,
@@ -90,6 +96,7 @@
     this.#admission = find(ServiceName.Admission);
     this.#budget = find(ServiceName.RetryBudget);
     this.#coldStarts = find(ServiceName.ColdStarts);
+    this.#lifecycle = find(ServiceName.Lifecycle);
     this.#check = {
       catalogue: find(ServiceName.Catalogue),
       store: this.#store,
@@ -101,8 +108,6 @@
     return new ExchangesService(options, find);
   }
 
-  readonly openCount = (): number => this.#exchanges.size;
-
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.RequestReceived:
@@ -156,6 +161,10 @@
     const { route, service } = exchange.resolution;
     const { verdict, retryAfterMs } = this.#admission.judge(route, service);
     this.#exchanges.set(exchange.id, exchange);
+    this.#lifecycle.exchangeBegan();
+    if (exchange.isStream && !this.#lifecycle.mayBeginStreams()) {
+      return this.#refuse(exchange, ExchangeReason.Draining, RETRY_ELSEWHERE_MS);
+    }
     if (verdict === AdmissionVerdict.Refused) {
       return this.#refuse(exchange, ExchangeReason.TooManyStreams, retryAfterMs);
     }
@@ -478,6 +487,7 @@
     status: number,
   ): readonly Effect[] {
     this.#exchanges.delete(exchange.id);
+    this.#lifecycle.exchangeEnded();
     const { request, resolution, target, firstEventMs } = exchange;
     const { passMs, runningCount } = this.#admission.judge(resolution.route, resolution.service);
     return [
@@ -524,12 +534,10 @@
     ServiceName.Admission,
     ServiceName.RetryBudget,
     ServiceName.ColdStarts,
+    ServiceName.Lifecycle,
   ],
   create: (find) => {
     const service = ExchangesService.create(options, find);
-    return createInstance(
-      { openCount: service.openCount },
-      { handle: (event) => service.handle(event) },
-    );
+    return createInstance({}, { handle: (event) => service.handle(event) });
   },
 });
--- a/packages/gateway/src/lifecycle-service.ts
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -4,7 +4,6 @@
 import {
   ServiceName,
   type CatalogueApi,
-  type ExchangesApi,
   type FindService,
   type Registration,
   type StoreApi,
@@ -21,8 +20,14 @@
   readonly graceMs: number;
 }
 
-/** Left of the grace period when idle connections are closed; answers to come are awaited. */
-const CLOSE_MARGIN_MS = 1_500;
+/** Until then the balancer has taken this process out: it asks once a second and believes two misses. */
+const CLOSE_IDLE_AFTER_MS = 2_200;
+
+/** Streams that begin later than this in the drain might not end within the grace period. */
+const LAST_STREAM_MS = 3_000;
+
+/** Left of the grace period when a process without work ends. */
+const IDLE_STOP_MARGIN_MS = 1_500;
 
 /** Left of the grace period when the process ends whatever is in progress. */
 const STOP_MARGIN_MS = 400;
@@ -37,19 +42,18 @@
 class LifecycleService {
   #drainStartedAtMs: number | undefined;
 
+  #openCount = 0;
+
   readonly #catalogue: CatalogueApi;
 
   readonly #store: StoreApi;
 
-  readonly #exchanges: ExchangesApi;
-
   private constructor(
     private readonly options: LifecycleOptions,
     find: FindService,
   ) {
     this.#catalogue = find(ServiceName.Catalogue);
     this.#store = find(ServiceName.Store);
-    this.#exchanges = find(ServiceName.Exchanges);
   }
 
   static create(options: LifecycleOptions, find: FindService): LifecycleService {
@@ -63,14 +67,26 @@
     this.#catalogue.version() > 0 &&
     (this.#store.ageMs() < READY_AGE_MS || !this.#catalogue.needsCredentials());
 
+  readonly mayBeginStreams = (): boolean =>
+    this.#drainStartedAtMs === undefined ||
+    this.options.runtime.nowMs() - this.#drainStartedAtMs < LAST_STREAM_MS;
+
+  readonly exchangeBegan = (): void => {
+    this.#openCount += 1;
+  };
+
+  readonly exchangeEnded = (): void => {
+    this.#openCount -= 1;
+  };
+
   readonly drain = (): readonly Effect[] => {
     if (this.isDraining()) {
       return [];
     }
     this.#drainStartedAtMs = this.options.runtime.nowMs();
     return [
-      log(LogLevel.Info, LogTopic.Draining, { count: this.#exchanges.openCount() }),
-      setTimer(TimerKind.DrainEnd, 0, this.options.graceMs - CLOSE_MARGIN_MS),
+      log(LogLevel.Info, LogTopic.Draining, { count: this.#openCount }),
+      setTimer(TimerKind.DrainEnd, 0, CLOSE_IDLE_AFTER_MS),
     ];
   };
 
@@ -84,8 +100,9 @@
   #checkDrain(): readonly Effect[] {
     const { runtime, graceMs } = this.options;
     const drainedMs = runtime.nowMs() - (this.#drainStartedAtMs ?? 0);
-    const openCount = this.#exchanges.openCount();
-    if (openCount > 0 && drainedMs < graceMs - STOP_MARGIN_MS) {
+    const openCount = this.#openCount;
+    const marginMs = openCount > 0 ? STOP_MARGIN_MS : IDLE_STOP_MARGIN_MS;
+    if (drainedMs < graceMs - marginMs) {
       return [
         { kind: EffectKind.CloseIdleCallers },
         setTimer(TimerKind.DrainEnd, 0, DRAIN_CHECK_MS),
@@ -109,11 +126,18 @@
   options: LifecycleOptions,
 ): Registration<ServiceName.Lifecycle> => ({
   name: ServiceName.Lifecycle,
-  requires: [ServiceName.Catalogue, ServiceName.Store, ServiceName.Exchanges],
+  requires: [ServiceName.Catalogue, ServiceName.Store],
   create: (find) => {
     const service = LifecycleService.create(options, find);
     return createInstance(
-      { isReady: service.isReady, isDraining: service.isDraining, drain: service.drain },
+      {
+        isReady: service.isReady,
+        isDraining: service.isDraining,
+        mayBeginStreams: service.mayBeginStreams,
+        exchangeBegan: service.exchangeBegan,
+        exchangeEnded: service.exchangeEnded,
+        drain: service.drain,
+      },
       { handle: (event) => service.handle(event) },
     );
   },
--- /dev/null
+++ b/packages/gateway/tests/drain.test.ts
@@ -0,0 +1,92 @@
+/** @module The drain of a gateway: nothing that was taken is cut off. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { CallKind, EffectKind, ServiceName } from '../src/index.js';
+import {
+  Harness,
+  configurationItem,
+  configurationOf,
+  routeOf,
+  targetItem,
+  targetOf,
+} from './harness.js';
+
+const gateway = (): Harness =>
+  Harness.create([
+    configurationItem(
+      configurationOf(1, [
+        routeOf(),
+        routeOf({ pathPrefix: '/s/', kind: CallKind.Streaming, maxPauseMs: 120, timeoutMs: 8_000 }),
+      ]),
+    ),
+    targetItem(targetOf('t-1')),
+  ]);
+
+const drain = (harness: Harness): void => {
+  harness.perform(harness.kernel.find(ServiceName.Lifecycle).drain());
+};
+
+const hasStopped = (harness: Harness): boolean =>
+  harness.effects.some(({ kind }) => kind === EffectKind.Stop);
+
+test('is ready until it drains', () => {
+  const harness = gateway();
+  expect(harness.isReady()).toEqual(true);
+  drain(harness);
+  expect(harness.isReady()).toEqual(false);
+});
+
+test('is not ready on old knowledge', () => {
+  const harness = gateway();
+  harness.advance(4_000, false);
+  expect(harness.isReady()).toEqual(false);
+});
+
+test('serves while it drains', () => {
+  const harness = gateway();
+  drain(harness);
+  harness.advance(5_000);
+  harness.request();
+  expect(harness.calledIds().length).toEqual(1);
+});
+
+test('begins no stream late in the drain', () => {
+  const harness = gateway();
+  drain(harness);
+  harness.advance(2_900);
+  harness.request({ path: '/s/x' });
+  harness.advance(200);
+  harness.request({ path: '/s/x' });
+  expect(harness.calledIds().length).toEqual(1);
+  expect(harness.statuses()).toEqual([503]);
+});
+
+test('closes idle connections after the balancer has let go', () => {
+  const harness = gateway();
+  drain(harness);
+  const early = harness.advance(2_100);
+  const later = harness.advance(200);
+  expect(early.some(({ kind }) => kind === EffectKind.CloseIdleCallers)).toEqual(false);
+  expect(later.some(({ kind }) => kind === EffectKind.CloseIdleCallers)).toEqual(true);
+});
+
+test('uses the grace period', () => {
+  const harness = gateway();
+  drain(harness);
+  harness.advance(6_300);
+  expect(hasStopped(harness)).toEqual(false);
+  harness.advance(400);
+  expect(hasStopped(harness)).toEqual(true);
+});
+
+test('waits for what is in progress', () => {
+  const harness = gateway();
+  drain(harness);
+  harness.advance(2_000);
+  harness.request({ path: '/s/x', remainingMs: 8_000 });
+  harness.advance(5_500);
+  expect(hasStopped(harness)).toEqual(false);
+  harness.leaveAll();
+  harness.advance(200);
+  expect(hasStopped(harness)).toEqual(true);
+});
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -196,6 +196,11 @@
     }
   }
 
+  /** Performs effects that a service returned to its caller. */
+  perform(effects: readonly Effect[]): void {
+    effects.forEach((effect) => this.#perform(effect));
+  }
+
   /** Posts an event; returns the effects that answer it. */
   post(event: Event): readonly Effect[] {
     const before = this.effects.length;
