--- /dev/null
+++ b/packages/gateway/tests/limits.test.ts
@@ -0,0 +1,113 @@
+/** @module Limits: repetitions, cold targets, streams. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { CallKind, CallStage, EffectKind, EventKind } from '../src/index.js';
+import {
+  Harness,
+  configurationItem,
+  configurationOf,
+  headOf,
+  routeOf,
+  targetItem,
+  targetOf,
+} from './harness.js';
+
+const STREAM_ROUTE = routeOf({ kind: CallKind.Streaming, maxPauseMs: 120, timeoutMs: 8_000 });
+
+const gatewayWith = (coldRemainingMs: number, route = routeOf()): Harness => {
+  const configuration = configurationOf(1, [route]);
+  const services = configuration.services.map((service) => ({ ...service, coldPerSecond: 36 }));
+  return Harness.create([
+    configurationItem({ ...configuration, services }),
+    targetItem(targetOf('t-1', { coldRemainingMs })),
+    targetItem(targetOf('t-2', { coldRemainingMs })),
+  ]);
+};
+
+const requestAndCut = (harness: Harness): void => {
+  harness.request();
+  harness.post({
+    kind: EventKind.TargetCallFailed,
+    callId: harness.lastCallId(),
+    stage: CallStage.Sent,
+    detail: 'reset',
+  });
+  harness.leaveAll();
+};
+
+test('a cold target gets its share', () => {
+  const harness = gatewayWith(5_000);
+  Array.from({ length: 100 }, () => harness.request());
+  const perTarget = harness.calledIds().filter((id) => id === 't-1').length;
+  expect(perTarget).toEqual(3);
+});
+
+test('a warm target gets more', () => {
+  const harness = gatewayWith(0);
+  Array.from({ length: 100 }, () => harness.request());
+  expect(harness.calledIds().length).toEqual(100);
+});
+
+test('a target warms up', () => {
+  const harness = gatewayWith(5_000);
+  harness.advance(5_001);
+  Array.from({ length: 100 }, () => harness.request());
+  expect(harness.calledIds().length).toEqual(100);
+});
+
+test('repetitions keep to the budget', () => {
+  const harness = gatewayWith(0);
+  Array.from({ length: 100 }, () => requestAndCut(harness));
+  const repeated = harness.calledIds().length - 100;
+  // A twelfth of 120 repetitions and 0.2 for each of 100 requests bound the fleet's share.
+  expect(repeated > 0 && repeated <= 30).toEqual(true);
+});
+
+test('the budget comes back', () => {
+  const harness = gatewayWith(0);
+  Array.from({ length: 100 }, () => requestAndCut(harness));
+  harness.advance(12_000);
+  const before = harness.calledIds().length;
+  requestAndCut(harness);
+  expect(harness.calledIds().length - before).toEqual(2);
+});
+
+/** Runs a stream whose events come at these pauses. */
+const stream = (harness: Harness, pauseMs: number): void => {
+  harness.request({ remainingMs: 8_000 });
+  const callId = harness.lastCallId();
+  harness.post({
+    kind: EventKind.TargetHeadReceived,
+    callId,
+    head: headOf({ isEventStream: true }),
+  });
+  Array.from({ length: 30 }, (_, index) => {
+    harness.advance(pauseMs);
+    const data = Buffer.from(`id: ${index}\ndata: a\n\n`);
+    return harness.post({ kind: EventKind.TargetDataReceived, callId, data });
+  });
+};
+
+test('streams are admitted while passes are short', () => {
+  const harness = gatewayWith(0, STREAM_ROUTE);
+  stream(harness, 60);
+  stream(harness, 60);
+  expect(harness.statuses()).toEqual([]);
+});
+
+test('streams are refused while passes are long', () => {
+  const harness = gatewayWith(0, STREAM_ROUTE);
+  stream(harness, 110);
+  harness.request();
+  expect(harness.statuses()).toEqual([503]);
+  const refusal = harness.effects.find(({ kind }) => kind === EffectKind.AnswerWhole);
+  expect(refusal?.kind === EffectKind.AnswerWhole && refusal.retryAfterMs).toEqual(200);
+});
+
+test('a gateway without streams admits one', () => {
+  const harness = gatewayWith(0, STREAM_ROUTE);
+  stream(harness, 110);
+  harness.leaveAll();
+  harness.request();
+  expect(harness.statuses()).toEqual([]);
+});
--- /dev/null
+++ b/packages/gateway/tests/members.test.ts
@@ -0,0 +1,108 @@
+/** @module Members: found by greeting, lost by silence. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import {
+  EffectKind,
+  EventKind,
+  PeerMessageKind,
+  PeerRole,
+  ServiceName,
+  type Member,
+} from '../src/index.js';
+import { Harness } from './harness.js';
+
+const PEER: Member = {
+  name: 'gateway-2',
+  role: PeerRole.Gateway,
+  address: '10.0.0.8:7000',
+  availabilityZone: 'zone-b',
+};
+
+const AGENT: Member = { ...PEER, name: 'agent-1', role: PeerRole.RankAgent, groupName: 'g-1' };
+
+const greet = (harness: Harness, member: Member): void => {
+  harness.post({
+    kind: EventKind.PeerMessageReceived,
+    address: member.address,
+    message: { kind: PeerMessageKind.Hello, member },
+  });
+};
+
+const namesOf = (harness: Harness, role: PeerRole): readonly string[] =>
+  harness.kernel
+    .find(ServiceName.Members)
+    .others(role)
+    .map(({ name }) => name);
+
+test('hears a member', () => {
+  const harness = Harness.create([]);
+  greet(harness, PEER);
+  expect(namesOf(harness, PeerRole.Gateway)).toEqual(['gateway-2']);
+  expect(namesOf(harness, PeerRole.RankAgent)).toEqual([]);
+});
+
+test('forgets a silent member', () => {
+  const harness = Harness.create([]);
+  greet(harness, PEER);
+  harness.advance(2_600);
+  expect(namesOf(harness, PeerRole.Gateway)).toEqual([]);
+});
+
+test('hears of a member', () => {
+  const harness = Harness.create([]);
+  harness.post({
+    kind: EventKind.PeerMessageReceived,
+    address: PEER.address,
+    message: { kind: PeerMessageKind.Members, members: [PEER, { ...PEER, name: 'gateway-3' }] },
+  });
+  expect(namesOf(harness, PeerRole.Gateway)).toEqual(['gateway-2', 'gateway-3']);
+});
+
+test('passes on only what it heard itself', () => {
+  const harness = Harness.create([]);
+  harness.post({
+    kind: EventKind.PeerMessageReceived,
+    address: PEER.address,
+    message: { kind: PeerMessageKind.Members, members: [{ ...PEER, name: 'gateway-3' }] },
+  });
+  const before = harness.effects.length;
+  greet(harness, PEER);
+  const answers = harness.effects
+    .slice(before)
+    .flatMap((effect) =>
+      effect.kind === EffectKind.SendToPeer && effect.message.kind === PeerMessageKind.Members
+        ? [effect.message.members.map(({ name }) => name)]
+        : [],
+    );
+  expect(answers).toEqual([['gateway-1']]);
+});
+
+test('tells agents of their own group', () => {
+  const harness = Harness.create([]);
+  greet(harness, AGENT);
+  greet(harness, { ...AGENT, name: 'agent-2', groupName: 'g-2' });
+  const before = harness.effects.length;
+  greet(harness, { ...AGENT, name: 'agent-3' });
+  const [answer] = harness.effects
+    .slice(before)
+    .flatMap((effect) =>
+      effect.kind === EffectKind.SendToPeer && effect.message.kind === PeerMessageKind.Members
+        ? [effect.message.members.map(({ name }) => name)]
+        : [],
+    );
+  expect(answer).toEqual(['gateway-1', 'agent-1']);
+});
+
+test('sums the load of all gateways', () => {
+  const harness = Harness.create([]);
+  const loads = harness.kernel.find(ServiceName.Loads);
+  loads.started('t-1');
+  harness.post({
+    kind: EventKind.PeerMessageReceived,
+    address: PEER.address,
+    message: { kind: PeerMessageKind.Load, counts: [{ instanceId: 't-1', count: 3 }] },
+  });
+  expect(loads.countAt('t-1')).toEqual(4);
+  harness.advance(1_600);
+  expect(loads.countAt('t-1')).toEqual(1);
+});
--- /dev/null
+++ b/packages/gateway/tests/store.test.ts
@@ -0,0 +1,80 @@
+/** @module The copy of the store: pages, watches, failures. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import {
+  EffectKind,
+  EventKind,
+  StoreFailure,
+  StoreReadKind,
+  type Effect,
+  type ReadStoreEffect,
+} from '../src/index.js';
+import { Harness, configurationItem, configurationOf, routeOf } from './harness.js';
+
+const readsOf = (effects: readonly Effect[]): readonly ReadStoreEffect[] =>
+  effects.flatMap((effect) => (effect.kind === EffectKind.ReadStore ? [effect] : []));
+
+const fail = (harness: Harness, read: StoreReadKind, failure: StoreFailure): readonly Effect[] => {
+  const before = harness.effects.length;
+  harness.post({ kind: EventKind.StoreFailed, read, failure, detail: 'test' });
+  harness.advance(400, false);
+  return harness.effects.slice(before);
+};
+
+test('watches from the first page on', () => {
+  const harness = Harness.create([]);
+  const [, watch] = readsOf(harness.effects);
+  expect(watch?.read).toEqual(StoreReadKind.Watch);
+  expect(watch?.afterRevision).toEqual(2);
+});
+
+test('reads page after page', () => {
+  const harness = Harness.create([]);
+  const effects = harness.post({
+    kind: EventKind.StoreRead,
+    read: StoreReadKind.Page,
+    items: [],
+    revision: 9,
+    nextAfterKey: 'k-50',
+  });
+  expect(readsOf(effects).map(({ afterKey }) => afterKey)).toEqual(['k-50']);
+});
+
+test('a failed watch goes on from its revision', () => {
+  const harness = Harness.create([]);
+  const [retry] = readsOf(fail(harness, StoreReadKind.Watch, StoreFailure.Unreachable));
+  expect(retry?.read).toEqual(StoreReadKind.Watch);
+  expect(retry?.afterRevision).toEqual(2);
+});
+
+test('a lost history is read anew', () => {
+  const harness = Harness.create([]);
+  const [retry] = readsOf(fail(harness, StoreReadKind.Watch, StoreFailure.HistoryGone));
+  expect(retry?.read).toEqual(StoreReadKind.Page);
+});
+
+test('a lost history changes nothing in force', () => {
+  const harness = Harness.create([configurationItem(configurationOf(1, [routeOf()]))]);
+  fail(harness, StoreReadKind.Watch, StoreFailure.HistoryGone);
+  harness.request({ path: '/b/x' });
+  expect(harness.statuses()).toEqual([404]);
+});
+
+test('a process without a configuration answers 503', () => {
+  const harness = Harness.create([]);
+  harness.request();
+  expect(harness.statuses()).toEqual([503]);
+  expect(harness.isReady()).toEqual(false);
+});
+
+test('a storm of changes is read in batches', () => {
+  const harness = Harness.create([]);
+  const effects = harness.post({
+    kind: EventKind.StoreRead,
+    read: StoreReadKind.Watch,
+    items: [],
+    revision: 10,
+  });
+  expect(readsOf(effects)).toEqual([]);
+  expect(readsOf(harness.advance(60, false)).length).toEqual(1);
+});
