perf(rank-agent): arm two passes ahead, count every 0.25 s; come back later in outages

Cause: a released map waited three more passes, up to 0.4 s of long ones, for the pass it was armed for; a refusal for want of a target came with 0.25 s to come back, which an outage of a group outlasts. A driver that wakes after its pass has begun ends its change.

--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -47,8 +47,17 @@
 /** A call is not repeated when less time than this is left; no target could answer in it. */
 const MIN_REPEAT_MS = 50;
 
-/** When a caller may come back after a refusal for want of a target. */
-const RETRY_AFTER_MS = 250;
+/** Part of a caller's time after which it may come back when there is no target: callers honour a third. */
+const RETRY_AFTER_SHARE = 0.25;
+
+/** Longest time after which a caller may come back; most outages of a group end within it. */
+const MAX_RETRY_AFTER_MS = 2_000;
+
+/** Time of a caller that told none. */
+const DEFAULT_REMAINING_MS = 1_000;
+
+const retryAfterMsOf = (remainingMs: number = DEFAULT_REMAINING_MS): number =>
+  Math.min(MAX_RETRY_AFTER_MS, Math.round(remainingMs * RETRY_AFTER_SHARE));
 
 /** When a caller may come back after a refusal by a process that ends: at once, to another one. */
 const RETRY_ELSEWHERE_MS = 20;
@@ -140,7 +149,8 @@
     const result = checkRequest(this.#check, request);
     if (result.verdict === CheckVerdict.Denied) {
       const { status, reason } = result;
-      const retryAfterMs = status === OwnStatus.NotRun ? RETRY_AFTER_MS : undefined;
+      const retryAfterMs =
+        status === OwnStatus.NotRun ? retryAfterMsOf(request.remainingMs) : undefined;
       return [
         ownAnswer(exchangeId, status, reason, retryAfterMs),
         log(LogLevel.Info, LogTopic.RequestEnded, {
@@ -418,8 +428,12 @@
       : undefined;
   }
 
-  #hasTime({ deadlineAtMs }: Exchange): boolean {
-    return deadlineAtMs - this.options.runtime.nowMs() > MIN_REPEAT_MS;
+  #remainingMs({ deadlineAtMs }: Exchange): number {
+    return deadlineAtMs - this.options.runtime.nowMs();
+  }
+
+  #hasTime(exchange: Exchange): boolean {
+    return this.#remainingMs(exchange) > MIN_REPEAT_MS;
   }
 
   static #callFailed(exchange: Exchange, reason: ExchangeReason, detail: string): Effect {
@@ -459,7 +473,7 @@
   #giveUp(exchange: Exchange, reason: ExchangeReason): readonly Effect[] {
     return exchange.mayHaveRun
       ? this.#fail(exchange, reason)
-      : this.#refuse(exchange, reason, RETRY_AFTER_MS);
+      : this.#refuse(exchange, reason, retryAfterMsOf(this.#remainingMs(exchange)));
   }
 
   #refuse(exchange: Exchange, reason: ExchangeReason, retryAfterMs: number): readonly Effect[] {
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -45,7 +45,7 @@
 const ACTIVE_INTERVAL_MS = 40;
 
 /** Passes between the present one and the one that is held: time for all ranks to arm. */
-const LEAD_PASSES = 4;
+const LEAD_PASSES = 2;
 
 /** Preparing copies weights, which takes seconds; longer than this, a rank is in trouble. */
 const PREPARE_TIMEOUT_MS = 15_000;
@@ -208,6 +208,11 @@
   }
 
   #advance(change: MapChange, report: RankReport): readonly Effect[] {
+    const isOvertaken =
+      change.step > 0 && report.step >= change.step && change.phase !== ChangePhase.Holding;
+    if (isOvertaken) {
+      return this.#finish(change, 'the pass has begun');
+    }
     switch (change.phase) {
       case ChangePhase.Preparing:
         return this.#lookPreparing(change);
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -46,7 +46,7 @@
 const STATE_INTERVAL_MS = 450;
 
 /** Time between two looks at the counts of experts; popularity shifts within seconds. */
-const TALLY_INTERVAL_MS = 400;
+const TALLY_INTERVAL_MS = 250;
 
 const TIMER_KEY = 0;
 
