perf(rank-agent): change the layer sets that gain most first

Cause: a rank copies the experts that are new to it one after the other, 0.4 s each on these sites, so a change of all three layer sets came into force 1.25 s after it was planned.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -40,6 +40,7 @@
     kind: z.literal(PeerMessageKind.EngineLimits),
     placesPerRank: z.number(),
     spareCapacity: z.number(),
+    expertCopyMs: z.number(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.Load),
--- a/packages/gateway/src/engineAdviceRegistration.ts
+++ b/packages/gateway/src/engineAdviceRegistration.ts
@@ -18,9 +18,14 @@
   if (engine === undefined) {
     return [];
   }
-  const { placesPerRank, spareCapacity } = engine;
+  const { placesPerRank, spareCapacity, expertCopyMs } = engine;
   return [
-    sendToPeer(event.address, { kind: PeerMessageKind.EngineLimits, placesPerRank, spareCapacity }),
+    sendToPeer(event.address, {
+      kind: PeerMessageKind.EngineLimits,
+      placesPerRank,
+      spareCapacity,
+      expertCopyMs,
+    }),
   ];
 };
 
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -54,6 +54,8 @@
   readonly placesPerRank: number;
   /** Experts of one layer set that may be new to a rank in one change. */
   readonly spareCapacity: number;
+  /** Time for which a rank copies the weights of one expert. */
+  readonly expertCopyMs: number;
 }
 
 /** Requests that one gateway has at one target. */
--- a/packages/gateway/src/published.ts
+++ b/packages/gateway/src/published.ts
@@ -52,7 +52,8 @@
   readonly placesPerRank: number;
   /** Experts of one set that may be new to a rank in one change. */
   readonly spareCapacity: number;
-  readonly expertSizeMb: number;
+  /** Time for which a rank copies the weights of one expert. */
+  readonly expertCopyMs: number;
 }
 
 /** A service and how its targets are to be treated. */
--- a/packages/rank-agent/src/SetPlanner.ts
+++ b/packages/rank-agent/src/SetPlanner.ts
@@ -5,8 +5,8 @@
  * cost. Only the loads that a step touches are computed anew.
  */
 
-/** Bounds of a plan. */
-export interface PlanBounds {
+/** Bounds of a layer set. */
+export interface SetBounds {
   readonly placesPerRank: number;
   /** Experts of one layer set that may be new to a rank. */
   readonly maxNewPerRank: number;
@@ -56,7 +56,7 @@
   private constructor(
     placement: readonly (readonly number[])[],
     private readonly popularity: readonly number[],
-    private readonly bounds: PlanBounds,
+    private readonly bounds: SetBounds,
   ) {
     this.#ranks = placement.map((experts) => new Set(experts));
     this.#original = placement.map((experts) => new Set(experts));
@@ -79,7 +79,7 @@
   static create(
     placement: readonly (readonly number[])[],
     popularity: readonly number[],
-    bounds: PlanBounds,
+    bounds: SetBounds,
   ): SetPlanner {
     return new SetPlanner(placement, popularity, bounds);
   }
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -71,6 +71,9 @@
 /** Orders without an answer are carried out within this time, if at all. */
 const LATE_ORDER_MS = 12_500;
 
+/** Longest time for which a rank copies weights for one change; a shorter change is sooner in force. */
+const MAX_COPY_MS = 850;
+
 /** Versions of one driver differ from those of others by the rank that they contain. */
 const VERSION_STRIDE = 1_024;
 
@@ -261,9 +264,12 @@
     ) {
       return [];
     }
-    const { placesPerRank, spareCapacity } = limits;
-    const maxNewPerRank = Math.min(spareCapacity, MAX_NEW_PER_RANK);
-    const placement = planPlacement(current, popularity, { placesPerRank, maxNewPerRank });
+    const { placesPerRank, spareCapacity, expertCopyMs } = limits;
+    const placement = planPlacement(current, popularity, {
+      placesPerRank,
+      maxNewPerRank: Math.min(spareCapacity, MAX_NEW_PER_RANK),
+      maxCopiesPerRank: Math.max(1, Math.floor(MAX_COPY_MS / Math.max(1, expertCopyMs))),
+    });
     const before = skewOf(current, popularity);
     const after = skewOf(placement, popularity);
     this.#settleUntilMs = this.runtime.nowMs() + SETTLE_MS;
--- a/packages/rank-agent/tests/fake-group.ts
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -14,7 +14,7 @@
   type RankPlacement,
   type RankReport,
 } from '@ebonysill/gateway';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { createRandom } from '@ebonysill/emulator';
 import { createAgentServices } from '../src/index.js';
 
 const RANK_COUNT = 4;
@@ -33,6 +33,8 @@
 
 const RESTART_MS = 900;
 
+const MAX_PAUSE_MS = 3_000;
+
 /** Faults that strike by chance. */
 export interface GroupFaults {
   /** Orders that get no answer; half of them are carried out late, half at once. */
@@ -62,15 +64,6 @@
   readonly readyAtMs: number;
 }
 
-interface Engine {
-  mapVersion: number;
-  placement: RankPlacement;
-  prepared: PreparedMap | undefined;
-  armed: { readonly version: number; readonly step: number } | undefined;
-  heldStep: number;
-  counts: number[];
-}
-
 interface Agent {
   kernel: Kernel<Directory, Event, Effect> | undefined;
   pausedUntilMs: number;
@@ -91,14 +84,36 @@
   ),
 ];
 
-const createEngine = (): Engine => ({
-  mapVersion: 0,
-  placement: PLACEMENT_0,
-  prepared: undefined,
-  armed: undefined,
-  heldStep: 0,
-  counts: Array.from({ length: EXPERT_COUNT }, () => 0),
-});
+/** One engine. */
+class FakeEngine {
+  mapVersion = 0;
+
+  placement = PLACEMENT_0;
+
+  prepared: PreparedMap | undefined;
+
+  armed: { readonly version: number; readonly step: number } | undefined;
+
+  heldStep = 0;
+
+  readonly counts = Array.from({ length: EXPERT_COUNT }, () => 0);
+
+  /** Changes map if it is armed for this step. */
+  begin(step: number): void {
+    if (this.armed?.step === step && this.prepared !== undefined) {
+      this.mapVersion = this.armed.version;
+      this.placement = this.prepared.placement;
+      this.armed = undefined;
+    }
+  }
+
+  /** Counts the choices of a pass in which one expert is popular. */
+  count(hot: number): void {
+    this.counts.forEach((count, expert) => {
+      this.counts[expert] = count + (expert === hot ? 1_000 : 100);
+    });
+  }
+}
 
 /** Engines and agents of one group. */
 export class FakeGroup {
@@ -116,7 +131,7 @@
 
   faults: GroupFaults = NO_FAULTS;
 
-  readonly #engines = Array.from({ length: RANK_COUNT }, createEngine);
+  readonly #engines = Array.from({ length: RANK_COUNT }, () => new FakeEngine());
 
   readonly #agents: Agent[] = Array.from({ length: RANK_COUNT }, () => ({
     kernel: undefined,
@@ -135,8 +150,7 @@
   readonly #random: () => number;
 
   private constructor(seed: number) {
-    const generator = xoroshiro128plus(seed);
-    this.#random = () => (generator.next() >>> 0) / 2 ** 32;
+    this.#random = createRandom(seed);
     this.#agents.forEach((_, rank) => this.#startAgent(rank));
     this.#after(PASS_MS, () => this.#pass());
     this.#after(1_000, () => this.#strike());
@@ -245,6 +259,7 @@
         kind: PeerMessageKind.EngineLimits,
         placesPerRank: PLACES,
         spareCapacity: 2,
+        expertCopyMs: 100,
       },
     });
   }
@@ -257,9 +272,9 @@
     }
     if (agent.pausedUntilMs > this.nowMs) {
       this.#after(agent.pausedUntilMs - this.nowMs, () => this.#post(rank, life, event));
-      return;
+    } else {
+      agent.kernel.post(event);
     }
-    agent.kernel.post(event);
   }
 
   #perform(rank: number, life: number, timers: Map<string, number>, effect: Effect): void {
@@ -300,7 +315,7 @@
         return;
       case EffectKind.GiveOrder:
         this.#giveOrder(rank, life, effect.orderId, effect.order);
-        return;
+        break;
       default:
     }
   }
@@ -351,7 +366,7 @@
     }
   }
 
-  #prepare(engine: Engine, version: number, placement: RankPlacement): OrderOutcome {
+  #prepare(engine: FakeEngine, version: number, placement: RankPlacement): OrderOutcome {
     const highest = Math.max(engine.mapVersion, engine.prepared?.version ?? 0);
     if (version <= highest || engine.armed !== undefined) {
       return OrderOutcome.Refused;
@@ -360,7 +375,7 @@
     return OrderOutcome.Accepted;
   }
 
-  #arm(engine: Engine, version: number, step: number): OrderOutcome {
+  #arm(engine: FakeEngine, version: number, step: number): OrderOutcome {
     const isReady = engine.prepared?.version === version && engine.prepared.readyAtMs <= this.nowMs;
     if (!isReady || step <= this.step) {
       return OrderOutcome.Refused;
@@ -370,7 +385,7 @@
   }
 
   #report(rank: number): RankReport {
-    const engine = this.#engines[rank] ?? createEngine();
+    const engine = this.#engines[rank] ?? new FakeEngine();
     const { prepared } = engine;
     return {
       groupName: 'group-1',
@@ -391,7 +406,7 @@
   }
 
   #tally(rank: number, life: number): void {
-    const engine = this.#engines[rank] ?? createEngine();
+    const engine = this.#engines[rank] ?? new FakeEngine();
     this.#post(rank, life, {
       kind: EventKind.ExpertsCounted,
       tally: {
@@ -412,21 +427,10 @@
     }
     this.step = next;
     const before = this.#engines[0]?.mapVersion;
-    this.#engines.forEach((engine) => FakeGroup.#switch(engine, next));
+    this.#engines.forEach((engine) => engine.begin(next));
     this.#check(next);
     this.changeCount += this.#engines[0]?.mapVersion === before ? 0 : 1;
-    this.#engines.forEach((engine) => this.#count(engine));
-  }
-
-  static #switch(engine: Engine, step: number): void {
-    const { armed, prepared } = engine;
-    if (armed?.step === step && prepared !== undefined) {
-      /* eslint-disable no-param-reassign -- engines are the state of this fake */
-      engine.mapVersion = armed.version;
-      engine.placement = prepared.placement;
-      engine.armed = undefined;
-      /* eslint-enable no-param-reassign */
-    }
+    this.#engines.forEach((engine) => engine.count(this.#hot));
   }
 
   #check(step: number): void {
@@ -438,14 +442,6 @@
     }
   }
 
-  #count(engine: Engine): void {
-    engine.counts.forEach((count, expert) => {
-      const added = expert === this.#hot ? 1_000 : 100;
-      /* eslint-disable-next-line no-param-reassign -- engines are the state of this fake */
-      engine.counts[expert] = count + added;
-    });
-  }
-
   #shift(): void {
     this.#hot = Math.floor(this.#random() * EXPERT_COUNT);
     this.#after(4_000, () => this.#shift());
@@ -454,13 +450,12 @@
   #strike(): void {
     this.#after(100, () => this.#strike());
     const { killsPerSecond, pausesPerSecond, crashesPerSecond } = this.faults;
-    this.#agents.forEach((agent, rank) => {
+    this.#agents.forEach((_, rank) => {
       if (this.#chance(killsPerSecond / 10)) {
         this.kill(rank);
       }
       if (this.#chance(pausesPerSecond / 10)) {
-        /* eslint-disable-next-line no-param-reassign -- agents are the state of this fake */
-        agent.pausedUntilMs = this.nowMs + this.#random() * 3_000;
+        this.#pause(rank);
       }
       if (this.#chance(crashesPerSecond / 10)) {
         this.#crash();
@@ -468,10 +463,21 @@
     });
   }
 
+  #pause(rank: number): void {
+    const agent = this.#agents[rank];
+    if (agent !== undefined) {
+      agent.pausedUntilMs = this.nowMs + this.#random() * MAX_PAUSE_MS;
+    }
+  }
+
   /** An engine restarts: the group forms anew, with the first map and nothing prepared or held. */
   #crash(): void {
     this.epoch += 1;
     this.#openAtMs = this.nowMs + 600;
-    this.#engines.splice(0, RANK_COUNT, ...Array.from({ length: RANK_COUNT }, createEngine));
+    this.#engines.splice(
+      0,
+      RANK_COUNT,
+      ...Array.from({ length: RANK_COUNT }, () => new FakeEngine()),
+    );
   }
 }
--- a/packages/rank-agent/tests/maps.test.ts
+++ b/packages/rank-agent/tests/maps.test.ts
@@ -82,7 +82,11 @@
 ];
 
 test('evens out ranks', () => {
-  const planned = planPlacement(CURRENT, POPULARITY, { placesPerRank: 4, maxNewPerRank: 1 });
+  const planned = planPlacement(CURRENT, POPULARITY, {
+    placesPerRank: 4,
+    maxNewPerRank: 1,
+    maxCopiesPerRank: 2,
+  });
   expect(skewOf(planned, POPULARITY) < 1.3).toEqual(true);
   expect(skewOf(CURRENT, POPULARITY) > 1.8).toEqual(true);
 });
@@ -91,6 +95,7 @@
   const [planned = []] = planPlacement(CURRENT, POPULARITY, {
     placesPerRank: 3,
     maxNewPerRank: 1,
+    maxCopiesPerRank: 2,
   });
   const added = planned.map(
     (experts, rank) => experts.filter((one) => CURRENT[0]?.[rank]?.includes(one) !== true).length,
@@ -99,3 +104,20 @@
   expect(Math.max(...added) <= 1).toEqual(true);
   expect(new Set(planned.flat()).size).toEqual(8);
 });
+
+test('copies for no longer than allowed', () => {
+  const planned = planPlacement([...CURRENT, ...CURRENT], [...POPULARITY, ...POPULARITY], {
+    placesPerRank: 4,
+    maxNewPerRank: 1,
+    maxCopiesPerRank: 1,
+  });
+  const added = [0, 1, 2, 3].map((rank) =>
+    planned.reduce(
+      (sum, ranks) =>
+        sum +
+        (ranks[rank] ?? []).filter((one) => CURRENT[0]?.[rank]?.includes(one) !== true).length,
+      0,
+    ),
+  );
+  expect(Math.max(...added)).toEqual(1);
+});
