--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -72,7 +72,7 @@
 const LATE_ORDER_MS = 12_500;
 
 /** Longest time for which a rank copies weights for one change; a shorter change is sooner in force. */
-const MAX_COPY_MS = 850;
+const MAX_COPY_MS = 450;
 
 /** Versions of one driver differ from those of others by the rank that they contain. */
 const VERSION_STRIDE = 1_024;
--- a/packages/rank-agent/tests/fake-group.ts
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -16,10 +16,7 @@
 } from '@ebonysill/gateway';
 import { createRandom } from '@ebonysill/emulator';
 import { createAgentServices } from '../src/index.js';
-
-const RANK_COUNT = 4;
-
-const EXPERT_COUNT = 8;
+import { EXPERT_COUNT, FakeEngine, RANK_COUNT } from './fake-engine.js';
 
 const PLACES = 4;
 
@@ -58,12 +55,6 @@
   crashesPerSecond: 0,
 };
 
-interface PreparedMap {
-  readonly version: number;
-  readonly placement: RankPlacement;
-  readonly readyAtMs: number;
-}
-
 interface Agent {
   kernel: Kernel<Directory, Event, Effect> | undefined;
   pausedUntilMs: number;
@@ -76,45 +67,6 @@
   readonly run: () => void;
 }
 
-const PLACEMENT_0: RankPlacement = [
-  Array.from({ length: RANK_COUNT }, (_, rank) =>
-    Array.from({ length: EXPERT_COUNT }, (_expert, expert) => expert).filter(
-      (expert) => expert % RANK_COUNT === rank,
-    ),
-  ),
-];
-
-/** One engine. */
-class FakeEngine {
-  mapVersion = 0;
-
-  placement = PLACEMENT_0;
-
-  prepared: PreparedMap | undefined;
-
-  armed: { readonly version: number; readonly step: number } | undefined;
-
-  heldStep = 0;
-
-  readonly counts = Array.from({ length: EXPERT_COUNT }, () => 0);
-
-  /** Changes map if it is armed for this step. */
-  begin(step: number): void {
-    if (this.armed?.step === step && this.prepared !== undefined) {
-      this.mapVersion = this.armed.version;
-      this.placement = this.prepared.placement;
-      this.armed = undefined;
-    }
-  }
-
-  /** Counts the choices of a pass in which one expert is popular. */
-  count(hot: number): void {
-    this.counts.forEach((count, expert) => {
-      this.counts[expert] = count + (expert === hot ? 1_000 : 100);
-    });
-  }
-}
-
 /** Engines and agents of one group. */
 export class FakeGroup {
   nowMs = 0;
@@ -371,7 +323,7 @@
     if (version <= highest || engine.armed !== undefined) {
       return OrderOutcome.Refused;
     }
-    engine.prepared = { version, placement, readyAtMs: this.nowMs + PREPARE_MS };
+    engine.prepare({ version, placement, readyAtMs: this.nowMs + PREPARE_MS });
     return OrderOutcome.Accepted;
   }
 
@@ -380,7 +332,7 @@
     if (!isReady || step <= this.step) {
       return OrderOutcome.Refused;
     }
-    engine.armed = { version, step };
+    engine.arm(version, step);
     return OrderOutcome.Accepted;
   }
 
