--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -371,12 +371,9 @@
     const { epoch } = change;
     const step = change.chooseStep(report.step, LEAD_PASSES);
     const order = { kind: OrderKind.Hold, epoch, step } as const;
-    return this.#instruct(change, holder, order, {
-      kind: PeerMessageKind.HoldStep,
-      groupName: report.groupName,
-      epoch,
-      step,
-    });
+    const { groupName } = report;
+    const message = { kind: PeerMessageKind.HoldStep, groupName, epoch, step } as const;
+    return this.#instruct(change, holder, order, message, change.isDirectDue(AGENT_PATIENCE_MS));
   }
 
   /** Asks a rank's agent; an agent that is slow to answer is passed by. */
@@ -385,9 +382,10 @@
     { agentAddress, engineAddress, report }: KnownRank,
     order: Order,
     message: PeerMessage,
+    isDirectDue: boolean,
   ): readonly Effect[] {
     const asked = sendToPeer(agentAddress, message);
-    if (change.sincePhaseMs() < AGENT_PATIENCE_MS) {
+    if (!isDirectDue) {
       return [asked];
     }
     const directly = this.#monitor.order(
@@ -427,9 +425,10 @@
     const { groupName = '' } = this.#members.self();
     const order = { kind: OrderKind.Arm, epoch, version, step } as const;
     const message = { kind: PeerMessageKind.ArmMap, groupName, epoch, version, step } as const;
+    const isDirectDue = change.isDirectDue(AGENT_PATIENCE_MS);
     return ranks
       .filter(({ report }) => !change.isArmed(report))
-      .flatMap((rank) => this.#instruct(change, rank, order, message));
+      .flatMap((rank) => this.#instruct(change, rank, order, message, isDirectDue));
   }
 
   #lookReleasing(change: MapChange): readonly Effect[] {
@@ -446,7 +445,7 @@
     const { groupName = '' } = this.#members.self();
     const order = { kind: OrderKind.Release, epoch, step } as const;
     const message = { kind: PeerMessageKind.ReleaseStep, groupName, epoch, step } as const;
-    return this.#instruct(change, holder, order, message);
+    return this.#instruct(change, holder, order, message, change.isDirectDue(AGENT_PATIENCE_MS));
   }
 
   #release(epoch: number, step: number): readonly Effect[] {
--- a/packages/rank-agent/src/map-change.ts
+++ b/packages/rank-agent/src/map-change.ts
@@ -37,6 +37,8 @@
 
   #askedAtMs = Number.NEGATIVE_INFINITY;
 
+  #directAtMs = Number.NEGATIVE_INFINITY;
+
   #isHeld = false;
 
   #isReleased = false;
@@ -121,6 +123,17 @@
     return true;
   }
 
+  /** Whether to pass agents by now, no more often than `intervalMs` and not before it. */
+  isDirectDue(intervalMs: number): boolean {
+    const nowMs = this.options.nowMs();
+    const sinceMs = nowMs - Math.max(this.#phaseAtMs, this.#directAtMs);
+    if (sinceMs < intervalMs) {
+      return false;
+    }
+    this.#directAtMs = nowMs;
+    return true;
+  }
+
   /** Chooses the pass to hold; one that was chosen before is kept while it can still be held. */
   chooseStep(presentStep: number, leadPasses: number): number {
     if (this.#step <= presentStep) {
