fix(rank-agent): give orders past an agent at the engine's published address

Change: the driver asks a gateway for the published addresses of its service, and each engine once a group forms for its rank.

--- a/packages/gateway-io/src/ProcessHost.ts
+++ b/packages/gateway-io/src/ProcessHost.ts
@@ -20,7 +20,7 @@
 
 /** Asks for and orders of the engine beside the process. */
 export interface RankPort {
-  readonly askState: () => void;
+  readonly askState: (engineAddress?: string) => void;
   readonly countExperts: () => void;
   readonly order: (orderId: number, order: Order, engineAddress?: string) => void;
 }
@@ -131,7 +131,7 @@
         datagrams?.send(effect);
         return;
       case EffectKind.AskRank:
-        rank?.askState();
+        rank?.askState(effect.engineAddress);
         return;
       case EffectKind.CountExperts:
         rank?.countExperts();
--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -42,6 +42,11 @@
     spareCapacity: z.number(),
     expertCopyMs: z.number(),
   }),
+  z.object({ kind: z.literal(PeerMessageKind.FindTargets), serviceName: z.string() }),
+  z.object({
+    kind: z.literal(PeerMessageKind.TargetAddresses),
+    addresses: z.array(z.string()),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.Load),
     counts: z.array(z.object({ instanceId: z.string(), count: z.number() })),
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -124,9 +124,11 @@
   readonly limits: CallerLimits;
 }
 
-/** Asks the engine beside this process for its state. */
+/** Asks an engine for its state. */
 export interface AskRankEffect {
   readonly kind: EffectKind.AskRank;
+  /** IP address and port of another engine than the one beside this process. */
+  readonly engineAddress?: string;
 }
 
 /** Asks the engine beside this process for its counts of experts. */
--- a/packages/gateway/src/engineAdviceRegistration.ts
+++ b/packages/gateway/src/engineAdviceRegistration.ts
@@ -1,33 +1,68 @@
-/** @module Tells the agents beside ranks what operators published of their engines. */
+/** @module Tells the agents beside ranks what is published of their engines. */
 import { createInstance } from '@ebonysill/kernel';
 import { sendToPeer } from './build-effects.js';
-import { ServiceName, type CatalogueApi, type Registration } from './directory.js';
+import {
+  ServiceName,
+  type CatalogueApi,
+  type FindService,
+  type Registration,
+  type TargetsApi,
+} from './directory.js';
 import type { Effect } from './effect.js';
 import { EventKind, type Event } from './event.js';
-import { PeerMessageKind, PeerRole } from './peer-message.js';
-
-const advise = (event: Event, catalogue: CatalogueApi): readonly Effect[] => {
-  if (
-    event.kind !== EventKind.PeerMessageReceived ||
-    event.message.kind !== PeerMessageKind.Hello ||
-    event.message.member.role !== PeerRole.RankAgent
-  ) {
-    return [];
+import { PeerMessageKind, PeerRole, type Member } from './peer-message.js';
+
+/** Answers agents. */
+class EngineAdviceService {
+  readonly #catalogue: CatalogueApi;
+
+  readonly #targets: TargetsApi;
+
+  private constructor(find: FindService) {
+    this.#catalogue = find(ServiceName.Catalogue);
+    this.#targets = find(ServiceName.Targets);
+  }
+
+  static create(find: FindService): EngineAdviceService {
+    return new EngineAdviceService(find);
   }
-  const engine = catalogue.serviceOf(event.message.member.serviceName ?? '')?.engine;
-  if (engine === undefined) {
-    return [];
+
+  handle(event: Event): readonly Effect[] {
+    if (event.kind !== EventKind.PeerMessageReceived) {
+      return [];
+    }
+    const { address, message } = event;
+    switch (message.kind) {
+      case PeerMessageKind.Hello:
+        return this.#tellLimits(address, message.member);
+      case PeerMessageKind.FindTargets:
+        return this.#tellTargets(address, message.serviceName);
+      default:
+        return [];
+    }
+  }
+
+  #tellLimits(address: string, { role, serviceName = '' }: Member): readonly Effect[] {
+    const engine = this.#catalogue.serviceOf(serviceName)?.engine;
+    if (role !== PeerRole.RankAgent || engine === undefined) {
+      return [];
+    }
+    const { placesPerRank, spareCapacity, expertCopyMs } = engine;
+    return [
+      sendToPeer(address, {
+        kind: PeerMessageKind.EngineLimits,
+        placesPerRank,
+        spareCapacity,
+        expertCopyMs,
+      }),
+    ];
+  }
+
+  #tellTargets(address: string, serviceName: string): readonly Effect[] {
+    const addresses = this.#targets.usable(serviceName).map((target) => target.address);
+    return [sendToPeer(address, { kind: PeerMessageKind.TargetAddresses, addresses })];
   }
-  const { placesPerRank, spareCapacity, expertCopyMs } = engine;
-  return [
-    sendToPeer(event.address, {
-      kind: PeerMessageKind.EngineLimits,
-      placesPerRank,
-      spareCapacity,
-      expertCopyMs,
-    }),
-  ];
-};
+}
 
 /**
  * Registers the service that answers agents.
@@ -37,10 +72,10 @@
  */
 const engineAdviceRegistration = (): Registration<ServiceName.EngineAdvice> => ({
   name: ServiceName.EngineAdvice,
-  requires: [ServiceName.Catalogue],
+  requires: [ServiceName.Catalogue, ServiceName.Targets],
   create: (find) => {
-    const catalogue = find(ServiceName.Catalogue);
-    return createInstance({}, { handle: (event) => advise(event, catalogue) });
+    const service = EngineAdviceService.create(find);
+    return createInstance({}, { handle: (event) => service.handle(event) });
   },
 });
 
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -164,9 +164,12 @@
   readonly message: PeerMessage;
 }
 
-/** The engine beside this process told its state; absent when it did not answer. */
+/** An engine told its state. */
 export interface RankReportedEvent {
   readonly kind: EventKind.RankReported;
+  /** IP address and port that was asked; absent for the engine beside this process. */
+  readonly engineAddress?: string;
+  /** Absent when the engine did not answer. */
   readonly report?: RankReport;
 }
 
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -12,6 +12,8 @@
   Hello = 'hello',
   Members = 'members',
   EngineLimits = 'engine-limits',
+  FindTargets = 'find-targets',
+  TargetAddresses = 'target-addresses',
   Load = 'load',
   RankState = 'rank-state',
   RankTally = 'rank-tally',
@@ -58,6 +60,19 @@
   readonly expertCopyMs: number;
 }
 
+/** Asks a gateway for the targets of a service. */
+export interface FindTargetsMessage {
+  readonly kind: PeerMessageKind.FindTargets;
+  readonly serviceName: string;
+}
+
+/** Published addresses of the targets of a service. */
+export interface TargetAddressesMessage {
+  readonly kind: PeerMessageKind.TargetAddresses;
+  /** IP addresses and ports. */
+  readonly addresses: readonly string[];
+}
+
 /** Requests that one gateway has at one target. */
 export interface TargetCount {
   readonly instanceId: string;
@@ -125,6 +140,8 @@
   | HelloMessage
   | MembersMessage
   | EngineLimitsMessage
+  | FindTargetsMessage
+  | TargetAddressesMessage
   | LoadMessage
   | RankStateMessage
   | RankTallyMessage
--- /dev/null
+++ b/packages/rank-agent/src/EngineDirectory.ts
@@ -0,0 +1,82 @@
+/** @module Published addresses of the engines of a group, by rank. */
+import {
+  EffectKind,
+  PeerMessageKind,
+  PeerRole,
+  sendToPeer,
+  type Effect,
+  type MembersApi,
+  type RankReportedEvent,
+} from '@ebonysill/gateway';
+
+/** What a directory is created from. */
+export interface EngineDirectoryOptions {
+  readonly nowMs: () => number;
+  readonly members: MembersApi;
+}
+
+/** How often addresses that are missing are asked for. */
+const ASK_INTERVAL_MS = 2_000;
+
+/**
+ * Finds out at which address each engine answers everybody: gateways know the addresses, engines
+ * tell their ranks. Agents reach their engines by an address that fails with their hosts.
+ */
+export default class EngineDirectory {
+  #epoch = 0;
+
+  readonly #addresses = new Map<number, string>();
+
+  #askedAtMs = Number.NEGATIVE_INFINITY;
+
+  private constructor(private readonly options: EngineDirectoryOptions) {}
+
+  /**
+   * Creates a directory that knows nothing.
+   *
+   * @example
+   * const directory = EngineDirectory.create({ nowMs, members });
+   */
+  static create(options: EngineDirectoryOptions): EngineDirectory {
+    return new EngineDirectory(options);
+  }
+
+  /** Address of the engine of a rank. */
+  addressOf(rank: number): string | undefined {
+    return this.#addresses.get(rank);
+  }
+
+  /** Asks a gateway while addresses of this epoch are missing. */
+  ask(epoch: number, rankCount: number): readonly Effect[] {
+    const { nowMs, members } = this.options;
+    if (epoch !== this.#epoch) {
+      this.#epoch = epoch;
+      this.#addresses.clear();
+    }
+    const { serviceName } = members.self();
+    const [gateway] = members.others(PeerRole.Gateway);
+    const isDue = this.#addresses.size < rankCount && nowMs() - this.#askedAtMs >= ASK_INTERVAL_MS;
+    if (!isDue || gateway === undefined || serviceName === undefined) {
+      return [];
+    }
+    this.#askedAtMs = nowMs();
+    return [sendToPeer(gateway.address, { kind: PeerMessageKind.FindTargets, serviceName })];
+  }
+
+  /** Asks the engines at addresses that are not known yet for their ranks. */
+  noteAddresses(addresses: readonly string[]): readonly Effect[] {
+    const known = new Set(this.#addresses.values());
+    return addresses
+      .filter((address) => !known.has(address))
+      .map((engineAddress) => ({ kind: EffectKind.AskRank, engineAddress }));
+  }
+
+  /** Takes an engine's answer; one of another group or epoch is passed over. */
+  noteReport({ engineAddress, report }: RankReportedEvent): void {
+    const isOurs =
+      report?.groupName === this.options.members.self().groupName && report?.epoch === this.#epoch;
+    if (report !== undefined && engineAddress !== undefined && isOurs) {
+      this.#addresses.set(report.rank, engineAddress);
+    }
+  }
+}
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -30,10 +30,12 @@
   type RankMonitorApi,
   type RankPlacement,
   type RankReport,
+  type RankReportedEvent,
   type Registration,
   type Runtime,
 } from '@ebonysill/gateway';
 import { createInstance } from '@ebonysill/kernel';
+import EngineDirectory from './EngineDirectory.js';
 import GroupView, { type KnownRank } from './GroupView.js';
 import { ChangePhase, MapChange } from './map-change.js';
 import { skewOf } from './placement.js';
@@ -107,6 +109,8 @@
 
   readonly #popularity: PopularityMeter;
 
+  readonly #directory: EngineDirectory;
+
   readonly #members: MembersApi;
 
   readonly #monitor: RankMonitorApi;
@@ -119,6 +123,8 @@
     this.#popularity = PopularityMeter.create(options.runtime.nowMs);
     this.#members = find(ServiceName.Members);
     this.#monitor = find(ServiceName.RankMonitor);
+    const { nowMs } = options.runtime;
+    this.#directory = EngineDirectory.create({ nowMs, members: this.#members });
   }
 
   static create(options: GroupDriverOptions, find: FindService): GroupDriverService {
@@ -132,7 +138,7 @@
       case EventKind.PeerMessageReceived:
         return this.#onMessage(event);
       case EventKind.RankReported:
-        return event.report === undefined ? [] : this.#onOwnReport(event.report);
+        return this.#onReport(event);
       case EventKind.ExpertsCounted:
         if (event.tally !== undefined) {
           const rank = this.#monitor.report()?.rank ?? 0;
@@ -156,6 +162,14 @@
     return [...effects, setTimer(TimerKind.MapChange, TIMER_KEY, delayMs)];
   }
 
+  #onReport(event: RankReportedEvent): readonly Effect[] {
+    if (event.engineAddress === undefined) {
+      return event.report === undefined ? [] : this.#onOwnReport(event.report);
+    }
+    this.#directory.noteReport(event);
+    return [];
+  }
+
   #onOwnReport(report: RankReport): readonly Effect[] {
     this.#view.noteReport(this.#members.self().address, this.options.engineAddress, report);
     return this.#change === undefined ? [] : this.#look();
@@ -167,6 +181,8 @@
       case PeerMessageKind.EngineLimits:
         this.#limits = message;
         return [];
+      case PeerMessageKind.TargetAddresses:
+        return this.#directory.noteAddresses(message.addresses);
       case PeerMessageKind.RankState:
         if (message.report.groupName !== groupName) {
           return [];
@@ -254,9 +270,10 @@
     const isCalm = ranks.every(
       ({ report }) => report.armedVersion === 0 && report.mapVersion === mapVersion,
     );
+    const asked = this.#directory.ask(ranks[0]?.report.epoch ?? 0, ranks.length);
     return isCalm && this.options.runtime.nowMs() >= this.#settleUntilMs
-      ? this.#propose(ranks, mapVersion)
-      : [];
+      ? [...asked, ...this.#propose(ranks, mapVersion)]
+      : asked;
   }
 
   #propose(ranks: readonly KnownRank[], mapVersion: number): readonly Effect[] {
@@ -400,7 +417,7 @@
           }),
         ];
       },
-      engineAddress,
+      this.#directory.addressOf(report.rank) ?? engineAddress,
     );
     return [asked, ...directly];
   }
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -123,7 +123,7 @@
       case EventKind.TimerFired:
         return this.#onTimer(event.timer);
       case EventKind.RankReported:
-        return this.#onReport(event.report);
+        return event.engineAddress === undefined ? this.#onReport(event.report) : [];
       case EventKind.ExpertsCounted:
         return event.tally === undefined ? [] : this.#onTally(event.tally);
       case EventKind.OrderAnswered:
--- a/packages/rank-agent/tests/fake-group.ts
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -11,6 +11,8 @@
   type Effect,
   type Event,
   type GiveOrderEffect,
+  type Member,
+  type PeerMessage,
   type Order,
   type RankPlacement,
   type RankReport,
@@ -62,6 +64,20 @@
 /** The last number of an address is its rank. */
 const rankAt = (address: string): number => Number(address.split(':')[0]?.split('.')[3]);
 
+/** An engine's address on its own host, which fails while the host is paused. */
+const privateAddressOf = (rank: number): string => `10.0.0.${rank}:80`;
+
+const publishedAddressOf = (rank: number): string => `10.0.2.${rank}:80`;
+
+const GATEWAY_ADDRESS = '10.0.1.1:7000';
+
+const GATEWAY: Member = {
+  name: 'gateway-1',
+  role: PeerRole.Gateway,
+  address: GATEWAY_ADDRESS,
+  availabilityZone: 'zone-a',
+};
+
 interface Agent {
   kernel: Kernel<Directory, Event, Effect> | undefined;
   pausedUntilMs: number;
@@ -204,9 +220,10 @@
           role: PeerRole.RankAgent,
           address: `10.0.0.${rank}:7000`,
           availabilityZone: 'zone-a',
+          serviceName: 'model',
         },
-        engineAddress: `10.0.0.${rank}:80`,
-        seeds: this.#agents.map((_, other) => `10.0.0.${other}:7000`),
+        engineAddress: privateAddressOf(rank),
+        seeds: [GATEWAY_ADDRESS, ...this.#agents.map((_, other) => `10.0.0.${other}:7000`)],
       }),
       nowMs: () => this.nowMs,
       perform: (effect) => this.#perform(rank, life, timers, effect),
@@ -229,6 +246,35 @@
     });
   }
 
+  /** A gateway tells agents that it is there, and which addresses engines publish. */
+  #answerAsGateway(rank: number, life: number, message: PeerMessage): void {
+    const reply = (answer: PeerMessage): void =>
+      this.#after(DELAY_MS, () =>
+        this.#post(rank, life, {
+          kind: EventKind.PeerMessageReceived,
+          address: GATEWAY_ADDRESS,
+          message: answer,
+        }),
+      );
+    if (message.kind === PeerMessageKind.Hello) {
+      reply({ kind: PeerMessageKind.Members, members: [GATEWAY] });
+    }
+    if (message.kind === PeerMessageKind.FindTargets) {
+      const addresses = this.#engines.map((_, index) => publishedAddressOf(index));
+      reply({ kind: PeerMessageKind.TargetAddresses, addresses });
+    }
+  }
+
+  #reportPublished(rank: number, life: number, engineAddress: string): void {
+    this.#after(DELAY_MS, () =>
+      this.#post(rank, life, {
+        kind: EventKind.RankReported,
+        engineAddress,
+        report: this.#report(rankAt(engineAddress)),
+      }),
+    );
+  }
+
   /** Events wait while their agent is paused, and are dropped after its life. */
   #post(rank: number, life: number, event: Event): void {
     const agent = this.#agents[rank];
@@ -257,6 +303,10 @@
         return;
       }
       case EffectKind.SendToPeer: {
+        if (effect.address === GATEWAY_ADDRESS) {
+          this.#answerAsGateway(rank, life, effect.message);
+          return;
+        }
         const to = rankAt(effect.address);
         if (!this.#chance(this.faults.lostMessage)) {
           const from = `10.0.0.${rank}:7000`;
@@ -271,6 +321,10 @@
         return;
       }
       case EffectKind.AskRank:
+        if (effect.engineAddress !== undefined) {
+          this.#reportPublished(rank, life, effect.engineAddress);
+          return;
+        }
         this.#after(1, () =>
           this.#post(rank, life, { kind: EventKind.RankReported, report: this.#report(rank) }),
         );
@@ -288,6 +342,17 @@
   #giveOrder(from: number, life: number, effect: GiveOrderEffect): void {
     const { orderId, order, engineAddress } = effect;
     const rank = engineAddress === undefined ? from : rankAt(engineAddress);
+    const isAgentPaused = (this.#agents[rank]?.pausedUntilMs ?? 0) > this.nowMs;
+    if (isAgentPaused && engineAddress === privateAddressOf(rank)) {
+      this.#after(400, () =>
+        this.#post(from, life, {
+          kind: EventKind.OrderAnswered,
+          orderId,
+          outcome: OrderOutcome.Unknown,
+        }),
+      );
+      return;
+    }
     if (order.kind === OrderKind.Hold && rank === from && this.faults.pausesHolder) {
       this.#pause(from, MAX_PAUSE_MS);
     }
