fix(rank-agent): hold a pass only after every agent has just answered

A prepared map can wait; a held pass cannot.

Change: once all ranks have prepared, the driver asks every agent for its state and goes on when all have answered.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -52,6 +52,7 @@
     counts: z.array(z.object({ instanceId: z.string(), count: z.number() })),
   }),
   z.object({ kind: z.literal(PeerMessageKind.RankState), report, engineAddress: z.string() }),
+  z.object({ kind: z.literal(PeerMessageKind.TellState), groupName: z.string() }),
   z.object({
     kind: z.literal(PeerMessageKind.RankTally),
     groupName: z.string(),
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -17,6 +17,7 @@
   Load = 'load',
   RankState = 'rank-state',
   RankTally = 'rank-tally',
+  TellState = 'tell-state',
   PrepareMap = 'prepare-map',
   HoldStep = 'hold-step',
   ArmMap = 'arm-map',
@@ -93,6 +94,12 @@
   readonly engineAddress: string;
 }
 
+/** Asks an agent for the state of its rank, to know that it answers. */
+export interface TellStateMessage {
+  readonly kind: PeerMessageKind.TellState;
+  readonly groupName: string;
+}
+
 /** Choices of experts at one rank since its last message, and the experts that it holds. */
 export interface RankTallyMessage {
   readonly kind: PeerMessageKind.RankTally;
@@ -144,6 +151,7 @@
   | TargetAddressesMessage
   | LoadMessage
   | RankStateMessage
+  | TellStateMessage
   | RankTallyMessage
   | PrepareMapMessage
   | StepMessage
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -84,6 +84,9 @@
 /** Versions of one driver differ from those of others by the rank that they contain. */
 const VERSION_STRIDE = 1_024;
 
+/** Phases that leave nothing behind when the driver ends. */
+const NOTHING_HELD: readonly ChangePhase[] = [ChangePhase.Preparing, ChangePhase.Checking];
+
 const TIMER_KEY = 0;
 
 /** What the service is created from. */
@@ -153,7 +156,7 @@
 
   /** A change that has not held a pass yet leaves nothing behind. */
   isDrained(): boolean {
-    return this.#change === undefined || this.#change.phase === ChangePhase.Preparing;
+    return this.#change === undefined || NOTHING_HELD.includes(this.#change.phase);
   }
 
   #onTimer(): readonly Effect[] {
@@ -242,6 +245,8 @@
     switch (change.phase) {
       case ChangePhase.Preparing:
         return this.#lookPreparing(change);
+      case ChangePhase.Checking:
+        return this.#lookChecking(change);
       case ChangePhase.Holding:
         return this.#lookHolding(change, report);
       case ChangePhase.Arming:
@@ -340,7 +345,7 @@
       return this.#finish(change, 'not all ranks prepared in time');
     }
     if (ranks?.every(({ report }) => report.preparedVersion === version) === true) {
-      change.enter(ChangePhase.Holding);
+      change.enter(ChangePhase.Checking);
       return this.#look();
     }
     if (!change.isDue(PREPARE_REPEAT_MS)) {
@@ -372,6 +377,22 @@
       .map(({ agentAddress }) => sendToPeer(agentAddress, message));
   }
 
+  #lookChecking(change: MapChange): readonly Effect[] {
+    const ranks = this.#view.known(change.epoch);
+    if (ranks.every(({ heardAtMs }) => heardAtMs > change.phaseAtMs)) {
+      change.enter(ChangePhase.Holding);
+      return this.#look();
+    }
+    if (change.sincePhaseMs() > PREPARE_TIMEOUT_MS) {
+      return this.#finish(change, 'an agent does not answer');
+    }
+    const { groupName = '' } = this.#members.self();
+    const message = { kind: PeerMessageKind.TellState, groupName } as const;
+    return change.isDue(ACTIVE_INTERVAL_MS)
+      ? GroupDriverService.#toRanks(ranks, () => true, message)
+      : [];
+  }
+
   #lookHolding(change: MapChange, report: RankReport): readonly Effect[] {
     const holder = this.#view.known(change.epoch)[change.holderRank];
     if (holder === undefined) {
--- a/packages/rank-agent/src/map-change.ts
+++ b/packages/rank-agent/src/map-change.ts
@@ -5,7 +5,9 @@
 export enum ChangePhase {
   /** Ranks copy the experts that are new to them. */
   Preparing = 'preparing',
-  /** The driver's engine is asked to hold a pass. */
+  /** Every agent is asked for its state: a hold waits for none that does not answer. */
+  Checking = 'checking',
+  /** Another rank's engine is asked to hold a pass. */
   Holding = 'holding',
   /** Ranks are asked to change map at the held pass. */
   Arming = 'arming',
@@ -108,6 +110,11 @@
     this.#askedAtMs = Number.NEGATIVE_INFINITY;
   }
 
+  /** When the phase began. */
+  get phaseAtMs(): number {
+    return this.#phaseAtMs;
+  }
+
   /** Time since the phase began. */
   sincePhaseMs(): number {
     return this.options.nowMs() - this.#phaseAtMs;
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -203,6 +203,8 @@
 
   #onMessage({ message }: PeerMessageEvent): readonly Effect[] {
     switch (message.kind) {
+      case PeerMessageKind.TellState:
+        return this.#lookSoon();
       case PeerMessageKind.PrepareMap:
         return this.#prepare(message.epoch, message.version, {
           kind: OrderKind.Prepare,
