--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 import jsdoc from 'eslint-plugin-jsdoc';
 
 export default [
-  { ignores: ['**/dist/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
