fix(gateway): begin nothing in the last two seconds of a drain

A request came 7.4 s into a drain, while a stream was still awaited, and the process ended 0.24 s later.

Change: late in the grace period every request is refused with 503, before it has run, as streams are. The test fails without the margin and passes with it.

--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -121,8 +121,8 @@
 export interface LifecycleApi {
   readonly isReady: () => boolean;
   readonly isDraining: () => boolean;
-  /** Whether a stream that begins now can end before the process does. */
-  readonly mayBeginStreams: () => boolean;
+  /** Whether a request that begins now can end before the process does. */
+  readonly mayBegin: (isStream: boolean) => boolean;
   /** Counts exchanges, which a drain waits for. */
   readonly exchangeBegan: () => void;
   readonly exchangeEnded: () => void;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -172,7 +172,7 @@
     const { verdict, retryAfterMs } = this.#admission.judge(route, service);
     this.#exchanges.set(exchange.id, exchange);
     this.#lifecycle.exchangeBegan();
-    if (exchange.isStream && !this.#lifecycle.mayBeginStreams()) {
+    if (!this.#lifecycle.mayBegin(exchange.isStream)) {
       return this.#refuse(exchange, ExchangeReason.Draining, RETRY_ELSEWHERE_MS);
     }
     if (verdict === AdmissionVerdict.Refused) {
--- a/packages/gateway/src/lifecycle-service.ts
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -26,6 +26,9 @@
 /** Streams that begin later than this in the drain might not end within the grace period. */
 const LAST_STREAM_MS = 3_000;
 
+/** Left of the grace period when no request is begun any more: routes time out within it. */
+const LAST_REQUEST_MARGIN_MS = 2_000;
+
 /** Left of the grace period when a process without work ends. */
 const IDLE_STOP_MARGIN_MS = 1_500;
 
@@ -67,9 +70,13 @@
     this.#catalogue.version() > 0 &&
     (this.#store.ageMs() < READY_AGE_MS || !this.#catalogue.needsCredentials());
 
-  readonly mayBeginStreams = (): boolean =>
-    this.#drainStartedAtMs === undefined ||
-    this.options.runtime.nowMs() - this.#drainStartedAtMs < LAST_STREAM_MS;
+  readonly mayBegin = (isStream: boolean): boolean => {
+    const { runtime, graceMs } = this.options;
+    const lastMs = isStream ? LAST_STREAM_MS : graceMs - LAST_REQUEST_MARGIN_MS;
+    return (
+      this.#drainStartedAtMs === undefined || runtime.nowMs() - this.#drainStartedAtMs < lastMs
+    );
+  };
 
   readonly exchangeBegan = (): void => {
     this.#openCount += 1;
@@ -133,7 +140,7 @@
       {
         isReady: service.isReady,
         isDraining: service.isDraining,
-        mayBeginStreams: service.mayBeginStreams,
+        mayBegin: service.mayBegin,
         exchangeBegan: service.exchangeBegan,
         exchangeEnded: service.exchangeEnded,
         drain: service.drain,
--- a/packages/gateway/tests/drain.test.ts
+++ b/packages/gateway/tests/drain.test.ts
@@ -61,6 +61,17 @@
   expect(harness.statuses()).toEqual([503]);
 });
 
+test('begins nothing at the end of the drain', () => {
+  const harness = gateway();
+  drain(harness);
+  harness.advance(2_000);
+  harness.request({ path: '/s/x', remainingMs: 8_000 });
+  harness.advance(5_400);
+  harness.request();
+  expect(harness.calledIds().length).toEqual(1);
+  expect(harness.statuses()).toEqual([503]);
+});
+
 test('closes idle connections after the balancer has let go', () => {
   const harness = gateway();
   drain(harness);
