perf(rank-agent): short messages on choices of experts, maps sent in portions, copies shared by layer sets

Counts of all experts, cumulative, filled most of the driver's link beside that (23 agents, 4 a second, about 6 KB each). Layer sets that needed a copy too many were left out whole.

Change: agents tell what counts added, in small numbers; maps go out in portions of 16,000 numbers; a layer set plans with the copies that earlier ones left.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -54,10 +54,15 @@
   z.object({ kind: z.literal(PeerMessageKind.RankState), report, engineAddress: z.string() }),
   z.object({ kind: z.literal(PeerMessageKind.TellState), groupName: z.string() }),
   z.object({
-    kind: z.literal(PeerMessageKind.RankTally),
+    kind: z.literal(PeerMessageKind.RankIncrease),
     groupName: z.string(),
     rank: z.number(),
-    tally: z.object({ epoch: z.number(), counts: lists, mapVersion: z.number(), experts: lists }),
+    increase: z.object({
+      counts: lists,
+      unit: z.number(),
+      mapVersion: z.number(),
+      experts: lists,
+    }),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.PrepareMap),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -3,7 +3,7 @@
 import type { Effect } from './effect.js';
 import type { Event } from './event.js';
 import type { Member, PeerRole } from './peer-message.js';
-import type { Order, OrderOutcome, RankReport } from './rank-data.js';
+import type { Order, OrderOutcome, RankIncrease, RankReport } from './rank-data.js';
 import type {
   CallerLimits,
   Organisation,
@@ -137,6 +137,8 @@
 export interface RankMonitorApi {
   /** Latest report; undefined while the engine does not answer. */
   readonly report: () => RankReport | undefined;
+  /** What the latest counts added to the ones before; undefined before the second counts. */
+  readonly increase: () => RankIncrease | undefined;
   /**
    * Gives an order to the engine beside this process, or to the one at an address; `onOrder` is
    * called once with its outcome.
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -1,5 +1,5 @@
 /** @module Messages between the processes of the system, apart from their encoding. */
-import type { RankPlacement, RankReport, RankTally } from './rank-data.js';
+import type { RankIncrease, RankPlacement, RankReport } from './rank-data.js';
 
 /** Role of a process. */
 export enum PeerRole {
@@ -16,7 +16,7 @@
   TargetAddresses = 'target-addresses',
   Load = 'load',
   RankState = 'rank-state',
-  RankTally = 'rank-tally',
+  RankIncrease = 'rank-increase',
   TellState = 'tell-state',
   PrepareMap = 'prepare-map',
   HoldStep = 'hold-step',
@@ -101,11 +101,11 @@
 }
 
 /** Choices of experts at one rank since its last message, and the experts that it holds. */
-export interface RankTallyMessage {
-  readonly kind: PeerMessageKind.RankTally;
+export interface RankIncreaseMessage {
+  readonly kind: PeerMessageKind.RankIncrease;
   readonly groupName: string;
   readonly rank: number;
-  readonly tally: RankTally;
+  readonly increase: RankIncrease;
 }
 
 /** Asks an agent to have its rank copy the experts of a map. */
@@ -152,7 +152,7 @@
   | LoadMessage
   | RankStateMessage
   | TellStateMessage
-  | RankTallyMessage
+  | RankIncreaseMessage
   | PrepareMapMessage
   | StepMessage
   | ArmMapMessage
--- a/packages/gateway/src/rank-data.ts
+++ b/packages/gateway/src/rank-data.ts
@@ -37,6 +37,16 @@
   readonly experts: readonly (readonly number[])[];
 }
 
+/** Choices of experts at one rank since it told of them last, and the experts that it holds. */
+export interface RankIncrease {
+  /** By layer set and expert, in multiples of `unit`: small numbers make short messages. */
+  readonly counts: readonly (readonly number[])[];
+  readonly unit: number;
+  readonly mapVersion: number;
+  /** Experts that the rank holds under that version, by layer set. */
+  readonly experts: readonly (readonly number[])[];
+}
+
 /** What an order does. */
 export enum OrderKind {
   /** Copies the experts of a new map. */
--- a/packages/rank-agent/src/GroupView.ts
+++ b/packages/rank-agent/src/GroupView.ts
@@ -1,5 +1,5 @@
 /** @module What the driver of a group knows of its ranks. */
-import type { RankPlacement, RankReport, RankTally } from '@ebonysill/gateway';
+import type { RankIncrease, RankPlacement, RankReport } from '@ebonysill/gateway';
 
 /** A rank as its agent told it. */
 export interface KnownRank {
@@ -16,7 +16,7 @@
 export default class GroupView {
   readonly #ranks = new Map<number, KnownRank>();
 
-  readonly #tallies = new Map<number, RankTally>();
+  readonly #increases = new Map<number, RankIncrease>();
 
   private constructor(private readonly nowMs: () => number) {}
 
@@ -41,8 +41,8 @@
   }
 
   /** Takes a rank's experts. */
-  noteTally(rank: number, tally: RankTally): void {
-    this.#tallies.set(rank, tally);
+  noteIncrease(rank: number, increase: RankIncrease): void {
+    this.#increases.set(rank, increase);
   }
 
   /** States of all ranks in order; undefined unless all are known, fresh and of one epoch. */
@@ -67,13 +67,11 @@
 
   /** The placement in use; undefined unless all ranks told theirs under `mapVersion`. */
   placement(mapVersion: number, rankCount: number): RankPlacement | undefined {
-    const tallies = Array.from({ length: rankCount }, (_, rank) => this.#tallies.get(rank));
-    const isKnown = tallies.every((tally) => tally?.mapVersion === mapVersion);
-    const setCount = tallies[0]?.experts.length ?? 0;
+    const told = Array.from({ length: rankCount }, (_, rank) => this.#increases.get(rank));
+    const isKnown = told.every((one) => one?.mapVersion === mapVersion);
+    const setCount = told[0]?.experts.length ?? 0;
     return isKnown && setCount > 0
-      ? Array.from({ length: setCount }, (_, set) =>
-          tallies.map((tally) => tally?.experts[set] ?? []),
-        )
+      ? Array.from({ length: setCount }, (_, set) => told.map((one) => one?.experts[set] ?? []))
       : undefined;
   }
 }
--- a/packages/rank-agent/src/PopularityMeter.ts
+++ b/packages/rank-agent/src/PopularityMeter.ts
@@ -1,5 +1,5 @@
-/** @module Estimates how popular each expert is, from counts that only grow. */
-import type { RankTally } from '@ebonysill/gateway';
+/** @module Estimates how popular each expert is, from what ranks tell of their choices. */
+import type { RankIncrease } from '@ebonysill/gateway';
 import type { Popularity } from './placement.js';
 
 /** What is left of old choices after a second; popularity shifts within a few seconds. */
@@ -7,15 +7,8 @@
 
 const MS_PER_SECOND = 1_000;
 
-interface LastCounts {
-  readonly epoch: number;
-  readonly counts: Popularity;
-}
-
 /** Sums the choices of all ranks, the recent ones with more weight. */
 export default class PopularityMeter {
-  readonly #last = new Map<number, LastCounts>();
-
   #sums: number[][] = [];
 
   #decayedAtMs: number;
@@ -34,22 +27,14 @@
     return new PopularityMeter(nowMs);
   }
 
-  /** Takes the counts of one rank; those of a rank that started anew begin at zero. */
-  note(rank: number, { epoch, counts }: RankTally): void {
+  /** Takes the choices that one rank tells. */
+  note({ counts, unit }: RankIncrease): void {
     this.#decay();
-    const last = this.#last.get(rank);
-    this.#last.set(rank, { epoch, counts });
-    if (last === undefined) {
-      return;
-    }
     counts.forEach((set, index) => {
       const sums = this.#sums[index] ?? set.map(() => 0);
       this.#sums[index] = sums;
-      const before = last.counts[index] ?? [];
-      const isReset = set.some((count, expert) => count < (before[expert] ?? 0));
       set.forEach((count, expert) => {
-        const added = isReset ? count : count - (before[expert] ?? 0);
-        sums[expert] = (sums[expert] ?? 0) + added;
+        sums[expert] = (sums[expert] ?? 0) + count * unit;
       });
     });
   }
--- a/packages/rank-agent/src/SetPlanner.ts
+++ b/packages/rank-agent/src/SetPlanner.ts
@@ -8,8 +8,8 @@
 /** Bounds of a layer set. */
 export interface SetBounds {
   readonly placesPerRank: number;
-  /** Experts of one layer set that may be new to a rank. */
-  readonly maxNewPerRank: number;
+  /** By rank: experts of the layer set that may be new to it. */
+  readonly newPerRank: readonly number[];
 }
 
 /** One change of a placement. */
@@ -74,7 +74,7 @@
    * Creates a planner for a layer set.
    *
    * @example
-   * SetPlanner.create(ranks, popularity, { placesPerRank: 11, maxNewPerRank: 1 }).plan();
+   * SetPlanner.create(ranks, popularity, { placesPerRank: 11, newPerRank: [1, 0] }).plan();
    */
   static create(
     placement: readonly (readonly number[])[],
@@ -137,7 +137,7 @@
     const newCount = [...experts].filter((one) => !original.has(one)).length;
     const isNew = !original.has(expert);
     const hasFreePlace = experts.size < this.bounds.placesPerRank;
-    const mayTakeNew = !isNew || newCount < this.bounds.maxNewPerRank;
+    const mayTakeNew = !isNew || newCount < (this.bounds.newPerRank[to] ?? 0);
     if (hasFreePlace && mayTakeNew) {
       return [undefined];
     }
--- /dev/null
+++ b/packages/rank-agent/src/TallyDifference.ts
@@ -0,0 +1,44 @@
+/** @module What an engine's counts, which only grow, added since they were read last. */
+import type { RankIncrease, RankTally } from '@ebonysill/gateway';
+
+/** Greatest number of a message that MessagePack writes as one byte. */
+const MAX_SHORT_NUMBER = 127;
+
+/** Follows the counts of one engine. */
+export default class TallyDifference {
+  #last: RankTally | undefined;
+
+  private constructor() {}
+
+  /**
+   * Creates a difference that knows no counts.
+   *
+   * @example
+   * const difference = TallyDifference.create();
+   */
+  static create(): TallyDifference {
+    return new TallyDifference();
+  }
+
+  /** Takes counts; undefined for the first ones. An engine that started anew counts from zero. */
+  note(tally: RankTally): RankIncrease | undefined {
+    const last = this.#last;
+    this.#last = tally;
+    if (last === undefined) {
+      return undefined;
+    }
+    const isReset = tally.counts.some((set, index) =>
+      set.some((count, expert) => count < (last.counts[index]?.[expert] ?? 0)),
+    );
+    const added = tally.counts.map((set, index) =>
+      set.map((count, expert) => count - (isReset ? 0 : (last.counts[index]?.[expert] ?? 0))),
+    );
+    const unit = Math.max(1, Math.ceil(Math.max(0, ...added.flat()) / MAX_SHORT_NUMBER));
+    return {
+      counts: added.map((set) => set.map((count) => Math.round(count / unit))),
+      unit,
+      mapVersion: tally.mapVersion,
+      experts: tally.experts,
+    };
+  }
+}
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -28,6 +28,7 @@
   type PeerMessage,
   type PeerMessageEvent,
   type RankMonitorApi,
+  type RankIncrease,
   type RankPlacement,
   type RankReport,
   type RankReportedEvent,
@@ -57,8 +58,11 @@
 /** Preparing copies weights, which takes seconds; longer than this, a rank is in trouble. */
 const PREPARE_TIMEOUT_MS = 15_000;
 
-/** How often a rank that has not prepared is asked again. */
-const PREPARE_REPEAT_MS = 1_000;
+/** How often a rank that has not prepared is asked again: its copy takes most of a second. */
+const PREPARE_REPEAT_MS = 800;
+
+/** Numbers of a map that are sent within one look; a byte each, they fit the queue of a slow link. */
+const PREPARE_BURST_NUMBERS = 16_000;
 
 /** Pause after a change, so that its effect is in the counts. */
 const SETTLE_MS = 300;
@@ -143,12 +147,7 @@
       case EventKind.RankReported:
         return this.#onReport(event);
       case EventKind.ExpertsCounted:
-        if (event.tally !== undefined) {
-          const rank = this.#monitor.report()?.rank ?? 0;
-          this.#view.noteTally(rank, event.tally);
-          this.#popularity.note(rank, event.tally);
-        }
-        return [];
+        return event.tally === undefined ? [] : this.#onOwnIncrease();
       default:
         return [];
     }
@@ -178,6 +177,20 @@
     return this.#change === undefined ? [] : this.#look();
   }
 
+  #onOwnIncrease(): readonly Effect[] {
+    const report = this.#monitor.report();
+    const increase = this.#monitor.increase();
+    if (report !== undefined && increase !== undefined) {
+      this.#noteIncrease(report.rank, increase);
+    }
+    return [];
+  }
+
+  #noteIncrease(rank: number, increase: RankIncrease): void {
+    this.#view.noteIncrease(rank, increase);
+    this.#popularity.note(increase);
+  }
+
   #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
     const groupName = this.#monitor.report()?.groupName;
     switch (message.kind) {
@@ -192,10 +205,9 @@
         }
         this.#view.noteReport(address, message.engineAddress, message.report);
         return this.#change === undefined ? [] : this.#look();
-      case PeerMessageKind.RankTally:
+      case PeerMessageKind.RankIncrease:
         if (message.groupName === groupName) {
-          this.#view.noteTally(message.rank, message.tally);
-          this.#popularity.note(message.rank, message.tally);
+          this.#noteIncrease(message.rank, message.increase);
         }
         return [];
       case PeerMessageKind.ReleaseStep:
@@ -348,21 +360,20 @@
       change.enter(ChangePhase.Checking);
       return this.#look();
     }
-    if (!change.isDue(PREPARE_REPEAT_MS)) {
+    if (ranks === undefined || !change.isDue(ACTIVE_INTERVAL_MS)) {
       return [];
     }
     const { groupName = '' } = this.#members.self();
-    const message = {
-      kind: PeerMessageKind.PrepareMap,
-      groupName,
-      epoch,
-      version,
-      placement,
-    } as const;
-    return GroupDriverService.#toRanks(
-      ranks,
-      ({ preparedVersion }) => preparedVersion !== version,
-      message,
+    const unprepared = ranks.filter(({ report }) => report.preparedVersion !== version);
+    const burst = Math.ceil(PREPARE_BURST_NUMBERS / Math.max(1, placement.flat(2).length));
+    return change.chooseDue(unprepared, PREPARE_REPEAT_MS, burst).map(({ agentAddress }) =>
+      sendToPeer(agentAddress, {
+        kind: PeerMessageKind.PrepareMap,
+        groupName,
+        epoch,
+        version,
+        placement,
+      }),
     );
   }
 
--- a/packages/rank-agent/src/map-change.ts
+++ b/packages/rank-agent/src/map-change.ts
@@ -1,6 +1,8 @@
 /** @module One change of a group's expert map, as far as it has come. */
 import { OrderKind, OrderOutcome, type RankPlacement, type RankReport } from '@ebonysill/gateway';
 
+import type { KnownRank } from './GroupView.js';
+
 /** How far a change has come. */
 export enum ChangePhase {
   /** Ranks copy the experts that are new to them. */
@@ -39,6 +41,9 @@
 
   #askedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** When each rank was asked to prepare. */
+  readonly #rankAskedAtMs = new Map<number, number>();
+
   #directAtMs = Number.NEGATIVE_INFINITY;
 
   #isHeld = false;
@@ -130,6 +135,19 @@
     return true;
   }
 
+  /** Of some ranks, those to ask now: `count` at most, and none again within `intervalMs`. */
+  chooseDue(ranks: readonly KnownRank[], intervalMs: number, count: number): readonly KnownRank[] {
+    const nowMs = this.options.nowMs();
+    const due = ranks
+      .filter(
+        ({ report }) =>
+          nowMs - (this.#rankAskedAtMs.get(report.rank) ?? Number.NEGATIVE_INFINITY) >= intervalMs,
+      )
+      .slice(0, count);
+    due.forEach(({ report }) => this.#rankAskedAtMs.set(report.rank, nowMs));
+    return due;
+  }
+
   /** Whether to pass agents by now, no more often than `intervalMs` and not before it. */
   isDirectDue(intervalMs: number): boolean {
     const nowMs = this.options.nowMs();
--- a/packages/rank-agent/src/placement.ts
+++ b/packages/rank-agent/src/placement.ts
@@ -43,17 +43,24 @@
 };
 
 /**
- * Load of the most loaded rank over the mean, averaged over the layer sets: what a pass loses to
- * waiting for the slowest rank.
+ * Load of the most loaded rank of a layer set over the mean.
+ *
+ * @example
+ * peakOf([[0, 1], [1]], [4, 2]); // 5 / 3
+ */
+export const peakOf = (placement: SetPlacement, popularity: readonly number[]): number => {
+  const loads = loadsOf(placement, popularity);
+  const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
+  return mean === 0 ? 1 : Math.max(...loads) / mean;
+};
+
+/**
+ * Peaks averaged over the layer sets: what a pass loses to waiting for the slowest rank.
  *
  * @example
  * skewOf(placement, popularity); // 1 when all ranks carry the same
  */
 export const skewOf = (placement: RankPlacement, popularity: Popularity): number => {
-  const perSet = placement.map((set, index) => {
-    const loads = loadsOf(set, popularity[index] ?? []);
-    const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
-    return mean === 0 ? 1 : Math.max(...loads) / mean;
-  });
-  return perSet.reduce((sum, skew) => sum + skew, 0) / Math.max(1, perSet.length);
+  const peaks = placement.map((set, index) => peakOf(set, popularity[index] ?? []));
+  return peaks.reduce((sum, peak) => sum + peak, 0) / Math.max(1, peaks.length);
 };
--- a/packages/rank-agent/src/plan-placement.ts
+++ b/packages/rank-agent/src/plan-placement.ts
@@ -1,6 +1,6 @@
 /** @module Plans a placement of experts that evens out the load of ranks. */
 import type { RankPlacement } from '@ebonysill/gateway';
-import { loadsOf, type Popularity, type SetPlacement } from './placement.js';
+import { peakOf, type Popularity, type SetPlacement } from './placement.js';
 import SetPlanner from './SetPlanner.js';
 
 /** Bounds of a plan. */
@@ -12,41 +12,19 @@
   readonly maxCopiesPerRank: number;
 }
 
-interface PlannedSet {
-  readonly index: number;
-  readonly ranks: SetPlacement;
-  /** By rank: experts that are new to it. */
-  readonly newCounts: readonly number[];
-  /** By how much the load of the most loaded rank falls, as a part of the mean. */
-  readonly gain: number;
-}
-
-const peakOf = (ranks: SetPlacement, popularity: readonly number[]): number => {
-  const loads = loadsOf(ranks, popularity);
-  const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
-  return mean === 0 ? 1 : Math.max(...loads) / mean;
-};
+const newCountOf = (experts: readonly number[], before: readonly number[] = []): number =>
+  experts.filter((one) => !before.includes(one)).length;
 
-const planSet = (
-  current: SetPlacement,
-  popularity: readonly number[],
-  index: number,
-  bounds: PlanBounds,
-): PlannedSet => {
-  const ranks = SetPlanner.create(current, popularity, bounds).plan();
-  return {
-    index,
-    ranks,
-    newCounts: ranks.map(
-      (experts, rank) => experts.filter((one) => current[rank]?.includes(one) !== true).length,
-    ),
-    gain: peakOf(current, popularity) - peakOf(ranks, popularity),
-  };
-};
+/** Layer sets whose most loaded rank stands out most come first: they use the copies best. */
+const byPeak = (current: RankPlacement, popularity: Popularity): readonly number[] =>
+  current
+    .map((ranks, index) => ({ index, peak: peakOf(ranks, popularity[index] ?? []) }))
+    .sort((left, right) => right.peak - left.peak)
+    .map(({ index }) => index);
 
 /**
- * Plans a placement; every expert stays on one rank at least. When not all layer sets can change
- * within the bounds, those that gain the most do.
+ * Plans a placement; every expert stays on one rank at least. Layer sets share the copies that a
+ * rank can make: a later one does with what the earlier ones left.
  *
  * @example
  * planPlacement(current, popularity, { placesPerRank: 11, maxNewPerRank: 1, maxCopiesPerRank: 2 });
@@ -54,21 +32,20 @@
 export const planPlacement = (
   current: RankPlacement,
   popularity: Popularity,
-  bounds: PlanBounds,
+  { placesPerRank, maxNewPerRank, maxCopiesPerRank }: PlanBounds,
 ): RankPlacement => {
-  const copies = (current[0] ?? []).map(() => 0);
-  const taken = current
-    .map((ranks, index) => planSet(ranks, popularity[index] ?? [], index, bounds))
-    .sort((left, right) => right.gain - left.gain)
-    .filter(({ newCounts }) => {
-      const fits = newCounts.every(
-        (count, rank) => count + (copies[rank] ?? 0) <= bounds.maxCopiesPerRank,
-      );
-      newCounts.forEach((count, rank) => {
-        copies[rank] = (copies[rank] ?? 0) + (fits ? count : 0);
-      });
-      return fits;
+  const copiesLeft = (current[0] ?? []).map(() => maxCopiesPerRank);
+  const planned = new Map<number, SetPlacement>();
+  byPeak(current, popularity).forEach((index) => {
+    const before = current[index] ?? [];
+    const after = SetPlanner.create(before, popularity[index] ?? [], {
+      placesPerRank,
+      newPerRank: copiesLeft.map((left) => Math.min(maxNewPerRank, left)),
+    }).plan();
+    planned.set(index, after);
+    after.forEach((experts, rank) => {
+      copiesLeft[rank] = (copiesLeft[rank] ?? 0) - newCountOf(experts, before[rank]);
     });
-  const ranksByIndex = new Map(taken.map(({ index, ranks }) => [index, ranks]));
-  return current.map((ranks, index) => ranksByIndex.get(index) ?? ranks);
+  });
+  return current.map((ranks, index) => planned.get(index) ?? ranks);
 };
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -26,12 +26,14 @@
   type Order,
   type OrderAnsweredEvent,
   type PeerMessageEvent,
+  type RankIncrease,
   type RankReport,
   type RankTally,
   type Registration,
   type Runtime,
 } from '@ebonysill/gateway';
 import { createInstance } from '@ebonysill/kernel';
+import TallyDifference from './TallyDifference.js';
 
 /** Time between two looks at the engine; about two passes. */
 const REPORT_INTERVAL_MS = 150;
@@ -78,6 +80,10 @@
 class RankMonitorService {
   #report: RankReport | undefined;
 
+  #increase: RankIncrease | undefined;
+
+  readonly #difference = TallyDifference.create();
+
   #signature = '';
 
   #sentAtMs = Number.NEGATIVE_INFINITY;
@@ -103,6 +109,8 @@
 
   readonly report = (): RankReport | undefined => this.#report;
 
+  readonly increase = (): RankIncrease | undefined => this.#increase;
+
   readonly order = (order: Order, onOrder: OnOrder, engineAddress?: string): readonly Effect[] => {
     const orderId = this.#nextOrderId;
     this.#nextOrderId += 1;
@@ -181,12 +189,14 @@
 
   #onTally(tally: RankTally): readonly Effect[] {
     const report = this.#report;
-    if (report === undefined) {
+    const increase = this.#difference.note(tally);
+    this.#increase = increase;
+    if (report === undefined || increase === undefined) {
       return [];
     }
     const { groupName, rank } = report;
     return this.#toDriver((address) =>
-      sendToPeer(address, { kind: PeerMessageKind.RankTally, groupName, rank, tally }),
+      sendToPeer(address, { kind: PeerMessageKind.RankIncrease, groupName, rank, increase }),
     );
   }
 
@@ -295,7 +305,7 @@
   create: (find) => {
     const service = RankMonitorService.create(options, find);
     return createInstance(
-      { report: service.report, order: service.order },
+      { report: service.report, increase: service.increase, order: service.order },
       { start: () => FIRST_LOOKS, handle: (event) => service.handle(event) },
     );
   },
