perf(rank-agent): plan the next change of map as soon as one is in force

Cause: after a change the driver paused 0.3 s and then waited until all ranks had told their experts under the new map, up to 0.25 s more, though it had planned that map itself. Popularity does not depend on the map, so nothing settles meanwhile.

--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -64,7 +64,7 @@
 /** Numbers of a map that are sent within one look; a byte each, they fit the queue of a slow link. */
 const PREPARE_BURST_NUMBERS = 16_000;
 
-/** Pause after a change, so that its effect is in the counts. */
+/** Pause after a plan that was not worth a change: plans take processor time. */
 const SETTLE_MS = 300;
 
 /** A change must lower the skew by this part: it costs copies and slower passes meanwhile. */
@@ -104,6 +104,9 @@
 class GroupDriverService {
   #change: MapChange | undefined;
 
+  /** Versions are not used again, so a map that is in use under its version is this one. */
+  #lastChange: MapChange | undefined;
+
   #settleUntilMs = 0;
 
   #orphanSinceMs: number | undefined;
@@ -293,8 +296,16 @@
       : asked;
   }
 
+  /** The map in use: the one of the last change, until all ranks have told their experts. */
+  #placementOf(mapVersion: number, rankCount: number): RankPlacement | undefined {
+    const last = this.#lastChange;
+    return last?.version === mapVersion
+      ? last.placement
+      : this.#view.placement(mapVersion, rankCount);
+  }
+
   #propose(ranks: readonly KnownRank[], mapVersion: number): readonly Effect[] {
-    const current = this.#view.placement(mapVersion, ranks.length);
+    const current = this.#placementOf(mapVersion, ranks.length);
     const popularity = this.#popularity.estimate();
     const limits = this.#limits;
     if (
@@ -545,9 +556,10 @@
     );
   }
 
-  #finish({ epoch, version, step, startedAtMs }: MapChange, detail: string): readonly Effect[] {
+  #finish(change: MapChange, detail: string): readonly Effect[] {
+    const { epoch, version, step, startedAtMs } = change;
     this.#change = undefined;
-    this.#settleUntilMs = this.options.runtime.nowMs() + SETTLE_MS;
+    this.#lastChange = change;
     return [
       log(LogLevel.Info, LogTopic.MapChangeEnded, {
         epoch,
