perf(gateway): admit streams by the passes of each group

Cause: the length of a pass was one estimate for a service; the grown deployments have three groups, so one that stands still or is slow closed the others too.

Change: the driver of a group tells gateways the published addresses of its engines every 2 s; a gateway judges each group by its own pauses and chooses among the targets of groups that take one more. While a group is unknown, its targets are judged together as before.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -58,6 +58,11 @@
     kind: z.literal(PeerMessageKind.TargetAddresses),
     addresses: z.array(z.string()),
   }),
+  z.object({
+    kind: z.literal(PeerMessageKind.GroupTargets),
+    groupName: z.string(),
+    addresses: z.array(z.string()),
+  }),
   z.object({ kind: z.literal(PeerMessageKind.Load), counts: z.array(z.object(targetCount)) }),
   z.object({ kind: z.literal(PeerMessageKind.LoadChange), ...targetCount }),
   z.object({
--- a/packages/gateway/src/admission-service.ts
+++ b/packages/gateway/src/admission-service.ts
@@ -33,7 +33,7 @@
   readonly runtime: Runtime;
 }
 
-/** Judges streams by the length of passes. */
+/** Judges streams by the length of passes, apart for each pool of targets. */
 class AdmissionService {
   readonly #running = new Map<string, number>();
 
@@ -45,9 +45,9 @@
     return new AdmissionService(runtime);
   }
 
-  readonly judge = ({ maxPauseMs }: Route, service: string): AdmissionResult => {
-    const runningCount = this.#running.get(service) ?? 0;
-    const passMs = this.#meters.get(service)?.estimateMs() ?? 0;
+  readonly judge = ({ maxPauseMs }: Route, pool: string): AdmissionResult => {
+    const runningCount = this.#running.get(pool) ?? 0;
+    const passMs = this.#meters.get(pool)?.estimateMs() ?? 0;
     const isAdmitted =
       maxPauseMs === 0 ||
       runningCount < MIN_STREAMS ||
@@ -60,21 +60,21 @@
     };
   };
 
-  readonly started = (service: string, isStream: boolean): void => {
+  readonly started = (pool: string, isStream: boolean): void => {
     if (isStream) {
-      this.#running.set(service, (this.#running.get(service) ?? 0) + 1);
+      this.#running.set(pool, (this.#running.get(pool) ?? 0) + 1);
     }
   };
 
-  readonly ended = (service: string, isStream: boolean): void => {
+  readonly ended = (pool: string, isStream: boolean): void => {
     if (isStream) {
-      this.#running.set(service, Math.max(0, (this.#running.get(service) ?? 0) - 1));
+      this.#running.set(pool, Math.max(0, (this.#running.get(pool) ?? 0) - 1));
     }
   };
 
-  readonly notePause = (service: string, pauseMs: number): void => {
-    const meter = this.#meters.get(service) ?? PassMeter.create(this.runtime.nowMs);
-    this.#meters.set(service, meter);
+  readonly notePause = (pool: string, pauseMs: number): void => {
+    const meter = this.#meters.get(pool) ?? PassMeter.create(this.runtime.nowMs);
+    this.#meters.set(pool, meter);
     meter.note(pauseMs);
   };
 }
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -6,6 +6,7 @@
 import { coldStartsRegistration } from './cold-starts-service.js';
 import engineAdviceRegistration from './engineAdviceRegistration.js';
 import { exchangesRegistration } from './exchanges-service.js';
+import { groupsRegistration } from './groups-service.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
@@ -44,6 +45,7 @@
     targetsRegistration({ runtime }),
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime }),
+    groupsRegistration({ runtime }),
     engineAdviceRegistration(),
     admissionRegistration({ runtime }),
     retryBudgetRegistration(runtime, retryBudget),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -19,6 +19,7 @@
   Targets = 'targets',
   Members = 'members',
   Loads = 'loads',
+  Groups = 'groups',
   Admission = 'admission',
   RetryBudget = 'retry-budget',
   ColdStarts = 'cold-starts',
@@ -79,6 +80,15 @@
   readonly ownCountAt: (instanceId: string) => number;
 }
 
+/** Which targets execute their passes together. */
+export interface GroupsApi {
+  /**
+   * Name of the targets whose passes go together with a target's: its group, or its service while
+   * the group is unknown.
+   */
+  readonly poolOf: (target: PublishedTarget) => string;
+}
+
 /** Whether a request may start, and if not, when to come back. */
 export enum AdmissionVerdict {
   Admitted = 'admitted',
@@ -96,11 +106,12 @@
 
 /** Limits what runs at once. */
 export interface AdmissionApi {
-  readonly judge: (route: Route, service: string) => AdmissionResult;
-  readonly started: (service: string, isStream: boolean) => void;
-  readonly ended: (service: string, isStream: boolean) => void;
+  /** Judges one more stream in a pool. */
+  readonly judge: (route: Route, pool: string) => AdmissionResult;
+  readonly started: (pool: string, isStream: boolean) => void;
+  readonly ended: (pool: string, isStream: boolean) => void;
   /** Notes the pause before an event of a running stream. */
-  readonly notePause: (service: string, pauseMs: number) => void;
+  readonly notePause: (pool: string, pauseMs: number) => void;
 }
 
 /** Limits what is sent more than once. */
@@ -154,6 +165,7 @@
   readonly [ServiceName.Targets]: TargetsApi;
   readonly [ServiceName.Members]: MembersApi;
   readonly [ServiceName.Loads]: LoadsApi;
+  readonly [ServiceName.Groups]: GroupsApi;
   readonly [ServiceName.Admission]: AdmissionApi;
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -57,6 +57,9 @@
 
   target: PublishedTarget | undefined;
 
+  /** Targets whose passes go together with those of the present one; before a call, the service. */
+  pool: string;
+
   head: TargetHead | undefined;
 
   readonly body: Uint8Array[] = [];
@@ -86,6 +89,7 @@
     readonly receivedAtMs: number,
   ) {
     this.lastEventId = request.resumeAfter;
+    this.pool = resolution.service;
   }
 
   /**
@@ -114,8 +118,9 @@
   }
 
   /** Notes that a call to a target begins, and forgets the answer of the one before. */
-  noteCall(callId: number, target: PublishedTarget): void {
+  noteCall(callId: number, target: PublishedTarget, pool: string): void {
     this.callId = callId;
+    this.pool = pool;
     this.target = target;
     this.triedIds.add(target.instanceId);
     this.head = undefined;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -6,8 +6,10 @@
   AdmissionVerdict,
   ServiceName,
   type AdmissionApi,
+  type AdmissionResult,
   type ColdStartsApi,
   type FindService,
+  type GroupsApi,
   type LifecycleApi,
   type LoadsApi,
   type Registration,
@@ -26,7 +28,7 @@
 import { MAX_EVENT_BYTES, type StreamEvent } from './event-splitter.js';
 import { Exchange, ExchangeOutcome, ExchangeReason, isRepeatable } from './exchange.js';
 import { OwnStatus, ownAnswer } from './own-answers.js';
-import type { PublishedTarget } from './published.js';
+import type { PublishedTarget, Route } from './published.js';
 import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -87,6 +89,8 @@
 
   readonly #loads: LoadsApi;
 
+  readonly #groups: GroupsApi;
+
   readonly #admission: AdmissionApi;
 
   readonly #budget: RetryBudgetApi;
@@ -102,6 +106,7 @@
     this.#store = find(ServiceName.Store);
     this.#targets = find(ServiceName.Targets);
     this.#loads = find(ServiceName.Loads);
+    this.#groups = find(ServiceName.Groups);
     this.#admission = find(ServiceName.Admission);
     this.#budget = find(ServiceName.RetryBudget);
     this.#coldStarts = find(ServiceName.ColdStarts);
@@ -168,15 +173,14 @@
   }
 
   #admit(exchange: Exchange): readonly Effect[] {
-    const { route, service } = exchange.resolution;
-    const { verdict, retryAfterMs } = this.#admission.judge(route, service);
+    const refusal = this.#refusalOf(exchange);
     this.#exchanges.set(exchange.id, exchange);
     this.#lifecycle.exchangeBegan();
     if (!this.#lifecycle.mayBegin(exchange.isStream)) {
       return this.#refuse(exchange, ExchangeReason.Draining, RETRY_ELSEWHERE_MS);
     }
-    if (verdict === AdmissionVerdict.Refused) {
-      return this.#refuse(exchange, ExchangeReason.TooManyStreams, retryAfterMs);
+    if (refusal !== undefined) {
+      return this.#refuse(exchange, ExchangeReason.TooManyStreams, refusal.retryAfterMs);
     }
     const leftMs = Math.max(0, exchange.deadlineAtMs - this.options.runtime.nowMs());
     return [
@@ -185,6 +189,26 @@
     ];
   }
 
+  /** Judgement that refuses a request: no pool of its service takes one more. */
+  #refusalOf({ resolution }: Exchange): AdmissionResult | undefined {
+    const { route, service } = resolution;
+    const pools = new Set(this.#targets.usable(service).map(this.#groups.poolOf));
+    const results = [...pools].map((pool) => this.#admission.judge(route, pool));
+    return results.every(({ verdict }) => verdict === AdmissionVerdict.Refused)
+      ? results[0]
+      : undefined;
+  }
+
+  /** Targets in pools that take one more request; all of them when none does. */
+  #admitting(route: Route, targets: readonly PublishedTarget[]): readonly PublishedTarget[] {
+    const admitting = targets.filter(
+      (target) =>
+        this.#admission.judge(route, this.#groups.poolOf(target)).verdict ===
+        AdmissionVerdict.Admitted,
+    );
+    return admitting.length > 0 ? admitting : targets;
+  }
+
   /** Calls a target that has not been tried; refuses or fails the request when there is none. */
   #callSome(exchange: Exchange, reasonIfNone: ExchangeReason): readonly Effect[] {
     const target = this.#choose(exchange);
@@ -202,7 +226,7 @@
       ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
     );
     return chooseTarget({
-      candidates: sound.length > 0 ? sound : untried,
+      candidates: this.#admitting(resolution.route, sound.length > 0 ? sound : untried),
       loads: this.#loads,
       availabilityZone,
       random: runtime.random,
@@ -212,11 +236,11 @@
   #call(exchange: Exchange, target: PublishedTarget): readonly Effect[] {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
-    exchange.noteCall(callId, target);
+    exchange.noteCall(callId, target, this.#groups.poolOf(target));
     this.#exchangeOfCall.set(callId, exchange);
     const told = this.#loads.started(target.instanceId);
     this.#coldStarts.noteStart(target);
-    this.#admission.started(exchange.resolution.service, exchange.isStream);
+    this.#admission.started(exchange.pool, exchange.isStream);
     return [
       { kind: EffectKind.StartCall, callId, call: this.#buildCall(exchange, target) },
       ...told,
@@ -241,13 +265,13 @@
 
   /** Detaches the exchange from its call. */
   #endCall(exchange: Exchange): void {
-    const { callId, target, resolution } = exchange;
+    const { callId, target, pool } = exchange;
     if (callId === undefined || target === undefined) {
       return;
     }
     this.#exchangeOfCall.delete(callId);
     this.#loads.ended(target.instanceId);
-    this.#admission.ended(resolution.service, exchange.isStream);
+    this.#admission.ended(pool, exchange.isStream);
     exchange.noteCallEnded();
   }
 
@@ -300,7 +324,7 @@
     }
     const pauseMs = exchange.noteEvent(this.options.runtime.nowMs(), event.id);
     if (pauseMs !== undefined) {
-      this.#admission.notePause(exchange.resolution.service, pauseMs);
+      this.#admission.notePause(exchange.pool, pauseMs);
     }
     return [
       ...ExchangesService.#begin(exchange, head),
@@ -505,8 +529,8 @@
   ): readonly Effect[] {
     this.#exchanges.delete(exchange.id);
     this.#lifecycle.exchangeEnded();
-    const { request, resolution, target, firstEventMs } = exchange;
-    const { passMs, runningCount } = this.#admission.judge(resolution.route, resolution.service);
+    const { request, resolution, target, firstEventMs, pool } = exchange;
+    const { passMs, runningCount } = this.#admission.judge(resolution.route, pool);
     return [
       clearTimer(TimerKind.RequestDeadline, exchange.id),
       log(LogLevel.Info, LogTopic.RequestEnded, {
@@ -548,6 +572,7 @@
     ServiceName.Catalogue,
     ServiceName.Targets,
     ServiceName.Loads,
+    ServiceName.Groups,
     ServiceName.Admission,
     ServiceName.RetryBudget,
     ServiceName.ColdStarts,
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -15,6 +15,7 @@
   EngineLimits = 'engine-limits',
   FindTargets = 'find-targets',
   TargetAddresses = 'target-addresses',
+  GroupTargets = 'group-targets',
   Load = 'load',
   LoadChange = 'load-change',
   RankState = 'rank-state',
@@ -87,6 +88,14 @@
   readonly addresses: readonly string[];
 }
 
+/** Published addresses of the engines whose passes go together. */
+export interface GroupTargetsMessage {
+  readonly kind: PeerMessageKind.GroupTargets;
+  readonly groupName: string;
+  /** IP addresses and ports. */
+  readonly addresses: readonly string[];
+}
+
 /** Requests that one gateway has at one target. */
 export interface TargetCount {
   readonly instanceId: string;
@@ -172,6 +181,7 @@
   | EngineLimitsMessage
   | FindTargetsMessage
   | TargetAddressesMessage
+  | GroupTargetsMessage
   | LoadMessage
   | LoadChangeMessage
   | RankStateMessage
--- a/packages/gateway/tests/limits.test.ts
+++ b/packages/gateway/tests/limits.test.ts
@@ -1,7 +1,14 @@
 /** @module Limits: repetitions, cold targets, streams. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { CallKind, CallStage, EffectKind, EventKind } from '../src/index.js';
+import {
+  CallKind,
+  CallStage,
+  EffectKind,
+  EventKind,
+  PeerMessageKind,
+  ServiceName,
+} from '../src/index.js';
 import {
   Harness,
   configurationItem,
@@ -111,3 +118,32 @@
   harness.request();
   expect(harness.statuses()).toEqual([]);
 });
+
+test('a group with long passes does not close the others', () => {
+  const harness = Harness.create([
+    configurationItem(configurationOf(1, [STREAM_ROUTE])),
+    targetItem(targetOf('t-1', { address: '10.0.0.1:80' })),
+    targetItem(targetOf('t-2', { address: '10.0.0.2:80' })),
+  ]);
+  ['10.0.0.1:80', '10.0.0.2:80'].forEach((address, index) =>
+    harness.post({
+      kind: EventKind.PeerMessageReceived,
+      address: '10.0.0.9:7000',
+      message: {
+        kind: PeerMessageKind.GroupTargets,
+        groupName: `g-${index + 1}`,
+        addresses: [address],
+      },
+    }),
+  );
+  const admission = harness.kernel.find(ServiceName.Admission);
+  ['plain/g-1', 'plain/g-2'].forEach((pool) => admission.started(pool, true));
+  admission.notePause('plain/g-1', 200);
+  admission.notePause('plain/g-2', 40);
+  Array.from({ length: 5 }, () => harness.request());
+  expect(new Set(harness.calledIds())).toEqual(new Set(['t-2']));
+  admission.notePause('plain/g-2', 4_000);
+  const before = harness.calledIds().length;
+  harness.request();
+  expect(harness.calledIds().length).toEqual(before);
+});
--- a/packages/rank-agent/src/EngineDirectory.ts
+++ b/packages/rank-agent/src/EngineDirectory.ts
@@ -18,6 +18,9 @@
 /** How often addresses that are missing are asked for. */
 const ASK_INTERVAL_MS = 2_000;
 
+/** How often gateways are told; a gateway that started anew knows nothing until then. */
+const TELL_INTERVAL_MS = 2_000;
+
 /**
  * Finds out at which address each engine answers everybody: gateways know the addresses, engines
  * tell their ranks. Agents reach their engines by an address that fails with their hosts.
@@ -29,6 +32,8 @@
 
   #askedAtMs = Number.NEGATIVE_INFINITY;
 
+  #toldAtMs = Number.NEGATIVE_INFINITY;
+
   private constructor(private readonly options: EngineDirectoryOptions) {}
 
   /**
@@ -46,6 +51,23 @@
     return this.#addresses.get(rank);
   }
 
+  /** Tells gateways which addresses belong to the group, now and then. */
+  tell(rankCount: number): readonly Effect[] {
+    const { nowMs, members } = this.options;
+    const { groupName } = members.self();
+    const isDue = nowMs() - this.#toldAtMs >= TELL_INTERVAL_MS;
+    if (!isDue || groupName === undefined || this.#addresses.size < rankCount) {
+      return [];
+    }
+    this.#toldAtMs = nowMs();
+    const addresses = [...this.#addresses.values()];
+    return members
+      .others(PeerRole.Gateway)
+      .map(({ address }) =>
+        sendToPeer(address, { kind: PeerMessageKind.GroupTargets, groupName, addresses }),
+      );
+  }
+
   /** Asks a gateway while addresses of this epoch are missing. */
   ask(epoch: number, rankCount: number): readonly Effect[] {
     const { nowMs, members } = this.options;
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -312,7 +312,10 @@
     const isCalm = ranks.every(
       ({ report }) => report.armedVersion === 0 && report.mapVersion === mapVersion,
     );
-    const asked = this.#directory.ask(ranks[0]?.report.epoch ?? 0, ranks.length);
+    const asked = [
+      ...this.#directory.ask(ranks[0]?.report.epoch ?? 0, ranks.length),
+      ...this.#directory.tell(ranks.length),
+    ];
     return isCalm && this.options.runtime.nowMs() >= this.#settleUntilMs
       ? [...asked, ...this.#propose(ranks, mapVersion)]
       : asked;
