test(soak): a fault soak that runs gateways and rank agents as processes

A seed draws faults that come in series and overlap: signals (kill, pause, terminate, reload), links through a loopback proxy (delayed, reset, one way, silenced, dark), store down or without its history, lost answers, late orders, groups formed anew, targets that leave, zones out, revoked credentials. The checks: at most once, honest refusals, whole answers, only what was asked, revoked credentials, one map on all ranks, no process ends by itself, service back in time.

--- /dev/null
+++ b/soak/src/SoakFleet.ts
@@ -0,0 +1,234 @@
+/** @module The programs of a small deployment, with stand-ins and proxies around them. */
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { Random } from '@ebonysill/emulator';
+import {
+  CONFIGURATION_KEY,
+  EngineGroupStandIn,
+  RunnerStandIn,
+  StoreStandIn,
+  configurationOf,
+  targetEntryOf,
+  targetKeyOf,
+} from '@ebonysill/platform/stand-ins';
+import LoopbackProxy from './LoopbackProxy.js';
+import ManagedProgram from './ManagedProgram.js';
+
+/** What a fleet is created from. */
+export interface SoakFleetOptions {
+  readonly random: Random;
+  readonly onBroken: (detail: string) => void;
+}
+
+/** A runner with its entry and the proxy before it. */
+export interface SoakTarget {
+  readonly instanceId: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly runner: RunnerStandIn;
+  readonly proxy: LoopbackProxy;
+}
+
+/** A gateway with the proxy before its store. */
+export interface SoakGateway {
+  readonly program: ManagedProgram;
+  readonly settings: object;
+  /** IP address on loopback. */
+  readonly host: string;
+  readonly storeProxy: LoopbackProxy;
+}
+
+/** An agent with the proxy before its engine. */
+export interface SoakAgent {
+  readonly program: ManagedProgram;
+  readonly settings: object;
+  readonly engineProxy: LoopbackProxy;
+}
+
+/** Time between SIGTERM and the kill. */
+export const GRACE_SECONDS = 5;
+
+const GATEWAY_COUNT = 3;
+
+const RANK_COUNT = 4;
+
+const PLAIN_COUNT = 3;
+
+const ZONES: readonly string[] = ['zone-a', 'zone-b', 'zone-c'];
+
+const FIRST_CREDENTIALS: readonly string[] = ['key-1', 'key-2', 'key-3', 'key-4', 'key-5'];
+
+const PEER_PORT = 7_340;
+
+const METRICS_PORT = 7_355;
+
+/** Port for callers on each gateway's host. */
+export const CALLER_PORT = 8_227;
+
+/** Port that tells whether a gateway is ready. */
+export const READINESS_PORT = 8_220;
+
+const BYTE = 256;
+
+/** Each process has a loopback address of its own; other runs on the machine have others. */
+const hostOf = (index: number): string =>
+  `127.${1 + (Math.floor(process.pid / BYTE) % (BYTE - 2))}.${process.pid % BYTE}.${index + 1}`;
+
+const programFile = (name: string): string =>
+  fileURLToPath(import.meta.resolve(`@ebonysill/platform/bin/${name}`));
+
+const zoneAt = (index: number): string => ZONES[index % ZONES.length] ?? '';
+
+/** Starts and ends everything. */
+export class SoakFleet {
+  readonly gateways: SoakGateway[] = [];
+
+  readonly agents: SoakAgent[] = [];
+
+  readonly targets: SoakTarget[] = [];
+
+  /** Credentials that the configuration in force holds. */
+  credentials = FIRST_CREDENTIALS;
+
+  #version = 1;
+
+  private constructor(
+    private readonly options: SoakFleetOptions,
+    readonly folder: string,
+    readonly store: StoreStandIn,
+    readonly group: EngineGroupStandIn,
+  ) {}
+
+  /**
+   * Starts the stand-ins, the proxies and the programs.
+   *
+   * @example
+   * const fleet = await SoakFleet.create({ random, onBroken });
+   */
+  static async create(options: SoakFleetOptions): Promise<SoakFleet> {
+    const folder = await mkdtemp(join(tmpdir(), 'soak-'));
+    const store = await StoreStandIn.create();
+    const { random } = options;
+    const group = await EngineGroupStandIn.create({ rankCount: RANK_COUNT, random });
+    const fleet = new SoakFleet(options, folder, store, group);
+    fleet.publish(FIRST_CREDENTIALS);
+    await fleet.#startTargets();
+    await fleet.#startPrograms();
+    return fleet;
+  }
+
+  /** Publishes a configuration of a higher version. */
+  publish(credentials: readonly string[]): void {
+    this.#version += 2;
+    this.credentials = credentials;
+    this.store.put(CONFIGURATION_KEY, configurationOf(this.#version, credentials));
+  }
+
+  /** Publishes a target's entry. */
+  publishTarget({ instanceId, service, proxy, zone }: SoakTarget, isLeaving: boolean): void {
+    this.store.put(targetKeyOf(instanceId), targetEntryOf(service, proxy.address, zone, isLeaving));
+  }
+
+  /** Programs in the order of their names. */
+  get programs(): readonly ManagedProgram[] {
+    return [...this.gateways, ...this.agents].map(({ program }) => program);
+  }
+
+  /** Ends everything that was started. */
+  async close(): Promise<void> {
+    await Promise.all(this.programs.map((program) => program.close()));
+    this.gateways.forEach(({ storeProxy }) => storeProxy.close());
+    this.agents.forEach(({ engineProxy }) => engineProxy.close());
+    this.targets.forEach(({ runner, proxy }) => {
+      proxy.close();
+      runner.close();
+    });
+    this.group.close();
+    this.store.close();
+  }
+
+  async #startTargets(): Promise<void> {
+    const services = [
+      ...Array.from({ length: PLAIN_COUNT }, () => 'plain'),
+      ...Array.from({ length: RANK_COUNT }, () => 'model'),
+    ];
+    const { random } = this.options;
+    const started = services.map(async (service, index) => {
+      const instanceId = `i-${index + 1}`;
+      const rank = index - PLAIN_COUNT;
+      const runner = await RunnerStandIn.create({
+        instanceId,
+        random,
+        ...(rank < 0
+          ? {}
+          : { handleControl: (request, response) => this.group.handle(rank, request, response) }),
+      });
+      const proxy = await LoopbackProxy.create(runner.port);
+      return { instanceId, service, zone: zoneAt(index), runner, proxy };
+    });
+    this.targets.push(...(await Promise.all(started)));
+    this.targets.forEach((target) => this.publishTarget(target, false));
+  }
+
+  async #startPrograms(): Promise<void> {
+    const gateways = Array.from({ length: GATEWAY_COUNT }, (_, index) => this.#startGateway(index));
+    this.gateways.push(...(await Promise.all(gateways)));
+    const agents = Array.from({ length: RANK_COUNT }, (_, rank) => this.#startAgent(rank));
+    this.agents.push(...(await Promise.all(agents)));
+  }
+
+  async #startGateway(index: number): Promise<SoakGateway> {
+    const host = hostOf(index);
+    const storeProxy = await LoopbackProxy.create(Number(this.store.address.split(':')[1]));
+    const settings = {
+      processName: `gateway-${index + 1}`,
+      availabilityZone: zoneAt(index),
+      ...SoakFleet.#peerSettings(host),
+      callerAddress: `${host}:${CALLER_PORT}`,
+      readinessAddress: `${host}:${READINESS_PORT}`,
+      storeAddress: storeProxy.address,
+      graceSeconds: GRACE_SECONDS,
+      retryBudget: { ratio: 0.2, windowSeconds: 10, extraCount: 200 },
+    };
+    const program = await this.#startProgram(settings.processName, 'gateway', settings);
+    return { program, settings, host, storeProxy };
+  }
+
+  async #startAgent(rank: number): Promise<SoakAgent> {
+    const engineProxy = await LoopbackProxy.create(this.group.portOf(rank));
+    const settings = {
+      processName: `agent-${rank + 1}`,
+      availabilityZone: zoneAt(rank),
+      ...SoakFleet.#peerSettings(hostOf(GATEWAY_COUNT + rank)),
+      serviceName: 'model',
+      engineAddress: engineProxy.address,
+    };
+    const program = await this.#startProgram(settings.processName, 'rank-agent', settings);
+    return { program, settings, engineProxy };
+  }
+
+  static #peerSettings(host: string): object {
+    return {
+      host,
+      peerPort: PEER_PORT,
+      metricsPort: METRICS_PORT,
+      seedAddresses: Array.from(
+        { length: GATEWAY_COUNT },
+        (_, index) => `${hostOf(index)}:${PEER_PORT}`,
+      ),
+    };
+  }
+
+  #startProgram(name: string, file: string, settings: object): Promise<ManagedProgram> {
+    const { onBroken } = this.options;
+    return ManagedProgram.create({
+      name,
+      file: programFile(file),
+      settings,
+      folder: this.folder,
+      onBroken,
+    });
+  }
+}
--- /dev/null
+++ b/soak/src/fault-plan.ts
@@ -0,0 +1,73 @@
+/** @module Faults drawn from a seed, with their times. */
+import type { Random } from '@ebonysill/emulator';
+import LinkFault from './LinkFault.js';
+
+/** What strikes. */
+export enum SoakFaultKind {
+  KillProcess = 'kill-process',
+  PauseProcess = 'pause-process',
+  TerminateProcess = 'terminate-process',
+  ReloadProcess = 'reload-process',
+  HarmStoreLink = 'harm-store-link',
+  HarmTargetLink = 'harm-target-link',
+  StoreDown = 'store-down',
+  StoreForgets = 'store-forgets',
+  LoseAnswers = 'lose-answers',
+  LateOrders = 'late-orders',
+  GroupFormsAnew = 'group-forms-anew',
+  TargetLeaves = 'target-leaves',
+  ZoneOut = 'zone-out',
+  RevokeCredential = 'revoke-credential',
+  ChangeConfiguration = 'change-configuration',
+}
+
+/** One fault of a run. */
+export interface SoakFault {
+  readonly kind: SoakFaultKind;
+  readonly atMs: number;
+  readonly spanMs: number;
+  /** Draws what it strikes, among as many as there are. */
+  readonly subject: number;
+  readonly linkFault: LinkFault;
+}
+
+/** Mean time between two faults; with spans of seconds, several overlap most of the time. */
+const MEAN_GAP_MS = 700;
+
+const MIN_SPAN_MS = 300;
+
+const MAX_SPAN_MS = 3_500;
+
+/** Series: some faults come again at once, on the next subject. */
+const SERIES_SHARE = 0.25;
+
+const KINDS = Object.values(SoakFaultKind);
+
+const LINK_FAULTS = Object.values(LinkFault).filter((fault) => fault !== LinkFault.None);
+
+const drawFrom = <T>(values: readonly T[], random: Random): T =>
+  values[Math.floor(random() * values.length)] as T;
+
+/**
+ * Draws the faults of a run.
+ *
+ * @example
+ * drawFaults(createRandom(7), 20_000);
+ */
+export const drawFaults = (random: Random, durationMs: number): readonly SoakFault[] => {
+  const faults: SoakFault[] = [];
+  let atMs = random() * MEAN_GAP_MS;
+  while (atMs < durationMs) {
+    const last = faults.at(-1);
+    const isSeries = last !== undefined && random() < SERIES_SHARE;
+    faults.push({
+      kind: isSeries ? last.kind : drawFrom(KINDS, random),
+      atMs,
+      spanMs: MIN_SPAN_MS + random() * (MAX_SPAN_MS - MIN_SPAN_MS),
+      subject: isSeries ? last.subject + 1 : Math.floor(random() * KINDS.length),
+      linkFault: drawFrom(LINK_FAULTS, random),
+    });
+    atMs += -Math.log(1 - random()) * MEAN_GAP_MS;
+  }
+  return faults;
+};
--- /dev/null
+++ b/soak/src/runSoak.ts
@@ -0,0 +1,173 @@
+/** @module One run of the soak: faults while callers call, then calm, then the checks. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { createRandom } from '@ebonysill/emulator';
+import { READINESS_PATH, RoutePath } from '@ebonysill/platform/stand-ins';
+import { CallerLoad, statusOf } from './CallerLoad.js';
+import { checkPromises, type Attempt, type Violation } from './check-promises.js';
+import FaultInjector from './FaultInjector.js';
+import { drawFaults } from './fault-plan.js';
+import { CALLER_PORT, READINESS_PORT, SoakFleet } from './SoakFleet.js';
+
+/** What a run is made of. */
+export interface SoakOptions {
+  readonly seed: number;
+  /** Time in which faults begin. */
+  readonly durationMs: number;
+}
+
+/** What a run showed. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly violations: readonly Violation[];
+  readonly attemptCount: number;
+  readonly servedCount: number;
+  readonly faultCount: number;
+  readonly mapChangeCount: number;
+  /** Folder with the settings and logs of all processes. */
+  readonly folder: string;
+}
+
+/** Operators expect service back within this time after the last fault. */
+const RECOVERY_MS = 12_000;
+
+const READY_POLL_MS = 100;
+
+const START_TIMEOUT_MS = 15_000;
+
+/** Requests sent after the recovery, to each gateway and on each route. */
+const LAST_REQUESTS = 5;
+
+/** Part of the last requests that must be served. */
+const MIN_SERVED_SHARE = 0.9;
+
+const isSuccess = (status: number): boolean => status === 200;
+
+const areReady = async (fleet: SoakFleet): Promise<boolean> => {
+  const statuses = await Promise.all(
+    fleet.gateways.map(({ host }) => statusOf(host, READINESS_PORT, READINESS_PATH)),
+  );
+  return statuses.every(isSuccess);
+};
+
+/** Waits until all gateways are ready; false when they are not in time. */
+const becomeReady = async (fleet: SoakFleet, timeoutMs: number): Promise<boolean> => {
+  if (await areReady(fleet)) {
+    return true;
+  }
+  if (timeoutMs <= 0) {
+    return false;
+  }
+  await delay(READY_POLL_MS);
+  return becomeReady(fleet, timeoutMs - READY_POLL_MS);
+};
+
+const strikeAll = async (injector: FaultInjector, options: SoakOptions): Promise<number> => {
+  const faults = drawFaults(createRandom(options.seed), options.durationMs);
+  await Promise.all(
+    faults.map(async (fault) => {
+      await delay(fault.atMs);
+      await injector.strike(fault);
+    }),
+  );
+  return faults.length;
+};
+
+/** Sends requests one after the other. */
+const sendInTurn = async (
+  load: CallerLoad,
+  host: string,
+  path: RoutePath,
+  count: number,
+): Promise<readonly Attempt[]> => {
+  if (count === 0) {
+    return [];
+  }
+  const attempt = await load.send(host, path, false);
+  return [attempt, ...(await sendInTurn(load, host, path, count - 1))];
+};
+
+const checkRecovery = async (fleet: SoakFleet, load: CallerLoad): Promise<readonly Violation[]> => {
+  const promise = 'service is back after the last fault';
+  if (!(await becomeReady(fleet, RECOVERY_MS))) {
+    return [{ promise, detail: 'a gateway is not ready' }];
+  }
+  await delay(RECOVERY_MS / 4);
+  const { step } = fleet.group;
+  const sequences = fleet.gateways.flatMap(({ host }) =>
+    Object.values(RoutePath).map((path) => sendInTurn(load, host, path, LAST_REQUESTS)),
+  );
+  const attempts = (await Promise.all(sequences)).flat();
+  const allowed = attempts.filter(({ credential }) => fleet.credentials.includes(credential));
+  const served = allowed.filter(({ status, isComplete }) => isSuccess(status) && isComplete);
+  return [
+    ...(served.length < allowed.length * MIN_SERVED_SHARE
+      ? [{ promise, detail: `${served.length} of ${allowed.length} requests are served` }]
+      : []),
+    ...(fleet.group.step > step ? [] : [{ promise, detail: 'the group makes no passes' }]),
+  ];
+};
+
+const strikeAndCheck = async (
+  fleet: SoakFleet,
+  options: SoakOptions,
+  broken: readonly string[],
+): Promise<SoakResult> => {
+  const isStarted = await becomeReady(fleet, START_TIMEOUT_MS);
+  const hosts = fleet.gateways.map(({ host }) => host);
+  const load = CallerLoad.create({
+    hosts,
+    callerPort: CALLER_PORT,
+    credentials: fleet.credentials,
+    random: createRandom(options.seed + 1),
+  });
+  const injector = FaultInjector.create(fleet);
+  const running = load.run();
+  const faultCount = await strikeAll(injector, options);
+  load.stop();
+  const recovery = await checkRecovery(fleet, load);
+  await running;
+  const record = {
+    attempts: load.attempts,
+    runs: fleet.targets.flatMap(({ runner }) => runner.runs),
+    revocations: injector.revocations,
+  };
+  return {
+    seed: options.seed,
+    violations: [
+      ...(isStarted ? [] : [{ promise: 'gateways start', detail: 'not ready in time' }]),
+      ...recovery,
+      ...checkPromises(record),
+      ...broken.map((detail) => ({ promise: 'no process ends by itself', detail })),
+      ...fleet.group.differences.map(({ step, versions }) => ({
+        promise: 'all ranks use one map',
+        detail: `pass ${step}: versions ${versions.join(', ')}`,
+      })),
+    ],
+    attemptCount: load.attempts.length,
+    servedCount: load.attempts.filter(({ status }) => isSuccess(status)).length,
+    faultCount,
+    mapChangeCount: fleet.group.changeCount,
+    folder: fleet.folder,
+  };
+};
+
+/**
+ * Runs one seed.
+ *
+ * @example
+ * const { violations } = await runSoak({ seed: 7, durationMs: 20_000 });
+ */
+const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
+  const broken: string[] = [];
+  const fleet = await SoakFleet.create({
+    random: createRandom(options.seed + 2),
+    onBroken: (detail) => broken.push(detail),
+  });
+  try {
+    return await strikeAndCheck(fleet, options, broken);
+  } finally {
+    await fleet.close();
+  }
+};
+
+export default runSoak;
