feat(gateway): contain requests that crash their targets, over all gateways

Cause: a request that crashes each target that runs it comes again at any gateway; max-attempts bounds one attempt only, so it went on crashing targets.

Change: a target that cut a request and then takes no connections has crashed with it; gateways tell each other, and a request that was at three crashed targets is refused for two minutes as not run.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -65,6 +65,11 @@
   }),
   z.object({ kind: z.literal(PeerMessageKind.Load), counts: z.array(z.object(targetCount)) }),
   z.object({ kind: z.literal(PeerMessageKind.LoadChange), ...targetCount }),
+  z.object({
+    kind: z.literal(PeerMessageKind.CrashSeen),
+    fingerprint: z.string(),
+    instanceId: z.string(),
+  }),
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
     report,
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -14,6 +14,7 @@
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
 import type { Runtime } from './runtime.js';
 import { storeRegistration } from './store-service.js';
+import { suspectsRegistration } from './suspects-service.js';
 import { targetsRegistration } from './targets-service.js';
 
 /** What a gateway is created from. */
@@ -46,6 +47,7 @@
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime }),
     groupsRegistration({ runtime }),
+    suspectsRegistration({ runtime }),
     engineAdviceRegistration(),
     admissionRegistration({ runtime }),
     retryBudgetRegistration(runtime, retryBudget),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -2,6 +2,7 @@
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type { Effect } from './effect.js';
 import type { Event } from './event.js';
+import type { CallerRequest } from './exchange-data.js';
 import type { Member, PeerRole } from './peer-message.js';
 import type { Order, OrderOutcome, RankIncrease, RankReport } from './rank-data.js';
 import type {
@@ -20,6 +21,7 @@
   Members = 'members',
   Loads = 'loads',
   Groups = 'groups',
+  Suspects = 'suspects',
   Admission = 'admission',
   RetryBudget = 'retry-budget',
   ColdStarts = 'cold-starts',
@@ -114,6 +116,16 @@
   readonly notePause: (pool: string, pauseMs: number) => void;
 }
 
+/** Requests after which targets crashed. */
+export interface SuspectsApi {
+  /** Notes that a target closed the connection of a request without an answer. */
+  readonly noteCut: (request: CallerRequest, instanceId: string) => void;
+  /** Notes that a target takes no connections, so that what it cut it cut by a crash. */
+  readonly noteUnreachable: (instanceId: string) => readonly Effect[];
+  /** Whether targets crashed so often after a request that it is not sent any more. */
+  readonly isSuspect: (request: CallerRequest) => boolean;
+}
+
 /** Limits what is sent more than once. */
 export interface RetryBudgetApi {
   /** Counts a request that callers sent for a service. */
@@ -166,6 +178,7 @@
   readonly [ServiceName.Members]: MembersApi;
   readonly [ServiceName.Loads]: LoadsApi;
   readonly [ServiceName.Groups]: GroupsApi;
+  readonly [ServiceName.Suspects]: SuspectsApi;
   readonly [ServiceName.Admission]: AdmissionApi;
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -172,6 +172,7 @@
   RequestEnded = 'request ended',
   CallStarted = 'call started',
   CallFailed = 'call failed',
+  CrashSuspected = 'crash suspected',
   MapChangeStarted = 'map change started',
   MapChangeEnded = 'map change ended',
   OrderAnswered = 'order answered',
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -32,6 +32,7 @@
   DeadlinePassed = 'deadline-passed',
   CallerLeft = 'caller-left',
   Draining = 'draining',
+  CrashSuspect = 'crash-suspect',
 }
 
 /** What the exchange was resolved to when it was accepted. */
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -15,6 +15,7 @@
   type Registration,
   type RetryBudgetApi,
   type StoreApi,
+  type SuspectsApi,
   type TargetsApi,
 } from './directory.js';
 import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
@@ -91,6 +92,8 @@
 
   readonly #groups: GroupsApi;
 
+  readonly #suspects: SuspectsApi;
+
   readonly #admission: AdmissionApi;
 
   readonly #budget: RetryBudgetApi;
@@ -107,6 +110,7 @@
     this.#targets = find(ServiceName.Targets);
     this.#loads = find(ServiceName.Loads);
     this.#groups = find(ServiceName.Groups);
+    this.#suspects = find(ServiceName.Suspects);
     this.#admission = find(ServiceName.Admission);
     this.#budget = find(ServiceName.RetryBudget);
     this.#coldStarts = find(ServiceName.ColdStarts);
@@ -179,6 +183,9 @@
     if (!this.#lifecycle.mayBegin(exchange.isStream)) {
       return this.#refuse(exchange, ExchangeReason.Draining, RETRY_ELSEWHERE_MS);
     }
+    if (this.#suspects.isSuspect(exchange.request)) {
+      return this.#refuse(exchange, ExchangeReason.CrashSuspect, MAX_RETRY_AFTER_MS);
+    }
     if (refusal !== undefined) {
       return this.#refuse(exchange, ExchangeReason.TooManyStreams, refusal.retryAfterMs);
     }
@@ -410,15 +417,20 @@
 
   #onCallFailed(exchange: Exchange, { stage, detail }: TargetCallFailedEvent): readonly Effect[] {
     this.#endCall(exchange);
+    const { target, request } = exchange;
     if (stage === CallStage.Sent) {
+      this.#suspects.noteCut(request, target?.instanceId ?? '');
       return this.#afterCut(exchange, ExchangeReason.CallCut, detail);
     }
     this.#avoid(exchange);
     exchange.noteUnreachable();
-    const line = ExchangesService.#callFailed(exchange, ExchangeReason.TargetUnreachable, detail);
+    const lines = [
+      ExchangesService.#callFailed(exchange, ExchangeReason.TargetUnreachable, detail),
+      ...this.#suspects.noteUnreachable(target?.instanceId ?? ''),
+    ];
     return exchange.unreachableCount < MAX_UNREACHABLE && this.#hasTime(exchange)
-      ? [line, ...this.#callSome(exchange, ExchangeReason.TargetUnreachable)]
-      : [line, ...this.#giveUp(exchange, ExchangeReason.TargetUnreachable)];
+      ? [...lines, ...this.#callSome(exchange, ExchangeReason.TargetUnreachable)]
+      : [...lines, ...this.#giveUp(exchange, ExchangeReason.TargetUnreachable)];
   }
 
   /** The target may have run the request, and its answer did not come whole. */
@@ -573,6 +585,7 @@
     ServiceName.Targets,
     ServiceName.Loads,
     ServiceName.Groups,
+    ServiceName.Suspects,
     ServiceName.Admission,
     ServiceName.RetryBudget,
     ServiceName.ColdStarts,
--- /dev/null
+++ b/packages/gateway/src/fingerprint.ts
@@ -0,0 +1,37 @@
+/** @module Short digests that tell whether two texts or requests are the same. */
+import type { CallerRequest } from './exchange-data.js';
+
+/** Parameters of FNV-1a for 32 bits. */
+const FNV_OFFSET = 0x811c9dc5;
+
+const FNV_PRIME = 0x01000193;
+
+const mix = (hash: number, byte: number): number =>
+  // eslint-disable-next-line no-bitwise -- the digest is defined by bits
+  Math.imul(hash ^ byte, FNV_PRIME) >>> 0;
+
+/**
+ * Digest of a text.
+ *
+ * @example
+ * digestOf('gateway-1');
+ */
+export const digestOf = (text: string): number => {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = mix(hash, text.charCodeAt(index));
+  }
+  return hash;
+};
+
+/**
+ * Names a request by what its caller repeats when it sends it again: path, credential and body.
+ *
+ * @example
+ * fingerprintOf(request) === fingerprintOf({ ...request, attemptId: 'another' }); // true
+ */
+export const fingerprintOf = ({ method, path, credential = '', body }: CallerRequest): string => {
+  const head = digestOf(`${method} ${path} ${credential}`);
+  const content = body.reduce(mix, FNV_OFFSET);
+  return `${head}-${content}-${body.length}`;
+};
--- a/packages/gateway/src/member-list.ts
+++ b/packages/gateway/src/member-list.ts
@@ -1,4 +1,5 @@
 /** @module Lists of members with a digest, so that an unchanged list is not sent again. */
+import { digestOf } from './fingerprint.js';
 import type { Member } from './peer-message.js';
 
 /** Members that one process tells another. */
@@ -7,20 +8,6 @@
   readonly digest: number;
 }
 
-/** Parameters of FNV-1a for 32 bits. */
-const FNV_OFFSET = 0x811c9dc5;
-
-const FNV_PRIME = 0x01000193;
-
-const digestOf = (text: string): number => {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    // eslint-disable-next-line no-bitwise -- the digest is defined by bits
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME) >>> 0;
-  }
-  return hash;
-};
-
 /**
  * Lists members; lists of the same members have the same digest, whatever their order.
  *
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -18,6 +18,7 @@
   GroupTargets = 'group-targets',
   Load = 'load',
   LoadChange = 'load-change',
+  CrashSeen = 'crash-seen',
   RankState = 'rank-state',
   RankIncrease = 'rank-increase',
   TellState = 'tell-state',
@@ -113,6 +114,13 @@
   readonly kind: PeerMessageKind.LoadChange;
 }
 
+/** A target crashed while a request ran on it. */
+export interface CrashSeenMessage {
+  readonly kind: PeerMessageKind.CrashSeen;
+  readonly fingerprint: string;
+  readonly instanceId: string;
+}
+
 /** State of a rank, told by the agent beside it; also that the agent will keep the hold in it. */
 export interface RankStateMessage {
   readonly kind: PeerMessageKind.RankState | PeerMessageKind.HoldConfirmed;
@@ -184,6 +192,7 @@
   | GroupTargetsMessage
   | LoadMessage
   | LoadChangeMessage
+  | CrashSeenMessage
   | RankStateMessage
   | TellStateMessage
   | RankIncreaseMessage
--- /dev/null
+++ b/packages/gateway/src/suspects-service.ts
@@ -0,0 +1,150 @@
+/**
+ * @module Contains requests that crash the targets that run them.
+ *
+ * A caller sends such a request again and again, at any gateway. A target that cut a request and
+ * then takes no connections has crashed; gateways tell each other what ran on it, and a request
+ * that was there at several crashes is refused for a while.
+ */
+import { createInstance } from '@ebonysill/kernel';
+import { log, sendToPeer } from './build-effects.js';
+import { ServiceName, type FindService, type MembersApi, type Registration } from './directory.js';
+import { LogLevel, LogTopic, type Effect } from './effect.js';
+import { EventKind, type Event } from './event.js';
+import type { CallerRequest } from './exchange-data.js';
+import { fingerprintOf } from './fingerprint.js';
+import { PeerMessageKind, PeerRole } from './peer-message.js';
+import type { Runtime } from './runtime.js';
+
+/** A target that takes no connections this long after it cut a request has crashed with it. */
+const CRASH_WINDOW_MS = 2_000;
+
+/** Crashes after which a request is refused; operators allow three more after the third. */
+const MAX_CRASHES = 3;
+
+/** Crashes older than this are forgotten, so that no caller is refused for good. */
+const MEMORY_MS = 120_000;
+
+/** Requests that are remembered at most. */
+const MAX_REMEMBERED = 1_024;
+
+interface CutRequest {
+  readonly fingerprint: string;
+  readonly atMs: number;
+}
+
+interface Crashes {
+  /** Instances that crashed, with the time. */
+  readonly instances: Map<string, number>;
+}
+
+/** What the service is created from. */
+export interface SuspectsOptions {
+  readonly runtime: Runtime;
+}
+
+/** Counts crashes by request. */
+class SuspectsService {
+  /** By instance identifier: requests that it cut lately. */
+  readonly #cuts = new Map<string, CutRequest[]>();
+
+  /** By fingerprint. */
+  readonly #crashes = new Map<string, Crashes>();
+
+  readonly #members: MembersApi;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    find: FindService,
+  ) {
+    this.#members = find(ServiceName.Members);
+  }
+
+  static create(runtime: Runtime, find: FindService): SuspectsService {
+    return new SuspectsService(runtime, find);
+  }
+
+  readonly noteCut = (request: CallerRequest, instanceId: string): void => {
+    const nowMs = this.runtime.nowMs();
+    const recent = (this.#cuts.get(instanceId) ?? []).filter(
+      ({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS,
+    );
+    this.#cuts.delete(instanceId);
+    this.#cuts.set(instanceId, [...recent, { fingerprint: fingerprintOf(request), atMs: nowMs }]);
+    SuspectsService.#forgetOldest(this.#cuts);
+  };
+
+  readonly noteUnreachable = (instanceId: string): readonly Effect[] => {
+    const nowMs = this.runtime.nowMs();
+    const cuts = this.#cuts.get(instanceId) ?? [];
+    this.#cuts.delete(instanceId);
+    return cuts
+      .filter(({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS)
+      .flatMap(({ fingerprint }) => [
+        ...this.#noteCrash(fingerprint, instanceId),
+        ...this.#members
+          .others(PeerRole.Gateway)
+          .map(({ address }) =>
+            sendToPeer(address, { kind: PeerMessageKind.CrashSeen, fingerprint, instanceId }),
+          ),
+      ]);
+  };
+
+  readonly isSuspect = (request: CallerRequest): boolean =>
+    this.#crashes.size > 0 && this.#countOf(fingerprintOf(request)) >= MAX_CRASHES;
+
+  handle(event: Event): readonly Effect[] {
+    return event.kind === EventKind.PeerMessageReceived &&
+      event.message.kind === PeerMessageKind.CrashSeen
+      ? this.#noteCrash(event.message.fingerprint, event.message.instanceId)
+      : [];
+  }
+
+  #noteCrash(fingerprint: string, instanceId: string): readonly Effect[] {
+    const crashes = this.#crashes.get(fingerprint) ?? { instances: new Map<string, number>() };
+    crashes.instances.set(instanceId, this.runtime.nowMs());
+    this.#crashes.delete(fingerprint);
+    this.#crashes.set(fingerprint, crashes);
+    SuspectsService.#forgetOldest(this.#crashes);
+    const count = this.#countOf(fingerprint);
+    return [
+      log(LogLevel.Warn, LogTopic.CrashSuspected, { instanceId, count, detail: fingerprint }),
+    ];
+  }
+
+  #countOf(fingerprint: string): number {
+    const sinceMs = this.runtime.nowMs() - MEMORY_MS;
+    const times = this.#crashes.get(fingerprint)?.instances.values() ?? [];
+    return [...times].filter((atMs) => atMs > sinceMs).length;
+  }
+
+  static #forgetOldest(remembered: Map<string, unknown>): void {
+    const [oldest] = remembered.keys();
+    if (remembered.size > MAX_REMEMBERED && oldest !== undefined) {
+      remembered.delete(oldest);
+    }
+  }
+}
+
+/**
+ * Registers the service that contains such requests.
+ *
+ * @example
+ * const services = [membersRegistration(options), suspectsRegistration({ runtime })];
+ */
+export const suspectsRegistration = ({
+  runtime,
+}: SuspectsOptions): Registration<ServiceName.Suspects> => ({
+  name: ServiceName.Suspects,
+  requires: [ServiceName.Members],
+  create: (find) => {
+    const service = SuspectsService.create(runtime, find);
+    return createInstance(
+      {
+        noteCut: service.noteCut,
+        noteUnreachable: service.noteUnreachable,
+        isSuspect: service.isSuspect,
+      },
+      { handle: (event) => service.handle(event) },
+    );
+  },
+});
--- a/soak/src/LoopbackProxy.ts
+++ b/soak/src/LoopbackProxy.ts
@@ -83,10 +83,28 @@
   }
 
   #pipe(connection: Connection, from: Socket, to: Socket, isAnswer: boolean): void {
-    from.on('data', (bytes) => this.#pass(connection, isAnswer, () => to.write(bytes)));
-    from.on('end', () => this.#pass(connection, isAnswer, () => to.end()));
+    // Bytes that were delayed are not overtaken by those that come after the fault.
+    let freeAtMs = 0;
+    const waiting: (() => void)[] = [];
+    const pass = (act: () => void): void => {
+      if (this.#isStopped(connection, isAnswer)) {
+        this.#silent.add(connection);
+        return;
+      }
+      const nowMs = performance.now();
+      const delayMs = this.#fault === LinkFault.Delayed ? DELAY_MS : 0;
+      freeAtMs = Math.max(freeAtMs, nowMs + delayMs);
+      if (freeAtMs > nowMs || waiting.length > 0) {
+        waiting.push(act);
+        setTimeout(() => waiting.shift()?.(), freeAtMs - nowMs);
+      } else {
+        act();
+      }
+    };
+    from.on('data', (bytes) => pass(() => to.write(bytes)));
+    from.on('end', () => pass(() => to.end()));
     // A reset is passed on as one: the other side must not take it for an orderly end.
-    from.on('error', () => this.#pass(connection, isAnswer, () => to.resetAndDestroy()));
+    from.on('error', () => pass(() => to.resetAndDestroy()));
     from.on('close', () => {
       if (connection.near.destroyed && connection.far.destroyed) {
         this.#connections.delete(connection);
@@ -94,17 +112,11 @@
     });
   }
 
-  #pass(connection: Connection, isAnswer: boolean, act: () => void): void {
-    const isStopped =
+  #isStopped(connection: Connection, isAnswer: boolean): boolean {
+    return (
       this.#silent.has(connection) ||
       this.#fault === LinkFault.Dark ||
-      (isAnswer && this.#fault === LinkFault.OneWay);
-    if (isStopped) {
-      this.#silent.add(connection);
-    } else if (this.#fault === LinkFault.Delayed) {
-      setTimeout(act, DELAY_MS);
-    } else {
-      act();
-    }
+      (isAnswer && this.#fault === LinkFault.OneWay)
+    );
   }
 }
--- a/soak/src/check-promises.ts
+++ b/soak/src/check-promises.ts
@@ -80,7 +80,7 @@
     return Number(id) === index + 1 && data === `${attemptId}/${index + 1}`;
   });
   if (!isOrdered) {
-    return 'events are missing, doubled or of another stream';
+    return `events are missing, doubled or of another stream: ${JSON.stringify(body)}`;
   }
   return isComplete && whole.length !== EVENTS_PER_STREAM ? 'ends early as complete' : undefined;
 };
