fix(rank-agent): no release that may be late can end a hold that is relied on

Cause, found by reasoning on the confirmed holds: (1) if the holder's agent ends right after the hold, the group stood still until it was back (2.6 s in the stand-in); (2) a release without an answer may be carried out later; an idle group makes no passes, so a second change could choose the same step and lose its hold to the release of the first.

Change: a driver releases a hold that is not confirmed within 0.5 s; an agent confirms only a hold that began in its life and whose step it has not released; a driver holds no step twice. The driver's phases are a module of their own.

--- a/packages/rank-agent/src/HoldKeeper.ts
+++ b/packages/rank-agent/src/HoldKeeper.ts
@@ -22,7 +22,8 @@
 
   #confirmedStep = 0;
 
-  #abandonedStep = 0;
+  /** Highest step whose hold has ended or was ordered to end; that order may still be on its way. */
+  #endedStep = 0;
 
   private constructor(private readonly nowMs: () => number) {}
 
@@ -43,19 +44,30 @@
       this.#isBeginSeen = false;
       this.#heldStep = 0;
       this.#confirmedStep = 0;
-      this.#abandonedStep = 0;
+      this.#endedStep = 0;
     }
-    if (heldStep === 0) {
-      this.#isBeginSeen = true;
-    } else if (heldStep !== this.#heldStep) {
-      this.#heldAtMs = this.nowMs();
+    if (heldStep === this.#heldStep) {
+      this.#isBeginSeen ||= heldStep === 0;
+      return;
     }
+    this.noteRelease(this.#heldStep);
+    this.#isBeginSeen ||= heldStep === 0;
     this.#heldStep = heldStep;
+    this.#heldAtMs = this.nowMs();
   }
 
-  /** Promises to keep the hold of a step; false when it is not held, or given up already. */
+  /** Notes that a step is, or may be, released: its hold is not to be relied on any more. */
+  noteRelease(step: number): void {
+    this.#endedStep = Math.max(this.#endedStep, step);
+  }
+
+  /** Promises to keep the hold of a step; false unless it began in this life and has not ended. */
   confirm(epoch: number, step: number): boolean {
-    const isKept = epoch === this.#epoch && step === this.#heldStep && step !== this.#abandonedStep;
+    const isKept =
+      epoch === this.#epoch &&
+      step === this.#heldStep &&
+      step > this.#endedStep &&
+      this.#isBeginSeen;
     if (isKept) {
       this.#confirmedStep = step;
     }
@@ -69,10 +81,6 @@
       this.#isBeginSeen &&
       this.#heldStep !== this.#confirmedStep &&
       this.nowMs() - this.#heldAtMs >= CONFIRM_TIMEOUT_MS;
-    if (!isOrphan) {
-      return undefined;
-    }
-    this.#abandonedStep = this.#heldStep;
-    return this.#heldStep;
+    return isOrphan ? this.#heldStep : undefined;
   }
 }
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -25,8 +25,6 @@
   type Event,
   type FindService,
   type MembersApi,
-  type Order,
-  type PeerMessage,
   type PeerMessageEvent,
   type RankMonitorApi,
   type RankIncrease,
@@ -38,34 +36,18 @@
   type Runtime,
 } from '@ebonysill/gateway';
 import { createInstance } from '@ebonysill/kernel';
+import { ACTIVE_INTERVAL_MS, ChangePhases } from './change-phases.js';
 import EngineDirectory from './EngineDirectory.js';
 import GroupView, { type KnownRank } from './GroupView.js';
 import { ChangePhase, MapChange } from './map-change.js';
 import { skewOf } from './placement.js';
 import { planPlacement } from './plan-placement.js';
 import PopularityMeter from './PopularityMeter.js';
+import sendToRanks from './sendToRanks.js';
 
 /** Time between two looks while nothing is under way. */
 const IDLE_INTERVAL_MS = 100;
 
-/** Time after which an agent that has not done its part is passed by; its host may be paused. */
-const AGENT_PATIENCE_MS = 200;
-
-/** Time between two looks while a change is under way; a repeated message costs little. */
-const ACTIVE_INTERVAL_MS = 40;
-
-/** Passes between the present one and the one that is held: time for all ranks to arm. */
-const LEAD_PASSES = 2;
-
-/** Preparing copies weights, which takes seconds; longer than this, a rank is in trouble. */
-const PREPARE_TIMEOUT_MS = 15_000;
-
-/** How often a rank that has not prepared is asked again: its copy takes most of a second. */
-const PREPARE_REPEAT_MS = 800;
-
-/** Numbers of a map that are sent within one look; a byte each, they fit the queue of a slow link. */
-const PREPARE_BURST_NUMBERS = 16_000;
-
 /** Pause after a plan that was not worth a change: plans take processor time. */
 const SETTLE_MS = 300;
 
@@ -81,9 +63,6 @@
 /** A pass that stays held without a driver for this long is settled. */
 const ORPHAN_HOLD_MS = 600;
 
-/** Orders without an answer are carried out within this time, if at all. */
-const LATE_ORDER_MS = 12_500;
-
 /** Longest time for which a rank copies weights for one change; a shorter change is sooner in force. */
 const MAX_COPY_MS = 450;
 
@@ -102,6 +81,12 @@
   readonly engineAddress: string;
 }
 
+/** A pass that this driver had held. */
+interface HeldStep {
+  readonly epoch: number;
+  readonly step: number;
+}
+
 /** Drives one group when this process is the one to do so. */
 class GroupDriverService {
   #change: MapChange | undefined;
@@ -109,6 +94,8 @@
   /** Versions are not used again, so a map that is in use under its version is this one. */
   #lastChange: MapChange | undefined;
 
+  #lastHeld: HeldStep = { epoch: 0, step: 0 };
+
   #settleUntilMs = 0;
 
   #orphanSinceMs: number | undefined;
@@ -123,6 +110,8 @@
 
   readonly #directory: EngineDirectory;
 
+  readonly #phases: ChangePhases;
+
   readonly #members: MembersApi;
 
   readonly #monitor: RankMonitorApi;
@@ -137,6 +126,13 @@
     this.#monitor = find(ServiceName.RankMonitor);
     const { nowMs } = options.runtime;
     this.#directory = EngineDirectory.create({ nowMs, members: this.#members });
+    this.#phases = ChangePhases.create({
+      view: this.#view,
+      directory: this.#directory,
+      members: this.#members,
+      monitor: this.#monitor,
+      onEnded: (change, detail) => this.#finish(change, detail),
+    });
   }
 
   static create(options: GroupDriverOptions, find: FindService): GroupDriverService {
@@ -270,31 +266,7 @@
     if (report !== undefined && report.epoch !== change.epoch) {
       return this.#finish(change, 'the group formed anew');
     }
-    return report === undefined ? [] : this.#advance(change, report);
-  }
-
-  #advance(change: MapChange, report: RankReport): readonly Effect[] {
-    const isOvertaken =
-      change.step > 0 && report.step >= change.step && change.phase !== ChangePhase.Holding;
-    if (isOvertaken) {
-      return this.#finish(change, 'the pass has begun');
-    }
-    switch (change.phase) {
-      case ChangePhase.Preparing:
-        return this.#lookPreparing(change);
-      case ChangePhase.Checking:
-        return this.#lookChecking(change);
-      case ChangePhase.Holding:
-        return this.#lookHolding(change, report);
-      case ChangePhase.Arming:
-        return this.#lookArming(change);
-      case ChangePhase.Releasing:
-        return this.#lookReleasing(change);
-      case ChangePhase.Aborting:
-        return this.#lookAborting(change);
-      default:
-        return change.phase satisfies never;
-    }
+    return report === undefined ? [] : this.#phases.advance(change, report);
   }
 
   #lookIdle(): readonly Effect[] {
@@ -373,6 +345,7 @@
       version,
       placement,
       holderRank: (own.rank + 1) % ranks.length,
+      lastHeldStep: this.#lastHeld.epoch === own.epoch ? this.#lastHeld.step : 0,
       nowMs,
     });
     return [
@@ -386,188 +359,12 @@
     ];
   }
 
-  #lookPreparing(change: MapChange): readonly Effect[] {
-    const { epoch, version, placement } = change;
-    const ranks = this.#view.complete();
-    if (change.sincePhaseMs() > PREPARE_TIMEOUT_MS) {
-      return this.#finish(change, 'not all ranks prepared in time');
-    }
-    if (ranks?.every(({ report }) => report.preparedVersion === version) === true) {
-      change.enter(ChangePhase.Checking);
-      return this.#look();
-    }
-    if (ranks === undefined || !change.isDue(ACTIVE_INTERVAL_MS)) {
-      return [];
-    }
-    const { groupName = '' } = this.#members.self();
-    const unprepared = ranks.filter(({ report }) => report.preparedVersion !== version);
-    const burst = Math.ceil(PREPARE_BURST_NUMBERS / Math.max(1, placement.flat(2).length));
-    return change.chooseDue(unprepared, PREPARE_REPEAT_MS, burst).map(({ agentAddress }) =>
-      sendToPeer(agentAddress, {
-        kind: PeerMessageKind.PrepareMap,
-        groupName,
-        epoch,
-        version,
-        placement,
-      }),
-    );
-  }
-
-  /** Sends to the ranks that a condition holds for; this rank's own agent hears itself. */
-  static #toRanks(
-    ranks: readonly KnownRank[] | undefined,
-    isDue: (report: RankReport) => boolean,
-    message: PeerMessage,
-  ): readonly Effect[] {
-    return (ranks ?? [])
-      .filter(({ report }) => isDue(report))
-      .map(({ agentAddress }) => sendToPeer(agentAddress, message));
-  }
-
-  #lookChecking(change: MapChange): readonly Effect[] {
-    const ranks = this.#view.known(change.epoch);
-    if (ranks.every(({ heardAtMs }) => heardAtMs > change.phaseAtMs)) {
-      change.enter(ChangePhase.Holding);
-      return this.#look();
-    }
-    if (change.sincePhaseMs() > PREPARE_TIMEOUT_MS) {
-      return this.#finish(change, 'an agent does not answer');
-    }
-    const { groupName = '' } = this.#members.self();
-    const message = { kind: PeerMessageKind.TellState, groupName } as const;
-    return change.isDue(ACTIVE_INTERVAL_MS)
-      ? GroupDriverService.#toRanks(ranks, () => true, message)
-      : [];
-  }
-
-  /**
-   * Has the holder's engine hold a pass, past its agent, so that no paused host keeps the group
-   * held: if this one is paused now, the holder's agent gives up the hold that nobody confirms.
-   */
-  #lookHolding(change: MapChange, report: RankReport): readonly Effect[] {
-    const holder = this.#view.known(change.epoch)[change.holderRank];
-    if (holder === undefined || !change.isDue(ACTIVE_INTERVAL_MS)) {
-      return [];
-    }
-    const { epoch } = change;
-    const { groupName } = report;
-    const step = change.chooseStep(report.step, LEAD_PASSES);
-    const engineAddress = this.#directory.addressOf(holder.report.rank);
-    const confirm = { kind: PeerMessageKind.ConfirmHold, groupName, epoch, step } as const;
-    if (engineAddress === undefined) {
-      const hold = { kind: PeerMessageKind.HoldStep, groupName, epoch, step } as const;
-      return [sendToPeer(holder.agentAddress, hold), sendToPeer(holder.agentAddress, confirm)];
-    }
-    const order = { kind: OrderKind.Hold, epoch, step } as const;
-    const ordered = change.isOrderDue(step, AGENT_PATIENCE_MS)
-      ? this.#orderPast(change, holder.report.rank, order, engineAddress)
-      : [];
-    return [...ordered, sendToPeer(holder.agentAddress, confirm)];
-  }
-
-  /** Asks a rank's agent; an agent that is slow to answer is passed by. */
-  #instruct(
-    change: MapChange,
-    { agentAddress, engineAddress, report }: KnownRank,
-    order: Order,
-    message: PeerMessage,
-    isDirectDue: boolean,
-  ): readonly Effect[] {
-    const asked = sendToPeer(agentAddress, message);
-    if (!isDirectDue) {
-      return [asked];
-    }
-    const address = this.#directory.addressOf(report.rank) ?? engineAddress;
-    return [asked, ...this.#orderPast(change, report.rank, order, address)];
-  }
-
-  /** Gives an order to an engine past its agent. */
-  #orderPast(
-    change: MapChange,
-    rank: number,
-    order: Order,
-    engineAddress: string,
-  ): readonly Effect[] {
-    return this.#monitor.order(
-      order,
-      (outcome) => {
-        change.noteDirect(rank, order.kind, outcome);
-        return [
-          log(LogLevel.Info, LogTopic.OrderAnswered, {
-            detail: `${order.kind} past the agent of rank ${rank}`,
-            outcome,
-            epoch: order.epoch,
-          }),
-        ];
-      },
-      engineAddress,
-    );
-  }
-
-  #lookArming(change: MapChange): readonly Effect[] {
-    const { epoch, version, step } = change;
-    const ranks = this.#view.known(epoch);
-    if (ranks.every(({ report }) => change.isArmed(report))) {
-      change.enter(ChangePhase.Releasing);
-      return this.#look();
-    }
-    const isReplaced = ranks.some(
-      ({ report }) => report.preparedVersion !== version && !change.isArmed(report),
-    );
-    if (isReplaced) {
-      change.enter(ChangePhase.Aborting);
-      return [];
-    }
-    if (!change.isDue(ACTIVE_INTERVAL_MS)) {
-      return [];
-    }
-    const { groupName = '' } = this.#members.self();
-    const order = { kind: OrderKind.Arm, epoch, version, step } as const;
-    const message = { kind: PeerMessageKind.ArmMap, groupName, epoch, version, step } as const;
-    const isDirectDue = change.isDirectDue(AGENT_PATIENCE_MS);
-    return ranks
-      .filter(({ report }) => !change.isArmed(report))
-      .flatMap((rank) => this.#instruct(change, rank, order, message, isDirectDue));
-  }
-
-  #lookReleasing(change: MapChange): readonly Effect[] {
-    const { epoch, step, holderRank } = change;
-    const holder = this.#view.known(epoch)[holderRank];
-    const isReleased = change.isReleased || holder?.report.heldStep !== step;
-    if (holder === undefined || isReleased) {
-      return this.#finish(change, 'in force');
-    }
-    if (!change.isDue(ACTIVE_INTERVAL_MS)) {
-      return [];
-    }
-    const { groupName = '' } = this.#members.self();
-    const order = { kind: OrderKind.Release, epoch, step } as const;
-    const message = { kind: PeerMessageKind.ReleaseStep, groupName, epoch, step } as const;
-    return this.#instruct(change, holder, order, message, change.isDirectDue(AGENT_PATIENCE_MS));
-  }
-
   #release(epoch: number, step: number): readonly Effect[] {
     return this.#monitor.order({ kind: OrderKind.Release, epoch, step }, (outcome) => [
       log(LogLevel.Info, LogTopic.OrderAnswered, { detail: OrderKind.Release, outcome, step }),
     ]);
   }
 
-  /** Waits until no rank is armed and no order without an answer can arm one any more. */
-  #lookAborting(change: MapChange): readonly Effect[] {
-    const { epoch, version } = change;
-    const ranks = this.#view.complete();
-    const isClear = ranks?.every(({ report }) => report.armedVersion !== version) === true;
-    if (isClear && change.sincePhaseMs() > LATE_ORDER_MS) {
-      change.enter(ChangePhase.Releasing);
-      return this.#look();
-    }
-    const { groupName = '' } = this.#members.self();
-    const message = { kind: PeerMessageKind.DisarmMap, groupName, epoch, version } as const;
-    return change.isDue(ACTIVE_INTERVAL_MS)
-      ? GroupDriverService.#toRanks(ranks, ({ armedVersion }) => armedVersion === version, message)
-      : [];
-  }
-
   /** A driver that died left a pass held: its change is completed if any rank is armed for it. */
   #settleOrphan(
     ranks: readonly KnownRank[],
@@ -587,17 +384,16 @@
         : [sendToPeer(agentAddress, { kind: PeerMessageKind.ReleaseStep, groupName, epoch, step })];
     }
     const message = { kind: PeerMessageKind.ArmMap, groupName, epoch, version, step } as const;
-    return GroupDriverService.#toRanks(
-      ranks,
-      ({ armedVersion }) => armedVersion !== version,
-      message,
-    );
+    return sendToRanks(ranks, ({ armedVersion }) => armedVersion !== version, message);
   }
 
   #finish(change: MapChange, detail: string): readonly Effect[] {
     const { epoch, version, step, startedAtMs } = change;
     this.#change = undefined;
     this.#lastChange = change;
+    if (step > 0) {
+      this.#lastHeld = { epoch, step };
+    }
     return [
       log(LogLevel.Info, LogTopic.MapChangeEnded, {
         epoch,
--- a/packages/rank-agent/src/map-change.ts
+++ b/packages/rank-agent/src/map-change.ts
@@ -26,6 +26,8 @@
   readonly placement: RankPlacement;
   /** Rank whose engine holds the pass at which the map changes. */
   readonly holderRank: number;
+  /** Highest step that this driver had held before; a late release may still end such a hold. */
+  readonly lastHeldStep: number;
   readonly nowMs: () => number;
 }
 
@@ -64,7 +66,7 @@
    * Creates a change whose ranks prepare.
    *
    * @example
-   * const change = MapChange.create({ epoch: 1, version: 1_024, placement, nowMs });
+   * const change = MapChange.create({ epoch: 1, version: 1_024, placement, holderRank: 1, lastHeldStep: 0, nowMs });
    */
   static create(options: MapChangeOptions): MapChange {
     return new MapChange(options);
@@ -170,7 +172,7 @@
   /** Chooses the pass to hold; one that was chosen before is kept while it can still be held. */
   chooseStep(presentStep: number, leadPasses: number): number {
     if (this.#step <= presentStep) {
-      this.#step = presentStep + leadPasses;
+      this.#step = Math.max(presentStep + leadPasses, this.options.lastHeldStep + 1);
     }
     return this.#step;
   }
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -119,6 +119,9 @@
     const orderId = this.#nextOrderId;
     this.#nextOrderId += 1;
     this.#pending.set(orderId, onOrder);
+    if (order.kind === OrderKind.Release && engineAddress === undefined) {
+      this.#holds.noteRelease(order.step);
+    }
     this.#driverHeardAtMs = this.options.runtime.nowMs();
     return [
       {
--- a/packages/rank-agent/tests/fake-group.ts
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -31,7 +31,7 @@
 
 const LATE_SPAN_MS = 10_000;
 
-const RESTART_MS = 900;
+const RESTART_MS = 2_500;
 
 const MAX_PAUSE_MS = 3_000;
 
@@ -47,6 +47,8 @@
   readonly pausesPerSecond: number;
   /** Whether the host of an agent is paused for seconds as soon as a hold that it ordered begins. */
   readonly pausesGiver: boolean;
+  /** Whether the agent beside an engine is killed as soon as another one has it hold a pass. */
+  readonly killsHolder: boolean;
   /** Engines that restart, per second and engine. */
   readonly crashesPerSecond: number;
 }
@@ -58,6 +60,7 @@
   killsPerSecond: 0,
   pausesPerSecond: 0,
   pausesGiver: false,
+  killsHolder: false,
   crashesPerSecond: 0,
 };
 
@@ -104,8 +107,8 @@
   /** Longest time without a pass, also one that has not ended. */
   longestStandstillMs = 0;
 
-  /** Pauses of hosts so far. */
-  pauseCount = 0;
+  /** Pauses of hosts and kills of agents so far. */
+  strikeCount = 0;
 
   /** Changes of map that came into force. */
   changeCount = 0;
@@ -171,6 +174,7 @@
     agent.kernel.kill();
     agent.kernel = undefined;
     agent.life += 1;
+    this.strikeCount += 1;
     this.#after(RESTART_MS, () => this.#startAgent(rank));
   }
 
@@ -362,6 +366,9 @@
     if (order.kind === OrderKind.Hold && this.faults.pausesGiver) {
       this.#pause(from, MAX_PAUSE_MS);
     }
+    if (order.kind === OrderKind.Hold && rank !== from && this.faults.killsHolder) {
+      this.kill(rank);
+    }
     const answer = (outcome: OrderOutcome): void =>
       this.#post(from, life, { kind: EventKind.OrderAnswered, orderId, outcome });
     if (!this.#chance(this.faults.lostAnswer)) {
@@ -510,7 +517,7 @@
     const agent = this.#agents[rank];
     if (agent !== undefined) {
       agent.pausedUntilMs = this.nowMs + spanMs;
-      this.pauseCount += 1;
+      this.strikeCount += 1;
     }
   }
 
--- a/packages/rank-agent/tests/maps.test.ts
+++ b/packages/rank-agent/tests/maps.test.ts
@@ -46,19 +46,23 @@
   expect(badSeeds({ lostMessage: 0.3 })).toEqual([]);
 });
 
-/** Longest standstill of a group in which the host that orders a hold is paused each time. */
-const standstillOf = (seed: number): number => {
-  const group = FakeGroup.create(seed);
-  group.faults = { ...NO_FAULTS, pausesGiver: true };
-  group.run(30_000);
-  expect(group.violations).toEqual([]);
-  expect(group.pauseCount > 0).toEqual(true);
-  return group.longestStandstillMs;
-};
+/** Seeds under which a fault at each hold stops the group for a second or more. */
+const stoppedSeeds = (faults: Partial<GroupFaults>): readonly number[] =>
+  Array.from({ length: SEED_COUNT }, (_, index) => index + 1).filter((seed) => {
+    const group = FakeGroup.create(seed);
+    group.faults = { ...NO_FAULTS, ...faults };
+    group.run(30_000);
+    expect(group.violations).toEqual([]);
+    expect(group.strikeCount > 0).toEqual(true);
+    return group.longestStandstillMs >= 1_000;
+  });
 
 test('a host paused at its hold does not stop the group', () => {
-  const seeds = Array.from({ length: SEED_COUNT }, (_, index) => index + 1);
-  expect(seeds.filter((seed) => standstillOf(seed) >= 1_000)).toEqual([]);
+  expect(stoppedSeeds({ pausesGiver: true })).toEqual([]);
+});
+
+test('an agent killed at its hold does not stop the group', () => {
+  expect(stoppedSeeds({ killsHolder: true })).toEqual([]);
 });
 
 test('holders paused and killed', () => {
