--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -13,6 +13,7 @@
 import type { Member } from './peer-message.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
 import type { Runtime } from './runtime.js';
+import { routingRegistration } from './routing-service.js';
 import { storeRegistration } from './store-service.js';
 import { suspectsRegistration } from './suspects-service.js';
 import { targetsRegistration } from './targets-service.js';
@@ -52,7 +53,8 @@
     admissionRegistration({ runtime }),
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
-    exchangesRegistration({ runtime, availabilityZone, chooseTarget }),
+    routingRegistration({ runtime, availabilityZone, chooseTarget }),
+    exchangesRegistration({ runtime }),
     lifecycleRegistration({ runtime, graceMs }),
   ];
 };
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -2,6 +2,7 @@
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type { Effect } from './effect.js';
 import type { Event } from './event.js';
+import type { Resolution } from './exchange.js';
 import type { CallerRequest } from './exchange-data.js';
 import type { Member, PeerRole } from './peer-message.js';
 import type { Order, OrderOutcome, RankIncrease, RankReport } from './rank-data.js';
@@ -25,6 +26,7 @@
   Admission = 'admission',
   RetryBudget = 'retry-budget',
   ColdStarts = 'cold-starts',
+  Routing = 'routing',
   Exchanges = 'exchanges',
   Lifecycle = 'lifecycle',
   EngineAdvice = 'engine-advice',
@@ -116,6 +118,21 @@
   readonly notePause: (pool: string, pauseMs: number) => void;
 }
 
+/** Where requests go. */
+export interface RoutingApi {
+  /** Judgement that refuses a request: no pool of its service takes one more. */
+  readonly refusalOf: (resolution: Resolution) => AdmissionResult | undefined;
+  /** The target for a request, none of those that were tried; undefined when there is none. */
+  readonly choose: (
+    resolution: Resolution,
+    triedIds: ReadonlySet<string>,
+  ) => PublishedTarget | undefined;
+  /** Leaves a target out for a while, unless there is no other. */
+  readonly avoid: (instanceId: string) => void;
+  /** Name of the targets whose passes go together with a target's. */
+  readonly poolOf: (target: PublishedTarget) => string;
+}
+
 /** Requests after which targets crashed. */
 export interface SuspectsApi {
   /** Notes that a target closed the connection of a request without an answer. */
@@ -182,6 +199,7 @@
   readonly [ServiceName.Admission]: AdmissionApi;
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
+  readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Exchanges]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
   readonly [ServiceName.EngineAdvice]: object;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -1,22 +1,18 @@
 /** @module Carries each caller's request to a target and the answer back. */
 import { createInstance } from '@ebonysill/kernel';
 import { clearTimer, log, setTimer } from './build-effects.js';
-import type { ChooseTarget } from './choose-target.js';
 import {
-  AdmissionVerdict,
   ServiceName,
   type AdmissionApi,
-  type AdmissionResult,
   type ColdStartsApi,
   type FindService,
-  type GroupsApi,
   type LifecycleApi,
   type LoadsApi,
   type Registration,
   type RetryBudgetApi,
+  type RoutingApi,
   type StoreApi,
   type SuspectsApi,
-  type TargetsApi,
 } from './directory.js';
 import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
 import {
@@ -29,7 +25,7 @@
 import { MAX_EVENT_BYTES, type StreamEvent } from './event-splitter.js';
 import { Exchange, ExchangeOutcome, ExchangeReason, isRepeatable } from './exchange.js';
 import { OwnStatus, ownAnswer } from './own-answers.js';
-import type { PublishedTarget, Route } from './published.js';
+import type { PublishedTarget } from './published.js';
 import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -37,16 +33,11 @@
 /** What the service is created from. */
 export interface ExchangesOptions {
   readonly runtime: Runtime;
-  readonly availabilityZone: string;
-  readonly chooseTarget: ChooseTarget;
 }
 
 /** Targets tried in vain for one request before it is refused. */
 const MAX_UNREACHABLE = 3;
 
-/** A target whose connection failed is left out for this long, unless there is no other. */
-const AVOID_MS = 1_000;
-
 /** A call is not repeated when less time than this is left; no target could answer in it. */
 const MIN_REPEAT_MS = 50;
 
@@ -78,20 +69,16 @@
 
   readonly #exchangeOfCall = new Map<number, Exchange>();
 
-  readonly #avoidUntilMs = new Map<string, number>();
-
   #nextCallId = 1;
 
   readonly #check: RequestCheck;
 
   readonly #store: StoreApi;
 
-  readonly #targets: TargetsApi;
+  readonly #routing: RoutingApi;
 
   readonly #loads: LoadsApi;
 
-  readonly #groups: GroupsApi;
-
   readonly #suspects: SuspectsApi;
 
   readonly #admission: AdmissionApi;
@@ -107,9 +94,8 @@
     find: FindService,
   ) {
     this.#store = find(ServiceName.Store);
-    this.#targets = find(ServiceName.Targets);
+    this.#routing = find(ServiceName.Routing);
     this.#loads = find(ServiceName.Loads);
-    this.#groups = find(ServiceName.Groups);
     this.#suspects = find(ServiceName.Suspects);
     this.#admission = find(ServiceName.Admission);
     this.#budget = find(ServiceName.RetryBudget);
@@ -177,7 +163,7 @@
   }
 
   #admit(exchange: Exchange): readonly Effect[] {
-    const refusal = this.#refusalOf(exchange);
+    const refusal = this.#routing.refusalOf(exchange.resolution);
     this.#exchanges.set(exchange.id, exchange);
     this.#lifecycle.exchangeBegan();
     if (!this.#lifecycle.mayBegin(exchange.isStream)) {
@@ -196,54 +182,18 @@
     ];
   }
 
-  /** Judgement that refuses a request: no pool of its service takes one more. */
-  #refusalOf({ resolution }: Exchange): AdmissionResult | undefined {
-    const { route, service } = resolution;
-    const pools = new Set(this.#targets.usable(service).map(this.#groups.poolOf));
-    const results = [...pools].map((pool) => this.#admission.judge(route, pool));
-    return results.every(({ verdict }) => verdict === AdmissionVerdict.Refused)
-      ? results[0]
-      : undefined;
-  }
-
-  /** Targets in pools that take one more request; all of them when none does. */
-  #admitting(route: Route, targets: readonly PublishedTarget[]): readonly PublishedTarget[] {
-    const admitting = targets.filter(
-      (target) =>
-        this.#admission.judge(route, this.#groups.poolOf(target)).verdict ===
-        AdmissionVerdict.Admitted,
-    );
-    return admitting.length > 0 ? admitting : targets;
-  }
-
   /** Calls a target that has not been tried; refuses or fails the request when there is none. */
   #callSome(exchange: Exchange, reasonIfNone: ExchangeReason): readonly Effect[] {
-    const target = this.#choose(exchange);
+    const target = this.#routing.choose(exchange.resolution, exchange.triedIds);
     return target === undefined
       ? this.#giveUp(exchange, reasonIfNone)
       : this.#call(exchange, target);
   }
 
-  #choose({ resolution, triedIds }: Exchange): PublishedTarget | undefined {
-    const { runtime, availabilityZone, chooseTarget } = this.options;
-    const untried = this.#targets
-      .usable(resolution.service)
-      .filter((target) => !triedIds.has(target.instanceId) && this.#coldStarts.mayStart(target));
-    const sound = untried.filter(
-      ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
-    );
-    return chooseTarget({
-      candidates: this.#admitting(resolution.route, sound.length > 0 ? sound : untried),
-      loads: this.#loads,
-      availabilityZone,
-      random: runtime.random,
-    });
-  }
-
   #call(exchange: Exchange, target: PublishedTarget): readonly Effect[] {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
-    exchange.noteCall(callId, target, this.#groups.poolOf(target));
+    exchange.noteCall(callId, target, this.#routing.poolOf(target));
     this.#exchangeOfCall.set(callId, exchange);
     const told = this.#loads.started(target.instanceId);
     this.#coldStarts.noteStart(target);
@@ -442,7 +392,7 @@
 
   #avoid({ target }: Exchange): void {
     if (target !== undefined) {
-      this.#avoidUntilMs.set(target.instanceId, this.options.runtime.nowMs() + AVOID_MS);
+      this.#routing.avoid(target.instanceId);
     }
   }
 
@@ -457,7 +407,7 @@
       isRepeatable(route) &&
       exchange.attemptCount < route.maxAttempts &&
       this.#hasTime(exchange) &&
-      this.#choose(exchange) !== undefined &&
+      this.#routing.choose(exchange.resolution, exchange.triedIds) !== undefined &&
       this.#budget.take(service);
     return mayRepeat
       ? [
@@ -573,7 +523,7 @@
  * Registers the service that handles exchanges.
  *
  * @example
- * exchangesRegistration({ runtime, availabilityZone: 'zone-a', chooseTarget: chooseLeastLoaded });
+ * const services = [routingRegistration(options), exchangesRegistration({ runtime })];
  */
 export const exchangesRegistration = (
   options: ExchangesOptions,
@@ -582,9 +532,8 @@
   requires: [
     ServiceName.Store,
     ServiceName.Catalogue,
-    ServiceName.Targets,
+    ServiceName.Routing,
     ServiceName.Loads,
-    ServiceName.Groups,
     ServiceName.Suspects,
     ServiceName.Admission,
     ServiceName.RetryBudget,
--- /dev/null
+++ b/packages/gateway/src/routing-service.ts
@@ -0,0 +1,131 @@
+/** @module Where a request goes: the targets that may take it, and the choice among them. */
+import { createInstance } from '@ebonysill/kernel';
+import type { ChooseTarget } from './choose-target.js';
+import {
+  AdmissionVerdict,
+  ServiceName,
+  type AdmissionApi,
+  type AdmissionResult,
+  type ColdStartsApi,
+  type FindService,
+  type GroupsApi,
+  type LoadsApi,
+  type Registration,
+  type TargetsApi,
+} from './directory.js';
+import type { Resolution } from './exchange.js';
+import type { PublishedTarget, Route } from './published.js';
+import type { Runtime } from './runtime.js';
+
+/** What the service is created from. */
+export interface RoutingOptions {
+  readonly runtime: Runtime;
+  readonly availabilityZone: string;
+  readonly chooseTarget: ChooseTarget;
+}
+
+/** A target whose connection failed is left out for this long, unless there is no other. */
+const AVOID_MS = 1_000;
+
+/** Chooses targets. */
+class RoutingService {
+  /** By instance identifier: until when a target is left out. */
+  readonly #avoidUntilMs = new Map<string, number>();
+
+  readonly #targets: TargetsApi;
+
+  readonly #loads: LoadsApi;
+
+  readonly #groups: GroupsApi;
+
+  readonly #admission: AdmissionApi;
+
+  readonly #coldStarts: ColdStartsApi;
+
+  private constructor(
+    private readonly options: RoutingOptions,
+    find: FindService,
+  ) {
+    this.#targets = find(ServiceName.Targets);
+    this.#loads = find(ServiceName.Loads);
+    this.#groups = find(ServiceName.Groups);
+    this.#admission = find(ServiceName.Admission);
+    this.#coldStarts = find(ServiceName.ColdStarts);
+  }
+
+  static create(options: RoutingOptions, find: FindService): RoutingService {
+    return new RoutingService(options, find);
+  }
+
+  readonly refusalOf = ({ route, service }: Resolution): AdmissionResult | undefined => {
+    const pools = new Set(this.#targets.usable(service).map(this.#groups.poolOf));
+    const results = [...pools].map((pool) => this.#admission.judge(route, pool));
+    return results.every(({ verdict }) => verdict === AdmissionVerdict.Refused)
+      ? results[0]
+      : undefined;
+  };
+
+  readonly choose = (
+    { route, service }: Resolution,
+    triedIds: ReadonlySet<string>,
+  ): PublishedTarget | undefined => {
+    const { runtime, availabilityZone, chooseTarget } = this.options;
+    const untried = this.#targets
+      .usable(service)
+      .filter((target) => !triedIds.has(target.instanceId) && this.#coldStarts.mayStart(target));
+    const sound = untried.filter(
+      ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
+    );
+    return chooseTarget({
+      candidates: this.#admitting(route, sound.length > 0 ? sound : untried),
+      loads: this.#loads,
+      availabilityZone,
+      random: runtime.random,
+    });
+  };
+
+  readonly avoid = (instanceId: string): void => {
+    const nowMs = this.options.runtime.nowMs();
+    this.#avoidUntilMs.forEach((untilMs, avoided) => {
+      if (untilMs <= nowMs) {
+        this.#avoidUntilMs.delete(avoided);
+      }
+    });
+    this.#avoidUntilMs.set(instanceId, nowMs + AVOID_MS);
+  };
+
+  readonly poolOf = (target: PublishedTarget): string => this.#groups.poolOf(target);
+
+  /** Targets in pools that take one more request; all of them when none does. */
+  #admitting(route: Route, targets: readonly PublishedTarget[]): readonly PublishedTarget[] {
+    const admitting = targets.filter(
+      (target) =>
+        this.#admission.judge(route, this.#groups.poolOf(target)).verdict ===
+        AdmissionVerdict.Admitted,
+    );
+    return admitting.length > 0 ? admitting : targets;
+  }
+}
+
+/**
+ * Registers the service that chooses targets.
+ *
+ * @example
+ * routingRegistration({ runtime, availabilityZone: 'zone-a', chooseTarget: chooseLeastLoaded });
+ */
+export const routingRegistration = (
+  options: RoutingOptions,
+): Registration<ServiceName.Routing> => ({
+  name: ServiceName.Routing,
+  requires: [
+    ServiceName.Targets,
+    ServiceName.Loads,
+    ServiceName.Groups,
+    ServiceName.Admission,
+    ServiceName.ColdStarts,
+  ],
+  create: (find) => {
+    const { refusalOf, choose, avoid, poolOf } = RoutingService.create(options, find);
+    return createInstance({ refusalOf, choose, avoid, poolOf }, {});
+  },
+});
