--- /dev/null
+++ b/soak/tests/checks.test.ts
@@ -0,0 +1,89 @@
+/** @module The checks of the soak catch what they are for. */
+import { test } from 'node:test';
+import { EVENTS_PER_STREAM, RoutePath, type SeenRun } from '@ebonysill/platform/stand-ins';
+import { createRandom } from '@ebonysill/emulator';
+import { expect } from 'earl';
+import { checkPromises, type Attempt, type SoakRecord } from '../src/check-promises.js';
+import { SoakFaultKind, drawFaults } from '../src/fault-plan.js';
+
+const attemptOf = (changes: Partial<Attempt> = {}): Attempt => ({
+  attemptId: 'a-1',
+  path: RoutePath.NonIdempotent,
+  credential: 'key-1',
+  sentAtMs: 0,
+  status: 200,
+  isSigned: true,
+  isComplete: true,
+  body: 'answer to a-1',
+  ...changes,
+});
+
+const runOf = (changes: Partial<SeenRun> = {}): SeenRun => ({
+  attemptId: 'a-1',
+  instanceId: 'i-1',
+  path: `${RoutePath.NonIdempotent}a-1`,
+  organisation: 'org-key-1',
+  hasCredential: false,
+  atMs: 0,
+  ...changes,
+});
+
+const broken = (record: Partial<SoakRecord>): readonly string[] =>
+  checkPromises({ attempts: [attemptOf()], runs: [runOf()], revocations: [], ...record }).map(
+    ({ promise }) => promise,
+  );
+
+const streamBody = (count: number): string =>
+  Array.from({ length: count }, (_, index) => `id: ${index + 1}\ndata: a-1/${index + 1}\n\n`).join(
+    '',
+  );
+
+const streamOf = (changes: Partial<Attempt>): Partial<SoakRecord> => ({
+  attempts: [attemptOf({ path: RoutePath.Stream, ...changes })],
+  runs: [runOf({ path: `${RoutePath.Stream}a-1` })],
+});
+
+test('a kept record breaks nothing', () => {
+  expect(broken({})).toEqual([]);
+  expect(broken(streamOf({ body: streamBody(EVENTS_PER_STREAM) }))).toEqual([]);
+  expect(broken(streamOf({ body: `${streamBody(3)}id: 4\nda`, isComplete: false }))).toEqual([]);
+});
+
+test('catches a second run', () => {
+  expect(broken({ runs: [runOf(), runOf({ instanceId: 'i-2' })] }).length).toEqual(1);
+});
+
+test('catches a false refusal', () => {
+  expect(broken({ attempts: [attemptOf({ status: 503 })] }).length).toEqual(1);
+});
+
+test('catches answers that are cut, mixed or unsigned', () => {
+  expect(broken({ attempts: [attemptOf({ body: 'answer to' })] }).length).toEqual(1);
+  expect(broken({ attempts: [attemptOf({ body: 'answer to a-2' })] }).length).toEqual(1);
+  expect(broken({ attempts: [attemptOf({ isSigned: false })] }).length).toEqual(1);
+});
+
+test('catches streams that are short, doubled or mixed', () => {
+  expect(broken(streamOf({ body: streamBody(5) })).length).toEqual(1);
+  expect(broken(streamOf({ body: `${streamBody(2)}${streamBody(8)}` })).length).toEqual(1);
+  expect(broken(streamOf({ body: streamBody(8).replaceAll('a-1', 'a-2') })).length).toEqual(1);
+});
+
+test('catches what nobody asked', () => {
+  expect(broken({ runs: [runOf(), runOf({ attemptId: 'a-9' })] }).length).toEqual(1);
+  expect(broken({ runs: [runOf({ organisation: 'org-key-2' })] }).length).toEqual(1);
+  expect(broken({ runs: [runOf({ hasCredential: true })] }).length).toEqual(1);
+});
+
+test('catches a revoked credential', () => {
+  const revocations = [{ credential: 'key-1', atMs: 0 }];
+  expect(broken({ revocations, attempts: [attemptOf({ sentAtMs: 5_001 })] }).length).toEqual(1);
+  expect(broken({ revocations, attempts: [attemptOf({ sentAtMs: 4_999 })] })).toEqual([]);
+});
+
+test('a seed draws the same faults', () => {
+  const faults = drawFaults(createRandom(3), 60_000);
+  expect(drawFaults(createRandom(3), 60_000)).toEqual(faults);
+  expect(new Set(faults.map(({ kind }) => kind)).size > 10).toEqual(true);
+  expect(Object.values(SoakFaultKind).length).toEqual(15);
+});
--- /dev/null
+++ b/soak/tests/soak.test.ts
@@ -0,0 +1,21 @@
+/** @module A short run of the soak, and the seeds that failed once. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { REGRESSIONS } from '../src/regressions.js';
+import runSoak, { type SoakOptions } from '../src/runSoak.js';
+
+const brokenPromises = async (options: SoakOptions): Promise<readonly string[]> => {
+  const { violations, servedCount, folder } = await runSoak(options);
+  expect(servedCount > 0).toEqual(true);
+  return violations.map(({ promise, detail }) => `${promise}: ${detail} (logs: ${folder})`);
+};
+
+test('a short run keeps every promise', async () => {
+  expect(await brokenPromises({ seed: 7, durationMs: 6_000 })).toEqual([]);
+});
+
+REGRESSIONS.forEach(({ seed, durationMs, cause }) =>
+  test(`seed ${seed} once failed: ${cause}`, async () => {
+    expect(await brokenPromises({ seed, durationMs })).toEqual([]);
+  }),
+);
