--- a/packages/gateway/src/TimerKind.ts
+++ b/packages/gateway/src/TimerKind.ts
@@ -3,7 +3,6 @@
 /** What a timer is for. */
 enum TimerKind {
   RequestDeadline = 'request-deadline',
-  ResumeDelay = 'resume-delay',
   StoreRetry = 'store-retry',
   LapseCheck = 'lapse-check',
   Membership = 'membership',
--- /dev/null
+++ b/packages/gateway/src/exchange-lines.ts
@@ -0,0 +1,90 @@
+/** @module Log lines on exchanges: what was decided, and on which knowledge. */
+import { log } from './build-effects.js';
+import type { AdmissionResult } from './directory.js';
+import { LogLevel, LogTopic, type LogEffect } from './effect.js';
+import { ExchangeOutcome, type Exchange, type ExchangeReason } from './exchange.js';
+
+/** How an exchange ended. */
+export interface ExchangeEnd {
+  readonly outcome: ExchangeOutcome;
+  readonly reason: ExchangeReason;
+  /** Status that the caller got; 0 when it left. */
+  readonly status: number;
+}
+
+/** What was known when an exchange ended. */
+export interface EndKnowledge extends Pick<AdmissionResult, 'passMs' | 'runningCount'> {
+  readonly nowMs: number;
+  /** Time since the store last vouched for what this process knows. */
+  readonly knowledgeAgeMs: number;
+}
+
+/** Line on a request that was denied before it became an exchange. */
+type DeniedLine = (
+  requestId: string,
+  status: number,
+  reason: ExchangeReason,
+  knowledgeAgeMs: number,
+) => LogEffect;
+
+/** Line on a call that failed and may be repeated. */
+type CallFailedLine = (exchange: Exchange, reason: ExchangeReason, detail: string) => LogEffect;
+
+/** Line on the end of an exchange. */
+type EndedLine = (exchange: Exchange, end: ExchangeEnd, known: EndKnowledge) => LogEffect;
+
+/**
+ * Builds the line on a denied request.
+ *
+ * @example
+ * deniedLine('attempt-1', 404, ExchangeReason.NoRoute, 800);
+ */
+export const deniedLine: DeniedLine = (requestId, status, reason, knowledgeAgeMs) =>
+  log(LogLevel.Info, LogTopic.RequestEnded, {
+    requestId,
+    status,
+    reason,
+    outcome: ExchangeOutcome.Refused,
+    knowledgeAgeMs,
+  });
+
+/**
+ * Builds the line on a failed call.
+ *
+ * @example
+ * callFailedLine(exchange, ExchangeReason.CallCut, 'the answer ends early');
+ */
+export const callFailedLine: CallFailedLine = (exchange, reason, detail) => {
+  const { request, target, attemptCount, unreachableCount } = exchange;
+  return log(LogLevel.Warn, LogTopic.CallFailed, {
+    requestId: request.attemptId,
+    ...(target === undefined ? {} : { instanceId: target.instanceId }),
+    attempt: attemptCount + unreachableCount,
+    reason,
+    detail,
+  });
+};
+
+/**
+ * Builds the line on an exchange that ended.
+ *
+ * @example
+ * endedLine(exchange, { outcome, reason, status: 200 }, { nowMs, passMs, runningCount, knowledgeAgeMs });
+ */
+export const endedLine: EndedLine = (exchange, end, known) => {
+  const { request, resolution, target, firstEventMs } = exchange;
+  return log(LogLevel.Info, LogTopic.RequestEnded, {
+    requestId: request.attemptId,
+    route: resolution.route.name,
+    service: resolution.service,
+    ...(target === undefined ? {} : { instanceId: target.instanceId }),
+    ...end,
+    attempt: exchange.attemptCount,
+    durationMs: Math.round(known.nowMs - exchange.receivedAtMs),
+    ...(firstEventMs === undefined ? {} : { firstEventMs: Math.round(firstEventMs) }),
+    longestPauseMs: Math.round(exchange.longestPauseMs),
+    passMs: Math.round(known.passMs),
+    runningCount: known.runningCount,
+    knowledgeAgeMs: known.knowledgeAgeMs,
+  });
+};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -24,7 +24,6 @@
   UnknownCredential = 'unknown-credential',
   TooManyStreams = 'too-many-streams',
   NoTarget = 'no-target',
-  TargetsFull = 'targets-full',
   NotRunByTarget = 'not-run-by-target',
   TargetUnreachable = 'target-unreachable',
   TargetFailed = 'target-failed',
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -1,6 +1,6 @@
 /** @module Carries each caller's request to a target and the answer back. */
 import { createInstance } from '@ebonysill/kernel';
-import { clearTimer, log, setTimer } from './build-effects.js';
+import { clearTimer, setTimer } from './build-effects.js';
 import {
   ServiceName,
   type AdmissionApi,
@@ -14,7 +14,7 @@
   type StoreApi,
   type SuspectsApi,
 } from './directory.js';
-import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
+import { EffectKind, type Effect } from './effect.js';
 import {
   EventKind,
   type Event,
@@ -23,6 +23,7 @@
 } from './event.js';
 import { CallStage, type TargetCall, type TargetHead } from './exchange-data.js';
 import { MAX_EVENT_BYTES, type StreamEvent } from './event-splitter.js';
+import { callFailedLine, deniedLine, endedLine } from './exchange-lines.js';
 import { Exchange, ExchangeOutcome, ExchangeReason, isRepeatable } from './exchange.js';
 import { OwnStatus, ownAnswer } from './own-answers.js';
 import type { PublishedTarget } from './published.js';
@@ -148,13 +149,7 @@
         status === OwnStatus.NotRun ? retryAfterMsOf(request.remainingMs) : undefined;
       return [
         ownAnswer(exchangeId, status, reason, retryAfterMs),
-        log(LogLevel.Info, LogTopic.RequestEnded, {
-          requestId: request.attemptId,
-          status,
-          reason,
-          outcome: ExchangeOutcome.Refused,
-          knowledgeAgeMs: this.#knowledgeAgeMs(),
-        }),
+        deniedLine(request.attemptId, status, reason, this.#knowledgeAgeMs()),
       ];
     }
     const exchange = Exchange.create(exchangeId, request, result.resolution, nowMs());
@@ -355,7 +350,7 @@
       exchange.attemptCount <= Math.max(1, route.maxAttempts - 1) &&
       this.#hasTime(exchange) &&
       this.#budget.take(service);
-    const line = ExchangesService.#callFailed(
+    const line = callFailedLine(
       exchange,
       ExchangeReason.NotRunByTarget,
       `status ${head.status} from ${head.faultyInstanceId ?? exchange.target?.instanceId ?? ''}`,
@@ -375,7 +370,7 @@
     this.#avoid(exchange);
     exchange.noteUnreachable();
     const lines = [
-      ExchangesService.#callFailed(exchange, ExchangeReason.TargetUnreachable, detail),
+      callFailedLine(exchange, ExchangeReason.TargetUnreachable, detail),
       ...this.#suspects.noteUnreachable(target?.instanceId ?? ''),
     ];
     return exchange.unreachableCount < MAX_UNREACHABLE && this.#hasTime(exchange)
@@ -410,10 +405,7 @@
       this.#routing.choose(exchange.resolution, exchange.triedIds) !== undefined &&
       this.#budget.take(service);
     return mayRepeat
-      ? [
-          ExchangesService.#callFailed(exchange, reason, detail),
-          ...this.#callSome(exchange, reason),
-        ]
+      ? [callFailedLine(exchange, reason, detail), ...this.#callSome(exchange, reason)]
       : undefined;
   }
 
@@ -425,17 +417,6 @@
     return this.#remainingMs(exchange) > MIN_REPEAT_MS;
   }
 
-  static #callFailed(exchange: Exchange, reason: ExchangeReason, detail: string): Effect {
-    const { request, target, attemptCount } = exchange;
-    return log(LogLevel.Warn, LogTopic.CallFailed, {
-      requestId: request.attemptId,
-      ...(target === undefined ? {} : { instanceId: target.instanceId }),
-      attempt: attemptCount + exchange.unreachableCount,
-      reason,
-      detail,
-    });
-  }
-
   #onDeadline(exchangeId: number): readonly Effect[] {
     const exchange = this.#exchanges.get(exchangeId);
     if (exchange === undefined) {
@@ -491,26 +472,22 @@
   ): readonly Effect[] {
     this.#exchanges.delete(exchange.id);
     this.#lifecycle.exchangeEnded();
-    const { request, resolution, target, firstEventMs, pool } = exchange;
-    const { passMs, runningCount } = this.#admission.judge(resolution.route, pool);
+    const { passMs, runningCount } = this.#admission.judge(
+      exchange.resolution.route,
+      exchange.pool,
+    );
     return [
       clearTimer(TimerKind.RequestDeadline, exchange.id),
-      log(LogLevel.Info, LogTopic.RequestEnded, {
-        requestId: request.attemptId,
-        route: resolution.route.name,
-        service: resolution.service,
-        ...(target === undefined ? {} : { instanceId: target.instanceId }),
-        status,
-        outcome,
-        reason,
-        attempt: exchange.attemptCount,
-        durationMs: Math.round(this.options.runtime.nowMs() - exchange.receivedAtMs),
-        ...(firstEventMs === undefined ? {} : { firstEventMs: Math.round(firstEventMs) }),
-        longestPauseMs: Math.round(exchange.longestPauseMs),
-        passMs: Math.round(passMs),
-        runningCount,
-        knowledgeAgeMs: this.#knowledgeAgeMs(),
-      }),
+      endedLine(
+        exchange,
+        { outcome, reason, status },
+        {
+          nowMs: this.options.runtime.nowMs(),
+          passMs,
+          runningCount,
+          knowledgeAgeMs: this.#knowledgeAgeMs(),
+        },
+      ),
     ];
   }
 
--- a/packages/gateway/src/own-answers.ts
+++ b/packages/gateway/src/own-answers.ts
@@ -26,7 +26,7 @@
  * Builds an answer of this process; `retryAfterMs` only for requests that did not run.
  *
  * @example
- * ownAnswer(7, OwnStatus.NotRun, ExchangeReason.TargetsFull, 200);
+ * ownAnswer(7, OwnStatus.NotRun, ExchangeReason.NoTarget, 200);
  */
 export const ownAnswer: BuildOwnAnswer = (exchangeId, status, reason, retryAfterMs) => ({
   kind: EffectKind.AnswerWhole,
--- a/packages/rank-agent/tests/fake-group.ts
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -110,6 +110,9 @@
   /** Pauses of hosts and kills of agents so far. */
   strikeCount = 0;
 
+  /** Addresses that the driver told the gateway to belong to its group. */
+  toldAddresses: readonly string[] = [];
+
   /** Changes of map that came into force. */
   changeCount = 0;
 
@@ -266,6 +269,9 @@
     if (message.kind === PeerMessageKind.Hello) {
       reply({ kind: PeerMessageKind.Members, members: [GATEWAY], digest: 1 });
     }
+    if (message.kind === PeerMessageKind.GroupTargets) {
+      this.toldAddresses = [...message.addresses].sort();
+    }
     if (message.kind === PeerMessageKind.FindTargets) {
       const addresses = this.#engines.map((_, index) => publishedAddressOf(index));
       reply({ kind: PeerMessageKind.TargetAddresses, addresses });
--- a/packages/rank-agent/tests/maps.test.ts
+++ b/packages/rank-agent/tests/maps.test.ts
@@ -38,6 +38,12 @@
   expect(group.step > 300).toEqual(true);
 });
 
+test('tells gateways which targets make passes together', () => {
+  const group = FakeGroup.create(1);
+  group.run(10_000);
+  expect(group.toldAddresses).toEqual([0, 1, 2, 3].map((rank) => `10.0.2.${rank}:80`));
+});
+
 test('orders without answers', () => {
   expect(badSeeds({ lostAnswer: 0.35 })).toEqual([]);
 });
