perf(rank-agent): ask an engine for its experts only when its map has changed

Change: the list is asked for when the report tells another map than the last list; an idle agent looks every 0.25 s instead of 0.15 s.

--- a/packages/gateway-io/src/ProcessHost.ts
+++ b/packages/gateway-io/src/ProcessHost.ts
@@ -7,6 +7,7 @@
   type Event,
   type LogEffect,
   type Order,
+  type RankExperts,
   type ReadStoreEffect,
   type Runtime,
 } from '@ebonysill/gateway';
@@ -21,7 +22,7 @@
 /** Asks for and orders of the engine beside the process. */
 export interface RankPort {
   readonly askState: (engineAddress?: string) => void;
-  readonly countExperts: () => void;
+  readonly countExperts: (known?: RankExperts) => void;
   readonly order: (orderId: number, order: Order, engineAddress?: string) => void;
 }
 
@@ -134,7 +135,7 @@
         rank?.askState(effect.engineAddress);
         return;
       case EffectKind.CountExperts:
-        rank?.countExperts();
+        rank?.countExperts(effect.known);
         return;
       case EffectKind.GiveOrder:
         rank?.order(effect.orderId, effect.order, effect.engineAddress);
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -2,7 +2,7 @@
 import type { HeaderField, TargetCall } from './exchange-data.js';
 import type { PeerMessage } from './peer-message.js';
 import type { CallerLimits } from './published.js';
-import type { Order } from './rank-data.js';
+import type { Order, RankExperts } from './rank-data.js';
 import type { StoreReadKind } from './event.js';
 import type TimerKind from './TimerKind.js';
 
@@ -134,6 +134,8 @@
 /** Asks the engine beside this process for its counts of experts. */
 export interface CountExpertsEffect {
   readonly kind: EffectKind.CountExperts;
+  /** The experts that the rank holds, when they are known already and need not be asked for. */
+  readonly known?: RankExperts;
 }
 
 /** Gives an order to an engine. */
--- a/packages/gateway/src/rank-data.ts
+++ b/packages/gateway/src/rank-data.ts
@@ -27,24 +27,25 @@
   readonly pace: number;
 }
 
+/** The experts that one rank holds. */
+export interface RankExperts {
+  readonly mapVersion: number;
+  /** Under that version, by layer set. */
+  readonly experts: readonly (readonly number[])[];
+}
+
 /** Choices of experts at one rank, and the experts that it holds. */
-export interface RankTally {
+export interface RankTally extends RankExperts {
   readonly epoch: number;
   /** By layer set and expert, since the engine started. */
   readonly counts: readonly (readonly number[])[];
-  readonly mapVersion: number;
-  /** Experts that the rank holds under that version, by layer set. */
-  readonly experts: readonly (readonly number[])[];
 }
 
 /** Choices of experts at one rank since it told of them last, and the experts that it holds. */
-export interface RankIncrease {
+export interface RankIncrease extends RankExperts {
   /** By layer set and expert, in multiples of `unit`: small numbers make short messages. */
   readonly counts: readonly (readonly number[])[];
   readonly unit: number;
-  readonly mapVersion: number;
-  /** Experts that the rank holds under that version, by layer set. */
-  readonly experts: readonly (readonly number[])[];
 }
 
 /** What an order does. */
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -36,8 +36,8 @@
 import HoldKeeper from './HoldKeeper.js';
 import TallyDifference from './TallyDifference.js';
 
-/** Time between two looks at the engine; about two passes. */
-const REPORT_INTERVAL_MS = 150;
+/** Time between two looks at the engine; a few passes. */
+const REPORT_INTERVAL_MS = 250;
 
 /** Time between two looks while a change is under way. */
 const FAST_INTERVAL_MS = 30;
@@ -81,6 +81,8 @@
 class RankMonitorService {
   #report: RankReport | undefined;
 
+  #tally: RankTally | undefined;
+
   #increase: RankIncrease | undefined;
 
   readonly #difference = TallyDifference.create();
@@ -159,7 +161,7 @@
         ];
       case TimerKind.ExpertCount:
         return [
-          { kind: EffectKind.CountExperts },
+          this.#countExperts(),
           setTimer(TimerKind.ExpertCount, TIMER_KEY, TALLY_INTERVAL_MS),
         ];
       default:
@@ -167,6 +169,21 @@
     }
   }
 
+  /** The experts that the rank holds are asked for only when its map has changed. */
+  #countExperts(): Effect {
+    const tally = this.#tally;
+    const isCurrent =
+      tally !== undefined &&
+      tally.epoch === this.#report?.epoch &&
+      tally.mapVersion === this.#report.mapVersion;
+    return isCurrent
+      ? {
+          kind: EffectKind.CountExperts,
+          known: { mapVersion: tally.mapVersion, experts: tally.experts },
+        }
+      : { kind: EffectKind.CountExperts };
+  }
+
   #intervalMs(): number {
     const isFast = this.options.runtime.nowMs() - this.#driverHeardAtMs < FAST_SPAN_MS;
     return isFast ? FAST_INTERVAL_MS : REPORT_INTERVAL_MS;
@@ -207,6 +224,7 @@
 
   #onTally(tally: RankTally): readonly Effect[] {
     const report = this.#report;
+    this.#tally = tally;
     const increase = this.#difference.note(tally);
     this.#increase = increase;
     if (report === undefined || increase === undefined) {
--- a/packages/rank-agent/tests/fake-group.ts
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -14,6 +14,7 @@
   type Member,
   type PeerMessage,
   type Order,
+  type RankExperts,
   type RankPlacement,
   type RankReport,
 } from '@ebonysill/gateway';
@@ -113,6 +114,9 @@
   /** Addresses that the driver told the gateway to belong to its group. */
   toldAddresses: readonly string[] = [];
 
+  /** How often agents asked for counts, and how often also for the experts that their rank holds. */
+  readonly asked = { counts: 0, experts: 0 };
+
   /** Changes of map that came into force. */
   changeCount = 0;
 
@@ -345,7 +349,9 @@
         );
         return;
       case EffectKind.CountExperts:
-        this.#after(1, () => this.#tally(rank, life));
+        this.asked.counts += 1;
+        this.asked.experts += effect.known === undefined ? 1 : 0;
+        this.#after(1, () => this.#tally(rank, life, effect.known));
         return;
       case EffectKind.GiveOrder:
         this.#giveOrder(rank, life, effect);
@@ -459,15 +465,15 @@
     };
   }
 
-  #tally(rank: number, life: number): void {
+  #tally(rank: number, life: number, known?: RankExperts): void {
     const engine = this.#engines[rank] ?? new FakeEngine();
     this.#post(rank, life, {
       kind: EventKind.ExpertsCounted,
       tally: {
         epoch: this.epoch,
         counts: [[...engine.counts]],
-        mapVersion: engine.mapVersion,
-        experts: [engine.placement[0]?.[rank] ?? []],
+        mapVersion: known?.mapVersion ?? engine.mapVersion,
+        experts: known?.experts ?? [engine.placement[0]?.[rank] ?? []],
       },
     });
   }
--- a/packages/rank-agent/tests/maps.test.ts
+++ b/packages/rank-agent/tests/maps.test.ts
@@ -44,6 +44,13 @@
   expect(group.toldAddresses).toEqual([0, 1, 2, 3].map((rank) => `10.0.2.${rank}:80`));
 });
 
+test('asks for the experts of a rank when its map has changed', () => {
+  const group = FakeGroup.create(1);
+  group.run(20_000);
+  expect(group.changeCount > 0).toEqual(true);
+  expect(group.asked.experts < group.asked.counts / 4).toEqual(true);
+});
+
 test('orders without answers', () => {
   expect(badSeeds({ lostAnswer: 0.35 })).toEqual([]);
 });
