perf(rank-agent): confirm a hold as soon as the engine reports it

Streams were late by pauses, none by first events: the driver asked for the confirmation with the order, the engine did not hold yet, and it asked again 40 ms and 80 ms later, so that the pass was held up to 60 ms too long when passes are short.

Change: the driver asks when the engine has taken the order; the agent remembers what it was asked and answers as soon as its engine reports the hold.

--- a/packages/rank-agent/src/change-phases.ts
+++ b/packages/rank-agent/src/change-phases.ts
@@ -161,10 +161,11 @@
       ];
     }
     const order = { kind: OrderKind.Hold, epoch, step } as const;
-    const ordered = change.isOrderDue(step, AGENT_PATIENCE_MS)
-      ? this.#orderPast(change, rank, order, engineAddress)
-      : [];
-    return [...ordered, sendToPeer(holder.agentAddress, confirm)];
+    const asked = sendToPeer(holder.agentAddress, confirm);
+    // Asked only later: a host that is paused as it gives the order must not have its hold kept.
+    return change.isOrderDue(step, AGENT_PATIENCE_MS)
+      ? this.#orderPast(change, rank, order, engineAddress, [asked])
+      : [asked];
   }
 
   /** Asks a rank's agent; an agent that is slow to answer is passed by. */
@@ -183,12 +184,13 @@
     return [asked, ...this.#orderPast(change, report.rank, order, address)];
   }
 
-  /** Gives an order to an engine past its agent. */
+  /** Gives an order to an engine past its agent; `next` follows its answer. */
   #orderPast(
     change: MapChange,
     rank: number,
     order: Order,
     engineAddress: string,
+    next: readonly Effect[] = [],
   ): readonly Effect[] {
     return this.options.monitor.order(
       order,
@@ -200,6 +202,7 @@
             outcome,
             epoch: order.epoch,
           }),
+          ...next,
         ];
       },
       engineAddress,
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -77,10 +77,21 @@
   readonly engineAddress: string;
 }
 
+/** A hold that a driver asks to confirm. */
+interface AskedHold {
+  /** IP address and port of the driver. */
+  readonly address: string;
+  readonly epoch: number;
+  readonly step: number;
+}
+
 /** Follows one engine. */
 class RankMonitorService {
   #report: RankReport | undefined;
 
+  /** The hold that a driver has asked to confirm and that the engine has not reported yet. */
+  #asked: AskedHold | undefined;
+
   #tally: RankTally | undefined;
 
   #increase: RankIncrease | undefined;
@@ -196,7 +207,7 @@
     }
     this.#members.joinGroup(report.groupName);
     this.#holds.note(report);
-    return [...this.#tellState(report), ...this.#giveUpHold(report.epoch)];
+    return [...this.#answerAsked(), ...this.#tellState(report), ...this.#giveUpHold(report.epoch)];
   }
 
   /** A hold that no driver confirms would stop the group for nothing. */
@@ -285,11 +296,25 @@
   }
 
   #confirmHold(address: string, epoch: number, step: number): readonly Effect[] {
+    this.#asked = { address, epoch, step };
+    const confirmed = this.#answerAsked();
+    return confirmed.length > 0 ? confirmed : this.#lookSoon();
+  }
+
+  /** Confirms the hold that a driver asks for, as soon as the engine reports it. */
+  #answerAsked(): readonly Effect[] {
     const report = this.#report;
+    const asked = this.#asked;
+    if (report === undefined || asked === undefined) {
+      return [];
+    }
+    if (!this.#holds.confirm(asked.epoch, asked.step)) {
+      return [];
+    }
+    this.#asked = undefined;
     const { engineAddress } = this.options;
-    return report !== undefined && this.#holds.confirm(epoch, step)
-      ? [sendToPeer(address, { kind: PeerMessageKind.HoldConfirmed, report, engineAddress })]
-      : this.#lookSoon();
+    const kind = PeerMessageKind.HoldConfirmed;
+    return [sendToPeer(asked.address, { kind, report, engineAddress })];
   }
 
   #arm(epoch: number, version: number, step: number): readonly Effect[] {
