--- a/soak/src/CallerLoad.ts
+++ b/soak/src/CallerLoad.ts
@@ -2,7 +2,7 @@
 import { Agent, get, request, type IncomingMessage } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Random } from '@ebonysill/emulator';
-import { RoutePath, requestFields } from '@ebonysill/platform/stand-ins';
+import { RoutePath, isSignedAnswer, requestFields } from '@ebonysill/platform/stand-ins';
 import type { Attempt } from './check-promises.js';
 
 /** What a load is created from. */
@@ -65,7 +65,7 @@
     answer.on('close', resolve);
     answer.on('error', () => resolve());
   });
-  const isSigned = Object.keys(answer.headers).some((name) => name.endsWith('signature'));
+  const isSigned = isSignedAnswer(answer.headers);
   return { status: answer.statusCode ?? NO_ANSWER, isSigned, isComplete: answer.complete, body };
 };
 
@@ -73,7 +73,7 @@
  * Status of a plain request; 0 when nobody answers.
  *
  * @example
- * await statusOf('127.0.0.1', 8_220, '/api/readiness'); // 200
+ * await statusOf('127.0.0.1', READINESS_PORT, READINESS_PATH); // 200
  */
 export const statusOf = (host: string, port: number, path: string): Promise<number> =>
   new Promise((resolve) => {
--- a/soak/src/ManagedProgram.ts
+++ b/soak/src/ManagedProgram.ts
@@ -3,6 +3,7 @@
 import { createWriteStream, type WriteStream } from 'node:fs';
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import { SETTINGS_VARIABLE } from '@ebonysill/platform/stand-ins';
 
 /** What a program is created from. */
 export interface ManagedProgramOptions {
@@ -19,9 +20,6 @@
 /** Pause before a process that ended is started again. */
 const RESTART_DELAY_MS = 300;
 
-/** Name of the variable with the path of the settings file. */
-const SETTINGS_VARIABLE = 'EBONYSILL_NODE_FILE';
-
 /** Keeps one program running. */
 export default class ManagedProgram {
   #child: ChildProcess | undefined;
