feat: log prompt segments and the progress of the answer with each call

Callers saw streams cut and refused; from the logs nobody could tell whether the requests blamed for a crash were its cause. CallerRequest now holds the shared segments of the prompt, and lines about failed calls and ended requests name them; lines about failed calls also say whether the answer had a head or events.

--- a/packages/gateway-io/tests/caller-server.test.ts
+++ b/packages/gateway-io/tests/caller-server.test.ts
@@ -43,6 +43,7 @@
       method,
       path: url,
       promptTokens: 0,
+      promptSegments: [],
       headers: [],
       body,
     }),
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -199,6 +199,9 @@
   readonly outcome?: string;
   readonly reason?: string;
   readonly attempt?: number;
+  readonly progress?: string;
+  /** Prompt segments that other requests may share, separated by commas. */
+  readonly promptSegments?: string;
   readonly durationMs?: number;
   readonly firstEventMs?: number;
   readonly longestPauseMs?: number;
--- a/packages/gateway/src/exchange-data.ts
+++ b/packages/gateway/src/exchange-data.ts
@@ -22,6 +22,8 @@
   readonly resumeAfter?: string;
   /** Tokens to read for the request; 0 when the caller did not send the number. */
   readonly promptTokens: number;
+  /** Segments of the prompt that other requests may share, in order; without the request's own. */
+  readonly promptSegments: readonly string[];
   readonly headers: readonly HeaderField[];
   readonly body: Uint8Array;
 }
--- a/packages/gateway/src/exchange-log.ts
+++ b/packages/gateway/src/exchange-log.ts
@@ -1,6 +1,7 @@
 /** @module Log lines about exchanges: the decision, and the state that it was based on. */
 import { log } from './build-effects.js';
-import { LogLevel, LogTopic, type LogEffect } from './effect.js';
+import { LogLevel, LogTopic, type LogEffect, type LogFields } from './effect.js';
+import type { CallerRequest } from './exchange-data.js';
 import { ExchangeOutcome, ExchangeReason, type Exchange } from './exchange.js';
 
 /** How an exchange ended. */
@@ -11,6 +12,9 @@
   readonly status: number;
 }
 
+/** Further segments are left out, so that the size of a line stays bounded. */
+const MAX_LOGGED_SEGMENTS = 8;
+
 /** State of this process when an exchange ended. */
 export interface ExchangeEndState {
   /** Estimated duration of a pass of the request's pool; 0 when unknown. */
@@ -66,6 +70,11 @@
     knowledgeAgeMs,
   });
 
+const segmentFields = ({ promptSegments }: CallerRequest): Pick<LogFields, 'promptSegments'> =>
+  promptSegments.length === 0
+    ? {}
+    : { promptSegments: promptSegments.slice(0, MAX_LOGGED_SEGMENTS).join(',') };
+
 /**
  * Builds the line about a failed call.
  *
@@ -73,11 +82,13 @@
  * callFailedLine(exchange, ExchangeReason.CallInterrupted, 'the answer ends early');
  */
 export const callFailedLine: CallFailedLine = (exchange, reason, detail) => {
-  const { request, target, attemptCount, unreachableCount } = exchange;
+  const { request, target, attemptCount, unreachableCount, progress } = exchange;
   return log(LogLevel.Warn, LogTopic.CallFailed, {
     requestId: request.attemptId,
     ...(target === undefined ? {} : { instanceId: target.instanceId }),
     attempt: attemptCount + unreachableCount,
+    progress,
+    ...segmentFields(request),
     reason,
     detail,
   });
@@ -108,6 +119,7 @@
     route: resolution.route.name,
     service: resolution.service,
     ...(target === undefined ? {} : { instanceId: target.instanceId }),
+    ...segmentFields(request),
     ...end,
     attempt: exchange.attemptCount,
     durationMs: Math.round(state.nowMs - exchange.receivedAtMs),
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -36,6 +36,14 @@
   CrashSuspect = 'crash-suspect',
 }
 
+/** How much of an answer the current call has received. */
+export enum AnswerProgress {
+  None = 'none',
+  Head = 'head',
+  /** At least one event of a stream. */
+  Events = 'events',
+}
+
 /** Route, service and organisation to which a request was resolved when it was accepted. */
 export interface Resolution {
   readonly route: Route;
@@ -124,6 +132,13 @@
     return this.receivedAtMs + Math.min(timeoutMs, this.request.remainingMs ?? timeoutMs);
   }
 
+  get progress(): AnswerProgress {
+    if (this.lastCallEventAtMs !== undefined) {
+      return AnswerProgress.Events;
+    }
+    return this.head === undefined ? AnswerProgress.None : AnswerProgress.Head;
+  }
+
   get isStream(): boolean {
     return this.resolution.route.kind === CallKind.Streaming;
   }
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -83,6 +83,7 @@
   credential: 'key-1',
   remainingMs: 3_000,
   promptTokens: 0,
+  promptSegments: [],
   headers: [],
   body: Buffer.alloc(0),
   ...changes,
