fix: count crashes of targets by the prompt segments that remain as their cause

What callers saw: one in twenty requests of one route carried a prompt segment that crashes the engine that begins to answer it; each took its whole group down for 3.2 s, so streams of all callers were cut or refused.

Cause: crashes were counted by a digest of the whole request, and these requests differ in their bodies. A crash was also counted only where a gateway had both lost a call at the target and been refused a connection there, 1.1 s later, and a cut request was retried at a second engine at once.

Change: a lost call without an answer has its target checked at once; each crash keeps the request's prompt segments, and answers since then narrow them down; requests that have the remaining segments in common are refused, then tried again one at a time. Gateways exchange crashes and answers at once and repeatedly, also with one that starts.

It works because a segment that was answered since cannot be the cause, so only requests with the remaining segments are refused.

--- a/packages/gateway-io/src/ProcessHost.ts
+++ b/packages/gateway-io/src/ProcessHost.ts
@@ -134,6 +134,9 @@
       case EffectKind.CancelCall:
         targets?.cancel(effect.callId);
         return;
+      case EffectKind.CheckTarget:
+        targets?.check(effect);
+        return;
       case EffectKind.SendAnswer:
         callers?.sendAnswer(effect);
         return;
--- a/packages/gateway-io/src/TargetClient.ts
+++ b/packages/gateway-io/src/TargetClient.ts
@@ -8,12 +8,14 @@
 import {
   CallStage,
   EventKind,
+  type CheckTargetEffect,
   type Event,
   type HeaderField,
   type StartCallEffect,
   type TargetCall,
   type TargetHead,
 } from '@ebonysill/gateway';
+import checkReachability from './checkReachability.js';
 
 /** Encodes a call's header fields. */
 export type EncodeCall = (call: TargetCall) => readonly HeaderField[];
@@ -94,6 +96,13 @@
     this.#removeCall(callId)?.request.destroy();
   }
 
+  /** Checks whether a target accepts connections; the result is posted as an event. */
+  check({ instanceId, address }: CheckTargetEffect): void {
+    checkReachability(address, CONNECT_TIMEOUT_MS, (reachability) =>
+      this.options.post({ kind: EventKind.TargetChecked, instanceId, reachability }),
+    );
+  }
+
   #headersOf(call: TargetCall): string[] {
     const framing: readonly HeaderField[] = [
       { name: 'connection', value: 'close' },
--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -33,6 +33,14 @@
 
 const group = { groupName: z.string(), epoch: z.number() };
 
+const segments = z.array(z.string());
+
+const answers = z.array(z.object({ segment: z.string(), ageMs: z.number() }));
+
+const crashes = z.array(
+  z.object({ instanceId: z.string(), ageMs: z.number(), fingerprint: z.string(), segments }),
+);
+
 const targetCount = { instanceId: z.string(), count: z.number() };
 
 const schema = z.discriminatedUnion('kind', [
@@ -74,7 +82,11 @@
     kind: z.literal(PeerMessageKind.CrashReport),
     fingerprint: z.string(),
     instanceId: z.string(),
+    // Gateways of earlier versions report no segments.
+    segments: segments.default([]),
+    answers: answers.default([]),
   }),
+  z.object({ kind: z.literal(PeerMessageKind.Suspects), crashes, answers }),
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
     report,
--- /dev/null
+++ b/packages/gateway-io/tests/peer-messages.test.ts
@@ -0,0 +1,31 @@
+/** @module Messages about crashes, as other versions of a gateway send them. */
+import { test } from 'node:test';
+import { PeerMessageKind } from '@ebonysill/gateway';
+import { expect } from 'earl';
+import parsePeerMessage from '../src/parsePeerMessage.js';
+
+test('a crash report of an earlier version has no segments', () => {
+  const kind = PeerMessageKind.CrashReport;
+  expect(parsePeerMessage({ kind, fingerprint: '1-2-3', instanceId: 'i-1' })).toEqual({
+    kind,
+    fingerprint: '1-2-3',
+    instanceId: 'i-1',
+    segments: [],
+    answers: [],
+  });
+});
+
+test('a message about suspects keeps its crashes', () => {
+  const message = {
+    kind: PeerMessageKind.Suspects as const,
+    crashes: [{ instanceId: 'i-1', ageMs: 40, fingerprint: '1-2-3', segments: ['assistant/5c'] }],
+    answers: [{ segment: 'assistant/5c', ageMs: 100 }],
+  };
+  expect(parsePeerMessage(message)).toEqual(message);
+});
+
+test('a message about suspects without ages is dropped', () => {
+  const crashes = [{ instanceId: 'i-1', fingerprint: '1-2-3', segments: [] }];
+  const message = { kind: PeerMessageKind.Suspects, crashes, answers: [] };
+  expect(parsePeerMessage(message)).toEqual(undefined);
+});
--- a/packages/gateway/src/TimerKind.ts
+++ b/packages/gateway/src/TimerKind.ts
@@ -8,6 +8,7 @@
   LapseCheck = 'lapse-check',
   Membership = 'membership',
   LoadBroadcast = 'load-spread',
+  SuspectReport = 'suspect-report',
   DrainEnd = 'drain-end',
   RankReport = 'rank-report',
   ExpertCount = 'expert-count',
--- /dev/null
+++ b/packages/gateway/src/crash.ts
@@ -0,0 +1,54 @@
+/** @module Crashes of targets, as gateways observe them and report them to each other. */
+
+/** A target crashed before it began to answer a request. */
+export interface Crash {
+  readonly instanceId: string;
+  readonly atMs: number;
+  /** Identifies the request, which its caller may repeat. */
+  readonly fingerprint: string;
+  /** Segments of the prompt that other requests may share, each with the name of the service. */
+  readonly segments: readonly string[];
+}
+
+/** Reports about one instance within this time are about the same crash. */
+const SAME_CRASH_MS = 3_000;
+
+/** Further crashes add no evidence. */
+const MAX_CRASHES = 64;
+
+/** Crashes older than this are ignored, so that no request is refused permanently. */
+const CRASH_EXPIRY_MS = 1_200_000;
+
+/**
+ * Whether two reports are about one crash; several requests may have been in progress.
+ *
+ * @example
+ * isSameCrash({ instanceId, atMs: 100 }, { instanceId, atMs: 2_000 }); // true
+ */
+export const isSameCrash = (
+  left: Pick<Crash, 'instanceId' | 'atMs'>,
+  right: Pick<Crash, 'instanceId' | 'atMs'>,
+): boolean =>
+  left.instanceId === right.instanceId && Math.abs(left.atMs - right.atMs) < SAME_CRASH_MS;
+
+const addCrash = (known: readonly Crash[], added: Crash): readonly Crash[] =>
+  known.some((crash) => isSameCrash(crash, added) && crash.fingerprint === added.fingerprint)
+    ? known
+    : [...known, added];
+
+/**
+ * Adds crashes that are not known yet; the result is in order of time and bounded.
+ *
+ * @example
+ * mergeCrashes(known, received, nowMs()).length;
+ */
+export const mergeCrashes = (
+  known: readonly Crash[],
+  added: readonly Crash[],
+  nowMs: number,
+): readonly Crash[] =>
+  added
+    .reduce(addCrash, known)
+    .filter(({ atMs }) => atMs > nowMs - CRASH_EXPIRY_MS)
+    .sort((earlier, later) => earlier.atMs - later.atMs)
+    .slice(-MAX_CRASHES);
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,5 +1,6 @@
 /** @module The services that make up a gateway. */
 import { admissionRegistration } from './admission-service.js';
+import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import catalogueRegistration from './catalogueRegistration.js';
 import { chooseLeastLoaded, type ChooseTarget } from './choose-target.js';
 import { admitByPass, type DecideAdmission } from './decide-admission.js';
@@ -33,6 +34,8 @@
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
   readonly decideAdmission?: DecideAdmission;
+  /** Decides how long requests are refused that may crash targets; by default by the evidence. */
+  readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
   readonly isStalled?: IsStalled;
 }
@@ -46,7 +49,7 @@
 export const createGatewayServices = (options: GatewayOptions): readonly AnyRegistration[] => {
   const { runtime, self, seeds, retryBudget, graceMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
-  const { isStalled = isStalledBehindGroup } = options;
+  const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -55,7 +58,7 @@
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime }),
     groupsRegistration({ runtime }),
-    suspectsRegistration({ runtime }),
+    suspectsRegistration({ runtime, barUntilMs }),
     engineLimitsRegistration(),
     admissionRegistration({ runtime, decide: decideAdmission }),
     retryBudgetRegistration(runtime, retryBudget),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,7 +1,7 @@
 /** @module Names and APIs of the services. */
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type { Effect } from './effect.js';
-import type { Event } from './event.js';
+import type { Event, TargetReachability } from './event.js';
 import type { Resolution } from './exchange.js';
 import type { CallerRequest } from './exchange-data.js';
 import type { Member, PassEstimate, PeerRole } from './peer-message.js';
@@ -154,14 +154,37 @@
   readonly poolOf: (target: PublishedTarget) => string;
 }
 
+/** A request with the route and the service to which it was resolved. */
+export interface ResolvedRequest {
+  readonly request: CallerRequest;
+  readonly resolution: Resolution;
+}
+
 /** Requests after which targets crashed. */
 export interface SuspectsApi {
-  /** Records that a target closed the connection of a request without a complete answer. */
-  readonly recordInterrupted: (request: CallerRequest, instanceId: string) => void;
+  /**
+   * Records that a target closed the connection of a request before its answer began; the effects
+   * check whether the target has crashed.
+   */
+  readonly recordInterrupted: (
+    resolved: ResolvedRequest,
+    target: PublishedTarget,
+  ) => readonly Effect[];
+  /** Records the result of a check. */
+  readonly recordChecked: (
+    instanceId: string,
+    reachability: TargetReachability,
+  ) => readonly Effect[];
   /** Records that a target accepts no connections; the requests it just interrupted are crashes. */
   readonly recordUnreachable: (instanceId: string) => readonly Effect[];
-  /** Whether so many targets crashed after a request that it must not be sent again. */
-  readonly isSuspect: (request: CallerRequest) => boolean;
+  /** Records that a target has begun to answer a request. */
+  readonly recordAnswered: (resolved: ResolvedRequest) => readonly Effect[];
+  /** Records that a request is sent to a target. */
+  readonly recordSent: (resolved: ResolvedRequest) => void;
+  /** For how long a request must not be sent to targets, because it may crash them; else 0. */
+  readonly barredForMs: (resolved: ResolvedRequest) => number;
+  /** Whether no target is known to have answered a request with some segment of the prompt. */
+  readonly hasUnansweredSegment: (resolved: ResolvedRequest) => boolean;
 }
 
 /** Limits retries. */
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -10,6 +10,7 @@
 export enum EffectKind {
   StartCall = 'start-call',
   CancelCall = 'cancel-call',
+  CheckTarget = 'check-target',
   SendAnswer = 'answer-whole',
   BeginAnswer = 'begin-answer',
   ContinueAnswer = 'continue-answer',
@@ -42,6 +43,14 @@
   readonly callId: number;
 }
 
+/** Opens a connection to a target and closes it, to see whether the target still listens. */
+export interface CheckTargetEffect {
+  readonly kind: EffectKind.CheckTarget;
+  readonly instanceId: string;
+  /** IP address and port. */
+  readonly address: string;
+}
+
 /** Sends a complete answer of known length. */
 export interface SendAnswerEffect {
   readonly kind: EffectKind.SendAnswer;
@@ -181,6 +190,7 @@
   CallFailed = 'call failed',
   ExchangeFailed = 'exchange failed',
   CrashSuspected = 'crash suspected',
+  SuspicionCleared = 'suspicion cleared',
   MapChangeStarted = 'map change started',
   MapChangeEnded = 'map change ended',
   OrderAnswered = 'order answered',
@@ -234,6 +244,7 @@
 export type Effect =
   | StartCallEffect
   | CancelCallEffect
+  | CheckTargetEffect
   | SendAnswerEffect
   | BeginAnswerEffect
   | ContinueAnswerEffect
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -13,6 +13,7 @@
   TargetDataReceived = 'target-data-received',
   TargetAnswerEnded = 'target-answer-ended',
   TargetCallFailed = 'target-call-failed',
+  TargetChecked = 'target-checked',
   StoreRead = 'store-read',
   StoreFailed = 'store-failed',
   TimerFired = 'timer-fired',
@@ -66,6 +67,22 @@
   readonly detail: string;
 }
 
+/** Whether a target accepts connections. */
+export enum TargetReachability {
+  Listening = 'listening',
+  /** The host answers, but no process listens. */
+  Refusing = 'refusing',
+  /** Nothing answers. */
+  Silent = 'silent',
+}
+
+/** A check of a target ended. */
+export interface TargetCheckedEvent {
+  readonly kind: EventKind.TargetChecked;
+  readonly instanceId: string;
+  readonly reachability: TargetReachability;
+}
+
 /** Type of an item in the store, or its removal. */
 export enum ItemKind {
   Configuration = 'configuration',
@@ -195,6 +212,7 @@
   | TargetDataEvent
   | TargetEndEvent
   | TargetCallFailedEvent
+  | TargetCheckedEvent
   | StoreReadEvent
   | StoreFailedEvent
   | TimerFiredEvent
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -30,6 +30,7 @@
   type Event,
   type RequestReceivedEvent,
   type TargetCallFailedEvent,
+  type TargetCheckedEvent,
   type TimerFiredEvent,
 } from './event.js';
 import { CallStage, type TargetHead } from './exchange-data.js';
@@ -42,12 +43,18 @@
   servedWith,
   type ExchangeEnd,
 } from './exchange-log.js';
-import { Exchange, ExchangeOutcome, ExchangeReason, isRetryable } from './exchange.js';
+import {
+  AnswerProgress,
+  Exchange,
+  ExchangeOutcome,
+  ExchangeReason,
+  isRetryable,
+} from './exchange.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
 import type { PublishedTarget } from './published.js';
 import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
-import { DRAINING_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS, retryAfterMsOf } from './retry-after.js';
+import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf } from './retry-after.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
 
@@ -72,6 +79,9 @@
 
   readonly #exchangeOfCall = new Map<number, Exchange>();
 
+  /** By exchange whose call was interrupted: the target that is checked before the retry. */
+  readonly #checkedTargets = new Map<number, string>();
+
   readonly #buffers = AnswerBuffers.create();
 
   #nextCallId = 1;
@@ -131,6 +141,8 @@
         return this.#withExchange(event.callId, (exchange) => this.#onEnd(exchange));
       case EventKind.TargetCallFailed:
         return this.#withExchange(event.callId, (exchange) => this.#onCallFailed(exchange, event));
+      case EventKind.TargetChecked:
+        return this.#onTargetChecked(event);
       case EventKind.TimerFired:
         return this.#onTimer(event);
       default:
@@ -205,8 +217,9 @@
     if (!this.#lifecycle.mayBegin(exchange.isStream)) {
       return this.#refuse(exchange, ExchangeReason.Draining, DRAINING_RETRY_AFTER_MS);
     }
-    if (this.#suspects.isSuspect(exchange.request)) {
-      return this.#refuse(exchange, ExchangeReason.CrashSuspect, MAX_RETRY_AFTER_MS);
+    const barredForMs = this.#suspects.barredForMs(exchange);
+    if (barredForMs > 0) {
+      return this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs);
     }
     if (refusal !== undefined) {
       return this.#refuse(exchange, ExchangeReason.TooManyStreams, refusal.retryAfterMs, refusal);
@@ -220,12 +233,17 @@
 
   /** Calls a target that has not been tried; refuses or fails the request when there is none. */
   #callNextTarget(exchange: Exchange, reasonIfNone: ExchangeReason): readonly Effect[] {
-    const target = this.#routing.choose(exchange);
+    const target = this.#chooseTarget(exchange);
     return target === undefined
       ? this.#refuseOrFail(exchange, reasonIfNone)
       : this.#call(exchange, target);
   }
 
+  /** Chooses no target for a request that has become a suspect since it was admitted. */
+  #chooseTarget(exchange: Exchange): PublishedTarget | undefined {
+    return this.#suspects.barredForMs(exchange) > 0 ? undefined : this.#routing.choose(exchange);
+  }
+
   #call(exchange: Exchange, target: PublishedTarget): readonly Effect[] {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
@@ -233,6 +251,7 @@
     this.#exchangeOfCall.set(callId, exchange);
     const announcements = this.#loads.recordStart(target.instanceId);
     this.#coldStarts.recordStart(target);
+    this.#suspects.recordSent(exchange);
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
@@ -279,11 +298,13 @@
     if (!isLiveStream(head)) {
       return this.#bufferData(exchange, data);
     }
+    const isFirst = exchange.progress !== AnswerProgress.Events;
     const events = splitter.push(data).filter((event) => this.#isNew(exchange, event));
     const effects =
       events.length === 0
         ? []
         : [
+            ...(isFirst ? this.#suspects.recordAnswered(exchange) : []),
             ...ExchangesService.#beginAnswer(exchange, head),
             ExchangesService.#continueAnswer(exchange, events),
           ];
@@ -391,6 +412,7 @@
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
     return [
+      ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
         kind: EffectKind.SendAnswer,
         exchangeId: exchange.id,
@@ -422,10 +444,9 @@
 
   #onCallFailed(exchange: Exchange, { stage, detail }: TargetCallFailedEvent): readonly Effect[] {
     this.#endCall(exchange);
-    const { target, request } = exchange;
+    const { target } = exchange;
     if (stage === CallStage.Sent) {
-      this.#suspects.recordInterrupted(request, target?.instanceId ?? '');
-      return this.#onCallInterrupted(exchange, ExchangeReason.CallInterrupted, detail);
+      return this.#onConnectionLost(exchange, detail);
     }
     this.#avoid(exchange);
     exchange.recordUnreachable();
@@ -444,14 +465,67 @@
     reason: ExchangeReason,
     detail: string,
   ): readonly Effect[] {
-    exchange.recordAttempt();
-    this.#avoid(exchange);
     return [
-      callFailedLine(exchange, reason, detail),
+      ...this.#recordInterruption(exchange, reason, detail),
       ...(this.#retry(exchange) ?? this.#fail(exchange, reason)),
     ];
   }
 
+  /**
+   * The target closed the connection. If it has crashed before it began to answer, the request may
+   * crash the next one too, so a retry waits until the target has been checked.
+   */
+  #onConnectionLost(exchange: Exchange, detail: string): readonly Effect[] {
+    const { target, progress } = exchange;
+    if (target === undefined || progress === AnswerProgress.Events) {
+      return this.#onCallInterrupted(exchange, ExchangeReason.CallInterrupted, detail);
+    }
+    const checks = this.#suspects.recordInterrupted(exchange, target);
+    if (!this.#suspects.hasUnansweredSegment(exchange)) {
+      return [
+        ...checks,
+        ...this.#onCallInterrupted(exchange, ExchangeReason.CallInterrupted, detail),
+      ];
+    }
+    this.#checkedTargets.set(exchange.id, target.instanceId);
+    return [
+      ...this.#recordInterruption(exchange, ExchangeReason.CallInterrupted, detail),
+      ...checks,
+    ];
+  }
+
+  #onTargetChecked({ instanceId, reachability }: TargetCheckedEvent): readonly Effect[] {
+    const waiting = [...this.#checkedTargets].flatMap(([exchangeId, checkedId]) => {
+      const exchange = checkedId === instanceId ? this.#exchanges.get(exchangeId) : undefined;
+      return exchange === undefined ? [] : [exchange];
+    });
+    return [
+      ...this.#suspects.recordChecked(instanceId, reachability),
+      ...waiting.flatMap((exchange) => this.#guard(exchange.id, () => this.#onChecked(exchange))),
+    ];
+  }
+
+  #onChecked(exchange: Exchange): readonly Effect[] {
+    this.#checkedTargets.delete(exchange.id);
+    return this.#retry(exchange) ?? this.#fail(exchange, this.#reasonOf(exchange));
+  }
+
+  #reasonOf(exchange: Exchange): ExchangeReason {
+    return this.#suspects.barredForMs(exchange) > 0
+      ? ExchangeReason.CrashSuspect
+      : ExchangeReason.CallInterrupted;
+  }
+
+  #recordInterruption(
+    exchange: Exchange,
+    reason: ExchangeReason,
+    detail: string,
+  ): readonly Effect[] {
+    exchange.recordAttempt();
+    this.#avoid(exchange);
+    return [callFailedLine(exchange, reason, detail)];
+  }
+
   #avoid({ target }: Exchange): void {
     if (target !== undefined) {
       this.#routing.avoid(target.instanceId);
@@ -468,7 +542,7 @@
 
   /** Takes a retry out of the budget if there is time and a target for it. */
   #takeRetry(exchange: Exchange): PublishedTarget | undefined {
-    const target = this.#hasTime(exchange) ? this.#routing.choose(exchange) : undefined;
+    const target = this.#hasTime(exchange) ? this.#chooseTarget(exchange) : undefined;
     return target !== undefined && this.#retryBudget.tryConsume(exchange.resolution.service)
       ? target
       : undefined;
@@ -540,8 +614,12 @@
 
   /** Refuses a request that did not run, and fails one that may have. */
   #refuseOrFail(exchange: Exchange, reason: ExchangeReason): readonly Effect[] {
-    return exchange.mayHaveRun
-      ? this.#fail(exchange, reason)
+    if (exchange.mayHaveRun) {
+      return this.#fail(exchange, reason);
+    }
+    const barredForMs = this.#suspects.barredForMs(exchange);
+    return barredForMs > 0
+      ? this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs)
       : this.#refuse(exchange, reason, retryAfterMsOf(this.#remainingMs(exchange)));
   }
 
@@ -575,6 +653,7 @@
     { passMs, runningCount }: Partial<AdmissionResult> = {},
   ): readonly Effect[] {
     this.#exchanges.delete(exchange.id);
+    this.#checkedTargets.delete(exchange.id);
     this.#lifecycle.recordExchangeEnd();
     return [
       clearTimer(TimerKind.RequestDeadline, exchange.id),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,8 @@
 /** @module Public interface of the gateway's services. */
+export * from './bar-suspects.js';
 export * from './build-effects.js';
 export * from './choose-target.js';
+export * from './crash.js';
 export * from './create-gateway-services.js';
 export * from './directory.js';
 export * from './effect.js';
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -19,6 +19,7 @@
   Load = 'load',
   LoadChange = 'load-change',
   CrashReport = 'crash-seen',
+  Suspects = 'suspects',
   RankState = 'rank-state',
   RankCountDelta = 'rank-increase',
   QueryState = 'tell-state',
@@ -121,11 +122,35 @@
   readonly kind: PeerMessageKind.LoadChange;
 }
 
-/** A target crashed while a request ran on it. */
+/** A crash of a target, with its age because the processes share no clock. */
+export interface ReportedCrash {
+  readonly instanceId: string;
+  readonly ageMs: number;
+  readonly fingerprint: string;
+  readonly segments: readonly string[];
+}
+
+/** Time since a target last began to answer a request with a prompt segment. */
+export interface ReportedAnswer {
+  readonly segment: string;
+  readonly ageMs: number;
+}
+
+/** A target has just crashed before it began to answer a request. */
 export interface CrashReportMessage {
   readonly kind: PeerMessageKind.CrashReport;
   readonly fingerprint: string;
   readonly instanceId: string;
+  readonly segments: readonly string[];
+  /** What the sender knows of the segments. */
+  readonly answers: readonly ReportedAnswer[];
+}
+
+/** Crashes for which requests are refused, and answers that narrow down their cause. */
+export interface SuspectsMessage {
+  readonly kind: PeerMessageKind.Suspects;
+  readonly crashes: readonly ReportedCrash[];
+  readonly answers: readonly ReportedAnswer[];
 }
 
 /**
@@ -203,6 +228,7 @@
   | LoadMessage
   | LoadChangeMessage
   | CrashReportMessage
+  | SuspectsMessage
   | RankStateMessage
   | QueryStateMessage
   | RankCountDeltaMessage
--- a/packages/gateway/src/suspects-service.ts
+++ b/packages/gateway/src/suspects-service.ts
@@ -1,133 +1,349 @@
 /**
  * @module Refuses requests that crash the targets that run them.
  *
- * A caller may retry such a request many times, at any gateway. A target that interrupted a request
- * and then accepts no connections is treated as crashed. Gateways report to each other which
- * requests it had interrupted, and a request that crashed several targets is refused for a while.
+ * A caller may repeat such a request many times, and different requests may share the segment of
+ * their prompt that crashes targets, at any gateway. A target that closed the connection of a call
+ * before its answer began, and then refuses connections, has crashed. Gateways tell each other the
+ * crashes and which segments were answered since, at once and then repeatedly while requests are
+ * refused, so that a process that was restarted or cut off learns of them too.
  */
 import { createInstance } from '@ebonysill/kernel';
-import { log, sendToPeer } from './build-effects.js';
-import { ServiceName, type FindService, type MembersApi, type Registration } from './directory.js';
-import { LogLevel, LogTopic, type Effect } from './effect.js';
-import { EventKind, type Event } from './event.js';
-import type { CallerRequest } from './exchange-data.js';
+import type { BarUntilMs } from './bar-suspects.js';
+import { log, sendToPeer, setTimer } from './build-effects.js';
+import { mergeCrashes, type Crash } from './crash.js';
+import {
+  ServiceName,
+  type FindService,
+  type MembersApi,
+  type Registration,
+  type ResolvedRequest,
+} from './directory.js';
+import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
+import { EventKind, TargetReachability, type Event, type PeerMessageEvent } from './event.js';
 import { fingerprintOf } from './fingerprint.js';
-import { PeerMessageKind, PeerRole } from './peer-message.js';
+import {
+  PeerMessageKind,
+  PeerRole,
+  type CrashReportMessage,
+  type HelloMessage,
+  type ReportedAnswer,
+  type ReportedCrash,
+  type SuspectsMessage,
+} from './peer-message.js';
+import type { PublishedTarget } from './published.js';
+import RecentMap from './RecentMap.js';
 import type { Runtime } from './runtime.js';
+import TimerKind from './TimerKind.js';
 
 /** A failed connection this soon after an interrupted request means that the target crashed. */
 const CRASH_WINDOW_MS = 2_000;
 
-/**
- * Crashed targets from which on a request is refused. Operators allow three more crashes after the
- * third.
- */
-const MAX_CRASHES = 3;
+/** Targets with interrupted requests, and segments that are remembered as answered. */
+const MAX_TRACKED_TARGETS = 1_024;
+
+const MAX_ANSWERED_SEGMENTS = 4_096;
+
+/** Interval at which crashes are reported to gateways that may not know them. */
+const REPORT_INTERVAL_MS = 500;
+
+/** Gateways that each periodic report is sent to, chosen at random. */
+const REPORT_RECIPIENTS = 2;
+
+/** Suspects that are no longer refused are sent one at a time: a crash shows within this time. */
+const TRIAL_INTERVAL_MS = 1_000;
+
+/** Crashes in one periodic report, so that it fits a datagram. */
+const MAX_REPORTED_CRASHES = 8;
+
+/** A gateway that knows an answer this much newer tells the one that reported a crash. */
+const MIN_NEWS_MS = 1_000;
 
-/** Crashes older than this are ignored, so that no request is refused permanently. */
-const CRASH_EXPIRY_MS = 120_000;
+const TIMER_KEY = 0;
 
-/** Maximum number of entries in each map; the oldest entry is evicted. */
-const MAX_TRACKED_ENTRIES = 1_024;
+/** What crashes are counted by. */
+type Traits = Pick<Crash, 'fingerprint' | 'segments'>;
 
 interface InterruptedRequest {
-  readonly fingerprint: string;
+  readonly traits: Traits;
   readonly atMs: number;
 }
 
-interface Crashes {
-  /** Time of the last crash, by instance identifier. */
-  readonly instances: Map<string, number>;
-}
-
-/** Options of the service; it uses the clock of `runtime`. */
+/** Options of the service; it uses the clock and the random numbers of `runtime`. */
 export interface SuspectsOptions {
   readonly runtime: Runtime;
+  readonly barUntilMs: BarUntilMs;
 }
 
-/** Counts crashes by request. */
+const segmentsOf = ({ request, resolution }: ResolvedRequest): readonly string[] =>
+  request.promptSegments.map((segment) => `${resolution.service}/${segment}`);
+
+const traitsOf = (resolved: ResolvedRequest): Traits => ({
+  fingerprint: fingerprintOf(resolved.request),
+  segments: segmentsOf(resolved),
+});
+
 class SuspectsService {
   /** By instance identifier: requests that the target interrupted lately. */
-  readonly #interruptedRequests = new Map<string, InterruptedRequest[]>();
+  readonly #interruptedRequests = RecentMap.create<InterruptedRequest[]>(MAX_TRACKED_TARGETS);
+
+  /** By instance identifier: when the check in progress began. */
+  readonly #checks = RecentMap.create<number>(MAX_TRACKED_TARGETS);
+
+  /** By segment: when a target last began to answer a request with it. */
+  readonly #answers = RecentMap.create<number>(MAX_ANSWERED_SEGMENTS);
+
+  #crashes: readonly Crash[] = [];
 
-  /** By fingerprint. */
-  readonly #crashes = new Map<string, Crashes>();
+  #lastTrialAtMs = -Infinity;
+
+  readonly #jitter: number;
 
   readonly #members: MembersApi;
 
   private constructor(
-    private readonly runtime: Runtime,
+    private readonly options: SuspectsOptions,
     find: FindService,
   ) {
     this.#members = find(ServiceName.Members);
+    this.#jitter = options.runtime.random();
   }
 
-  static create(runtime: Runtime, find: FindService): SuspectsService {
-    return new SuspectsService(runtime, find);
+  static create(options: SuspectsOptions, find: FindService): SuspectsService {
+    return new SuspectsService(options, find);
   }
 
-  readonly recordInterrupted = (request: CallerRequest, instanceId: string): void => {
-    const nowMs = this.runtime.nowMs();
-    const recent = (this.#interruptedRequests.get(instanceId) ?? []).filter(
-      ({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS,
-    );
-    this.#interruptedRequests.delete(instanceId);
+  readonly recordInterrupted = (
+    resolved: ResolvedRequest,
+    { instanceId, address }: PublishedTarget,
+  ): readonly Effect[] => {
+    const nowMs = this.#nowMs();
     this.#interruptedRequests.set(instanceId, [
-      ...recent,
-      { fingerprint: fingerprintOf(request), atMs: nowMs },
+      ...this.#recentlyInterrupted(instanceId),
+      { traits: traitsOf(resolved), atMs: nowMs },
     ]);
-    SuspectsService.#evictOldest(this.#interruptedRequests);
+    const isChecked = nowMs - (this.#checks.get(instanceId) ?? -Infinity) < CRASH_WINDOW_MS;
+    if (isChecked) {
+      return [];
+    }
+    this.#checks.set(instanceId, nowMs);
+    return [{ kind: EffectKind.CheckTarget, instanceId, address }];
+  };
+
+  readonly recordChecked = (
+    instanceId: string,
+    reachability: TargetReachability,
+  ): readonly Effect[] => {
+    this.#checks.delete(instanceId);
+    return reachability === TargetReachability.Refusing ? this.recordUnreachable(instanceId) : [];
   };
 
   readonly recordUnreachable = (instanceId: string): readonly Effect[] => {
-    const nowMs = this.runtime.nowMs();
-    const requests = this.#interruptedRequests.get(instanceId) ?? [];
+    const atMs = this.#nowMs();
+    const crashes = this.#recentlyInterrupted(instanceId).map(({ traits }): Crash => ({
+      instanceId,
+      atMs,
+      ...traits,
+    }));
     this.#interruptedRequests.delete(instanceId);
-    return requests
-      .filter(({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS)
-      .flatMap(({ fingerprint }) => [
-        ...this.#recordCrash(fingerprint, instanceId),
-        ...this.#members
-          .others(PeerRole.Gateway)
-          .map(({ address }) =>
-            sendToPeer(address, { kind: PeerMessageKind.CrashReport, fingerprint, instanceId }),
-          ),
-      ]);
+    return crashes.flatMap((crash) => [
+      ...this.#addCrashes([crash]),
+      ...this.#broadcast({
+        kind: PeerMessageKind.CrashReport,
+        instanceId,
+        fingerprint: crash.fingerprint,
+        segments: crash.segments,
+        answers: this.#answersOf(crash.segments),
+      }),
+    ]);
   };
 
-  readonly isSuspect = (request: CallerRequest): boolean =>
-    this.#crashes.size > 0 && this.#countOf(fingerprintOf(request)) >= MAX_CRASHES;
+  readonly recordAnswered = (resolved: ResolvedRequest): readonly Effect[] => {
+    const nowMs = this.#nowMs();
+    const segments = segmentsOf(resolved);
+    const cleared = segments.filter((segment) => this.#isSuspected(segment));
+    segments.forEach((segment) => this.#answers.set(segment, nowMs));
+    return cleared.length === 0
+      ? []
+      : [
+          log(LogLevel.Info, LogTopic.SuspicionCleared, {
+            requestId: resolved.request.attemptId,
+            promptSegments: cleared.join(','),
+          }),
+          ...this.#broadcast({
+            kind: PeerMessageKind.Suspects,
+            crashes: [],
+            answers: cleared.map((segment) => ({ segment, ageMs: 0 })),
+          }),
+        ];
+  };
+
+  readonly barredForMs = (resolved: ResolvedRequest): number =>
+    this.#crashes.length === 0 ? 0 : this.#barredForMs(traitsOf(resolved));
+
+  readonly recordSent = (resolved: ResolvedRequest): void => {
+    if (this.#crashes.length > 0 && this.#barUntilMs(traitsOf(resolved)) !== undefined) {
+      this.#lastTrialAtMs = this.#nowMs();
+    }
+  };
+
+  readonly hasUnansweredSegment = (resolved: ResolvedRequest): boolean =>
+    segmentsOf(resolved).some((segment) => this.#answers.get(segment) === undefined);
+
+  static scheduleReport(): Effect {
+    return setTimer(TimerKind.SuspectReport, TIMER_KEY, REPORT_INTERVAL_MS);
+  }
 
   handle(event: Event): readonly Effect[] {
-    return event.kind === EventKind.PeerMessageReceived &&
-      event.message.kind === PeerMessageKind.CrashReport
-      ? this.#recordCrash(event.message.fingerprint, event.message.instanceId)
-      : [];
+    if (event.kind === EventKind.TimerFired && event.timer === TimerKind.SuspectReport) {
+      return [SuspectsService.scheduleReport(), ...this.#reportCrashes()];
+    }
+    return event.kind === EventKind.PeerMessageReceived ? this.#onMessage(event) : [];
+  }
+
+  #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
+    switch (message.kind) {
+      case PeerMessageKind.CrashReport: {
+        const { instanceId, fingerprint, segments, answers } = message;
+        return this.#merge(address, [{ instanceId, ageMs: 0, fingerprint, segments }], answers);
+      }
+      case PeerMessageKind.Hello:
+        return this.#onHello(address, message);
+      case PeerMessageKind.Suspects:
+        return this.#merge(address, message.crashes, message.answers);
+      default:
+        return [];
+    }
   }
 
-  #recordCrash(fingerprint: string, instanceId: string): readonly Effect[] {
-    const crashes = this.#crashes.get(fingerprint) ?? { instances: new Map<string, number>() };
-    crashes.instances.set(instanceId, this.runtime.nowMs());
-    this.#crashes.delete(fingerprint);
-    this.#crashes.set(fingerprint, crashes);
-    SuspectsService.#evictOldest(this.#crashes);
-    const count = this.#countOf(fingerprint);
+  #merge(
+    address: string,
+    reported: readonly ReportedCrash[],
+    answers: readonly ReportedAnswer[],
+  ): readonly Effect[] {
+    const nowMs = this.#nowMs();
+    const segments = reported.flatMap((crash) => crash.segments);
+    const news = this.#answersOf(segments).filter(({ segment, ageMs }) => {
+      const known = answers.find((answer) => answer.segment === segment);
+      return known === undefined || known.ageMs > ageMs + MIN_NEWS_MS;
+    });
+    answers.forEach(({ segment, ageMs }) => {
+      const answeredAtMs = Math.max(this.#answers.get(segment) ?? -Infinity, nowMs - ageMs);
+      this.#answers.set(segment, answeredAtMs);
+    });
+    const crashes = reported.map(({ ageMs, ...crash }) => ({ ...crash, atMs: nowMs - ageMs }));
     return [
-      log(LogLevel.Warn, LogTopic.CrashSuspected, { instanceId, count, detail: fingerprint }),
+      ...this.#addCrashes(crashes),
+      ...(news.length === 0
+        ? []
+        : [sendToPeer(address, { kind: PeerMessageKind.Suspects, crashes: [], answers: news })]),
     ];
   }
 
-  #countOf(fingerprint: string): number {
-    const sinceMs = this.runtime.nowMs() - CRASH_EXPIRY_MS;
-    const times = this.#crashes.get(fingerprint)?.instances.values() ?? [];
-    return [...times].filter((atMs) => atMs > sinceMs).length;
+  /** Returns one line for each crash that was not known. */
+  #addCrashes(added: readonly Crash[]): readonly Effect[] {
+    const known = this.#crashes;
+    this.#crashes = mergeCrashes(known, added, this.#nowMs());
+    return this.#crashes
+      .filter((crash) => !known.includes(crash))
+      .map(({ instanceId, fingerprint, segments }) =>
+        log(LogLevel.Warn, LogTopic.CrashSuspected, {
+          instanceId,
+          count: this.#crashes.filter((crash) => crash.fingerprint === fingerprint).length,
+          durationMs: Math.round(this.#barredForMs({ fingerprint, segments })),
+          detail: fingerprint,
+          ...(segments.length === 0 ? {} : { promptSegments: segments.join(',') }),
+        }),
+      );
   }
 
-  static #evictOldest(entries: Map<string, unknown>): void {
-    const [oldest] = entries.keys();
-    if (entries.size > MAX_TRACKED_ENTRIES && oldest !== undefined) {
-      entries.delete(oldest);
-    }
+  /** A gateway that has just started knows no member list, and no crashes either. */
+  #onHello(address: string, { member, knownDigest }: HelloMessage): readonly Effect[] {
+    const report = this.#buildReport();
+    return member.role === PeerRole.Gateway && knownDigest === undefined && report !== undefined
+      ? [sendToPeer(address, report)]
+      : [];
+  }
+
+  /** Reports crashes repeatedly, since messages may be lost. */
+  #reportCrashes(): readonly Effect[] {
+    const { random } = this.options.runtime;
+    const report = this.#buildReport();
+    return report === undefined
+      ? []
+      : this.#members
+          .others(PeerRole.Gateway)
+          .map(({ address }) => ({ address, sortKey: random() }))
+          .sort((left, right) => left.sortKey - right.sortKey)
+          .slice(0, REPORT_RECIPIENTS)
+          .map(({ address }) => sendToPeer(address, report));
+  }
+
+  /** Crashes for which requests are refused now; undefined when there are none. */
+  #buildReport(): SuspectsMessage | undefined {
+    const crashes = this.#crashes
+      .filter((crash) => this.#barredForMs(crash) > 0)
+      .slice(-MAX_REPORTED_CRASHES);
+    const nowMs = this.#nowMs();
+    return crashes.length === 0
+      ? undefined
+      : {
+          kind: PeerMessageKind.Suspects,
+          crashes: crashes.map(({ atMs, ...crash }) => ({
+            ...crash,
+            ageMs: Math.round(nowMs - atMs),
+          })),
+          answers: this.#answersOf(crashes.flatMap(({ segments }) => segments)),
+        };
+  }
+
+  #broadcast(message: CrashReportMessage | SuspectsMessage): readonly Effect[] {
+    return this.#members
+      .others(PeerRole.Gateway)
+      .map(({ address }) => sendToPeer(address, message));
+  }
+
+  #answersOf(segments: readonly string[]): readonly ReportedAnswer[] {
+    const nowMs = this.#nowMs();
+    return [...new Set(segments)].flatMap((segment) => {
+      const answeredAtMs = this.#answers.get(segment);
+      return answeredAtMs === undefined
+        ? []
+        : [{ segment, ageMs: Math.round(nowMs - answeredAtMs) }];
+    });
+  }
+
+  /** Whether a segment is among those of a crash, and was not answered since. */
+  #isSuspected(segment: string): boolean {
+    const answeredAtMs = this.#answers.get(segment) ?? -Infinity;
+    return this.#crashes.some(
+      ({ atMs, segments }) => atMs >= answeredAtMs && segments.includes(segment),
+    );
+  }
+
+  #barUntilMs({ fingerprint, segments }: Traits): number | undefined {
+    return this.options.barUntilMs({
+      fingerprint,
+      segments,
+      crashes: this.#crashes,
+      answeredAtMs: (segment) => this.#answers.get(segment),
+      jitter: this.#jitter,
+    });
+  }
+
+  #barredForMs(traits: Traits): number {
+    const untilMs = this.#barUntilMs(traits);
+    return untilMs === undefined
+      ? 0
+      : Math.max(0, Math.max(untilMs, this.#lastTrialAtMs + TRIAL_INTERVAL_MS) - this.#nowMs());
+  }
+
+  #recentlyInterrupted(instanceId: string): InterruptedRequest[] {
+    const sinceMs = this.#nowMs() - CRASH_WINDOW_MS;
+    return (this.#interruptedRequests.get(instanceId) ?? []).filter(({ atMs }) => atMs > sinceMs);
+  }
+
+  #nowMs(): number {
+    return this.options.runtime.nowMs();
   }
 }
 
@@ -135,22 +351,31 @@
  * Registers the service that refuses requests that crash targets.
  *
  * @example
- * const services = [membersRegistration(options), suspectsRegistration({ runtime })];
+ * const services = [membersRegistration(options), suspectsRegistration({ runtime, barUntilMs })];
  */
-export const suspectsRegistration = ({
-  runtime,
-}: SuspectsOptions): Registration<ServiceName.Suspects> => ({
+export const suspectsRegistration = (
+  options: SuspectsOptions,
+): Registration<ServiceName.Suspects> => ({
   name: ServiceName.Suspects,
   requires: [ServiceName.Members],
   create: (find) => {
-    const service = SuspectsService.create(runtime, find);
+    const service = SuspectsService.create(options, find);
+    const { recordInterrupted, recordChecked, recordUnreachable } = service;
+    const { recordAnswered, recordSent, barredForMs, hasUnansweredSegment } = service;
     return createInstance(
       {
-        recordInterrupted: service.recordInterrupted,
-        recordUnreachable: service.recordUnreachable,
-        isSuspect: service.isSuspect,
+        recordInterrupted,
+        recordChecked,
+        recordUnreachable,
+        recordAnswered,
+        recordSent,
+        barredForMs,
+        hasUnansweredSegment,
+      },
+      {
+        start: () => [SuspectsService.scheduleReport()],
+        handle: (event) => service.handle(event),
       },
-      { handle: (event) => service.handle(event) },
     );
   },
 });
--- a/packages/gateway/tests/crashing-segments.test.ts
+++ b/packages/gateway/tests/crashing-segments.test.ts
@@ -1,7 +1,18 @@
 /** @module Prompt segments that crash the targets that begin to answer them. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { CallKind, CallStage, EffectKind, EventKind } from '../src/index.js';
+import {
+  CallKind,
+  CallStage,
+  EffectKind,
+  EventKind,
+  PeerMessageKind,
+  PeerRole,
+  TargetReachability,
+  type CallerRequest,
+  type Member,
+  type PeerMessage,
+} from '../src/index.js';
 import {
   Harness,
   configurationItem,
@@ -19,14 +30,20 @@
 /** Longer than a target takes to restart. */
 const RESTART_MS = 4_000;
 
-const gateway = (): Harness =>
+const STREAM = routeOf({ kind: CallKind.Streaming, isResumable: true, maxAttempts: 1 });
+
+const OTHER_SERVICE = routeOf({
+  ...STREAM,
+  name: 'r-2',
+  pathPrefix: '/b/',
+  services: [{ service: 'other', weight: 1 }],
+});
+
+const gateway = (maxAttempts = 1, instanceIds = ['t-1']): Harness =>
   Harness.create([
-    configurationItem(
-      configurationOf(1, [
-        routeOf({ kind: CallKind.Streaming, isResumable: true, maxAttempts: 1 }),
-      ]),
-    ),
-    targetItem(targetOf('t-1')),
+    configurationItem(configurationOf(1, [{ ...STREAM, maxAttempts }, OTHER_SERVICE])),
+    ...instanceIds.map((instanceId) => targetItem(targetOf(instanceId))),
+    targetItem(targetOf('other-1', { service: 'other' })),
   ]);
 
 const callCount = ({ effects }: Harness): number =>
@@ -35,10 +52,14 @@
 let requestCount = 0;
 
 /** Sends a request with a body of its own; returns whether it was sent to a target. */
-const send = (harness: Harness, promptSegments: readonly string[]): boolean => {
+const send = (
+  harness: Harness,
+  promptSegments: readonly string[],
+  changes: Partial<CallerRequest> = {},
+): boolean => {
   requestCount += 1;
   const before = callCount(harness);
-  harness.request({ promptSegments, body: Buffer.from(`prompt ${requestCount}`) });
+  harness.request({ promptSegments, body: Buffer.from(`prompt ${requestCount}`), ...changes });
   return callCount(harness) > before;
 };
 
@@ -51,7 +72,7 @@
   });
 };
 
-const answerCall = (harness: Harness): void => {
+const beginAnswer = (harness: Harness): void => {
   const callId = harness.lastCallId();
   harness.post({
     kind: EventKind.TargetHeadReceived,
@@ -63,24 +84,62 @@
     callId,
     data: Buffer.from('id: 1\ndata: a\n\n'),
   });
-  harness.post({ kind: EventKind.TargetAnswerEnded, callId });
 };
 
-const serve = (harness: Harness): boolean => {
-  const isSent = send(harness, SOUND);
-  answerCall(harness);
+const serve = (harness: Harness, promptSegments = SOUND): boolean => {
+  const isSent = send(harness, promptSegments);
+  beginAnswer(harness);
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId: harness.lastCallId() });
+  harness.advance(1);
   return isSent;
 };
 
-/** The target cuts the call, refuses the next connection, and restarts. */
+const reportCheck = (harness: Harness, reachability: TargetReachability): void => {
+  const [instanceId] = harness.calledIds().slice(-1);
+  harness.post({ kind: EventKind.TargetChecked, instanceId: instanceId ?? '', reachability });
+};
+
+/** The target cuts the call and refuses connections until it has restarted. */
 const crash = (harness: Harness): void => {
   failCall(harness, CallStage.Sent);
-  send(harness, SOUND);
-  failCall(harness, CallStage.NotSent);
+  reportCheck(harness, TargetReachability.Refusing);
   harness.advance(RESTART_MS);
 };
 
-test('a crashing prompt segment stops reaching targets', { todo: 'issue 24' }, () => {
+const PEER: Member = {
+  name: 'gateway-2',
+  role: PeerRole.Gateway,
+  address: '10.0.0.8:7000',
+  availabilityZone: 'zone-b',
+};
+
+const receive = (harness: Harness, message: PeerMessage): void => {
+  harness.post({ kind: EventKind.PeerMessageReceived, address: PEER.address, message });
+};
+
+const meetPeer = (harness: Harness): void =>
+  receive(harness, { kind: PeerMessageKind.Hello, member: PEER });
+
+/** Messages about suspects that a gateway has sent to its peer since it had made `before` effects. */
+const suspectMessages = ({ effects }: Harness, before = 0): readonly PeerMessage[] =>
+  effects
+    .slice(before)
+    .flatMap((effect) => (effect.kind === EffectKind.SendToPeer ? [effect.message] : []))
+    .filter(
+      ({ kind }) => kind === PeerMessageKind.CrashReport || kind === PeerMessageKind.Suspects,
+    );
+
+/** A gateway that knows a peer and that has seen a crash. */
+const gatewayWithCrash = (): Harness => {
+  const harness = gateway();
+  meetPeer(harness);
+  serve(harness);
+  send(harness, CRASHING);
+  crash(harness);
+  return harness;
+};
+
+test('a crashing prompt segment stops reaching targets', () => {
   const harness = gateway();
   serve(harness);
   for (let count = 0; count < 5; count += 1) {
@@ -93,3 +152,173 @@
   expect(reached.length <= 3).toEqual(true);
   expect(serve(harness)).toEqual(true);
 });
+
+test('one crash bars the only segment without an answer', () => {
+  const harness = gatewayWithCrash();
+  expect(send(harness, CRASHING)).toEqual(false);
+  expect(harness.statuses().at(-1)).toEqual(503);
+  expect(serve(harness)).toEqual(true);
+});
+
+test('segments that are new alike are barred together only', () => {
+  const harness = gateway();
+  send(harness, CRASHING);
+  crash(harness);
+  expect(send(harness, CRASHING)).toEqual(false);
+  expect(serve(harness)).toEqual(true);
+  expect(send(harness, ['other', 'crashing'])).toEqual(false);
+});
+
+test('suspects are tried again one at a time', () => {
+  const harness = gatewayWithCrash();
+  harness.advance(60_000);
+  const isSent = (): boolean => send(harness, CRASHING);
+  expect([isSent(), isSent(), serve(harness)]).toEqual([true, false, true]);
+  harness.advance(1_000);
+  expect([isSent(), isSent()]).toEqual([true, false]);
+});
+
+test('a crash bars new segments for seconds', () => {
+  const harness = gateway();
+  send(harness, SOUND);
+  crash(harness);
+  expect(send(harness, SOUND)).toEqual(false);
+  harness.advance(6_000);
+  expect(serve(harness)).toEqual(true);
+});
+
+test('an answered segment is barred after four crashes', () => {
+  const harness = gateway();
+  serve(harness, CRASHING);
+  const sent = Array.from({ length: 5 }, () => {
+    const isSent = send(harness, CRASHING);
+    crash(harness);
+    return isSent;
+  });
+  expect(sent).toEqual([true, true, true, true, false]);
+});
+
+test('a segment whose answer had begun is not blamed', () => {
+  const harness = gateway();
+  serve(harness);
+  send(harness, CRASHING);
+  beginAnswer(harness);
+  crash(harness);
+  expect(send(harness, CRASHING)).toEqual(true);
+});
+
+test('a cut call at a listening target is no crash', () => {
+  const harness = gateway();
+  serve(harness);
+  send(harness, CRASHING);
+  failCall(harness, CallStage.Sent);
+  reportCheck(harness, TargetReachability.Listening);
+  expect(send(harness, CRASHING)).toEqual(true);
+});
+
+test('an answer clears a segment', () => {
+  const harness = gatewayWithCrash();
+  harness.advance(60_000);
+  expect(serve(harness, CRASHING)).toEqual(true);
+  send(harness, CRASHING);
+  crash(harness);
+  expect(send(harness, CRASHING)).toEqual(true);
+});
+
+test('a second crash bars for longer', () => {
+  const harness = gatewayWithCrash();
+  harness.advance(60_000);
+  expect(send(harness, CRASHING)).toEqual(true);
+  crash(harness);
+  harness.advance(480_000);
+  expect(send(harness, CRASHING)).toEqual(false);
+});
+
+test('a segment is barred at its service only', () => {
+  const harness = gatewayWithCrash();
+  expect(send(harness, CRASHING, { path: '/b/x' })).toEqual(true);
+});
+
+test('a retry waits for the check of the target', () => {
+  const harness = gateway(2, ['t-1', 't-2']);
+  send(harness, SOUND);
+  failCall(harness, CallStage.Sent);
+  expect(callCount(harness)).toEqual(1);
+  reportCheck(harness, TargetReachability.Listening);
+  expect(callCount(harness)).toEqual(2);
+});
+
+test('a request that crashed its target is not retried', () => {
+  const harness = gateway(2, ['t-1', 't-2']);
+  serve(harness);
+  send(harness, CRASHING);
+  failCall(harness, CallStage.Sent);
+  reportCheck(harness, TargetReachability.Refusing);
+  expect(callCount(harness)).toEqual(2);
+  expect(harness.statuses().at(-1)).toEqual(502);
+});
+
+test('a suspect that was not run is not sent again', () => {
+  const harness = gateway(3, ['t-1', 't-2', 't-3']);
+  serve(harness);
+  send(harness, CRASHING);
+  const callId = harness.lastCallId();
+  suspectMessages(gatewayWithCrash()).forEach((message) => receive(harness, message));
+  const head = headOf({ status: 503, isNotRun: true });
+  harness.post({ kind: EventKind.TargetHeadReceived, callId, head });
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId });
+  expect(callCount(harness)).toEqual(2);
+});
+
+test('a peer refuses what it was told of', () => {
+  const peer = gateway();
+  suspectMessages(gatewayWithCrash()).forEach((message) => receive(peer, message));
+  expect(send(peer, CRASHING)).toEqual(false);
+  expect(serve(peer)).toEqual(true);
+});
+
+test('a peer that missed the report is told of suspects', () => {
+  const harness = gatewayWithCrash();
+  meetPeer(harness);
+  const before = harness.effects.length;
+  harness.advance(1_000);
+  const peer = gateway();
+  suspectMessages(harness, before).forEach((message) => receive(peer, message));
+  expect(send(peer, CRASHING)).toEqual(false);
+});
+
+test('a peer that starts is told of suspects at once', () => {
+  const harness = gatewayWithCrash();
+  const before = harness.effects.length;
+  meetPeer(harness);
+  const peer = gateway();
+  suspectMessages(harness, before).forEach((message) => receive(peer, message));
+  expect(send(peer, CRASHING)).toEqual(false);
+});
+
+test('a peer that has answers corrects a report', () => {
+  const harness = gateway();
+  meetPeer(harness);
+  send(harness, CRASHING);
+  crash(harness);
+  const peer = gateway();
+  serve(peer);
+  const before = peer.effects.length;
+  suspectMessages(harness).forEach((message) => receive(peer, message));
+  expect(send(peer, CRASHING)).toEqual(false);
+  suspectMessages(peer, before).forEach((message) => receive(harness, message));
+  harness.advance(10_000);
+  expect(send(harness, CRASHING)).toEqual(false);
+});
+
+test('suspicion ends when a peer reports an answer', () => {
+  const harness = gatewayWithCrash();
+  const peer = gateway();
+  suspectMessages(harness).forEach((message) => receive(peer, message));
+  peer.advance(60_000);
+  meetPeer(peer);
+  const before = peer.effects.length;
+  serve(peer, CRASHING);
+  suspectMessages(peer, before).forEach((message) => receive(harness, message));
+  expect(send(harness, CRASHING)).toEqual(true);
+});
--- a/packages/gateway/tests/suspects.test.ts
+++ b/packages/gateway/tests/suspects.test.ts
@@ -35,7 +35,13 @@
   harness.post({
     kind: EventKind.PeerMessageReceived,
     address: '10.0.0.8:7000',
-    message: { kind: PeerMessageKind.CrashReport, fingerprint, instanceId },
+    message: {
+      kind: PeerMessageKind.CrashReport,
+      fingerprint,
+      instanceId,
+      segments: [],
+      answers: [],
+    },
   });
 };
 
