fix: a stream is not continued with another target's error

From a report of other operators: a stream had begun and broke off, and the next runner answered with an error.

What callers saw: in the project's own entry process, the text of the error in the middle of their stream, which then ended as complete. The gateway of the platform was not affected (faulty-targets tests).

Cause: the head of the answer that continues a stream was ignored.

Change: its status and content type must be those of the first answer; else the attempt counts as failed and is cancelled.

--- a/packages/bench/tests/promises.test.ts
+++ b/packages/bench/tests/promises.test.ts
@@ -453,3 +453,32 @@
   fleet.emulation.runFor(30_000);
   expectAllEnded(agents, 600);
 });
+
+test('an error at the next target stays out of a broken stream', () => {
+  const failingRunIds = new Set<string>();
+  let hasCrashed = false;
+  const fail = (effect: Effect): Effect => {
+    if (effect.kind !== EffectKind.Send || !('runId' in effect.message)) {
+      return effect;
+    }
+    const { message } = effect;
+    if (message.kind === MessageKind.RunHead && hasCrashed) {
+      failingRunIds.add(message.runId);
+      return { ...effect, message: { ...message, status: 500 } };
+    }
+    return message.kind === MessageKind.RunChunk && failingRunIds.has(message.runId)
+      ? { ...effect, message: { ...message, data: 'error' } }
+      : effect;
+  };
+  const fleet = startScenario({ alterEffect: fail });
+  const agents = sendStreams(fleet, 1, 10);
+  fleet.emulation.time.schedule(100, () => {
+    hasCrashed = true;
+    fleet.targets.find(({ callCount }) => callCount > 0)?.crash();
+  });
+  fleet.emulation.runFor(60_000);
+  const answer = agents[0]?.finalAnswer;
+  expect(failingRunIds.size > 0).toEqual(true);
+  expect(answer?.text.includes('error')).toEqual(false);
+  expect(answer?.state === AnswerState.Ended).toEqual(false);
+});
--- a/packages/entry/src/idempotent-calls-service.ts
+++ b/packages/entry/src/idempotent-calls-service.ts
@@ -52,6 +52,11 @@
 
 const ANSWER_INCOMPLETE = unknown(Reason.StreamCut, 'part of the answer was lost');
 
+const ANSWER_NOT_CONTINUED = unknown(
+  Reason.TargetFailed,
+  'the next target did not continue the answer',
+);
+
 class IdempotentCallsService {
   readonly #exchanges = ExchangeTable.create<IdempotentExchange>();
 
@@ -254,9 +259,15 @@
     const others = exchange.attempts.filter((other) => other !== attempt);
     const cancels = others.flatMap((other) => this.#cancel(exchange, other));
     if (exchange.isHeadSent) {
-      return cancels;
+      return exchange.continuesWith(head)
+        ? cancels
+        : [
+            ...cancels,
+            ...this.#sendCancel(attempt),
+            ...this.#onFailed(exchange, attempt, ANSWER_NOT_CONTINUED),
+          ];
     }
-    exchange.markHeadSent();
+    exchange.markHeadSent(head);
     const { exchangeId, requestId } = exchange.call;
     const { status, contentType } = head;
     return [
--- a/packages/entry/src/idempotent-exchange.ts
+++ b/packages/entry/src/idempotent-exchange.ts
@@ -1,5 +1,12 @@
 /** @module State of one idempotent request and its attempts. */
-import { Continuation, Outcome, type Call, type Peer, type Problem } from '@ebonysill/core';
+import {
+  Continuation,
+  Outcome,
+  type Call,
+  type Peer,
+  type Problem,
+  type RunHeadMessage,
+} from '@ebonysill/core';
 import CreditMeter from './CreditMeter.js';
 
 /** First delay before the next search for a target when none can accept the request. */
@@ -18,6 +25,9 @@
   readonly credit: CreditMeter;
 }
 
+/** What must be alike in two answers of which one continues the other. */
+type AnswerHead = Pick<RunHeadMessage, 'status' | 'contentType'>;
+
 /** How an arriving chunk relates to those delivered before. */
 export enum Delivery {
   /** Next in order, to be sent to the caller. */
@@ -38,7 +48,7 @@
 
   #failedTargets: readonly string[] = [];
 
-  #isHeadSent = false;
+  #head: AnswerHead | undefined;
 
   #deliveredCount = 0;
 
@@ -72,7 +82,7 @@
 
   /** Whether the answer to the caller has begun. */
   get isHeadSent(): boolean {
-    return this.#isHeadSent;
+    return this.#head !== undefined;
   }
 
   /** Chunks delivered to the caller. */
@@ -145,8 +155,13 @@
   }
 
   /** Records that the answer to the caller has begun. */
-  markHeadSent(): void {
-    this.#isHeadSent = true;
+  markHeadSent({ status, contentType }: AnswerHead): void {
+    this.#head = { status, contentType };
+  }
+
+  /** Whether an answer with this head can continue the one that the caller receives. */
+  continuesWith({ status, contentType }: AnswerHead): boolean {
+    return this.#head?.status === status && this.#head.contentType === contentType;
   }
 
   /** Checks a chunk by its position in the whole answer, and records it if it is the next. */
@@ -154,7 +169,7 @@
     if (sequence < this.#deliveredCount) {
       return Delivery.Repeated;
     }
-    if (sequence > this.#deliveredCount || !this.#isHeadSent) {
+    if (sequence > this.#deliveredCount || !this.isHeadSent) {
       return Delivery.Gap;
     }
     this.#deliveredCount += 1;
