fix: a reset within an answer without a length is no complete answer at a sidecar

What callers saw: an answer of a target that has no length and is cut by a reset was delivered as complete.

Cause: undici reports such an answer as complete; the gateway of the platform had a check of its own for it.

Change: the check is a package of its own, and the sidecar's target port uses it with node:http. Each call has its own connection, not only those with an idempotency key.

Measured: 'a reset within an answer without a length is an error' failed before, passes now.

--- a/packages/gateway-io/src/TargetClient.ts
+++ b/packages/gateway-io/src/TargetClient.ts
@@ -15,6 +15,7 @@
   type TargetCall,
   type TargetHead,
 } from '@ebonysill/gateway';
+import detectReset from '@ebonysill/http';
 import checkReachability from './checkReachability.js';
 
 /** Encodes a call's header fields. */
@@ -36,9 +37,6 @@
 /** Informational heads before an answer; a target that sends more never answers. */
 const MAX_INFORMATIONAL_HEADS = 8;
 
-/** Written to probe a connection: servers ignore empty lines before a request. */
-const EMPTY_LINE = '\r\n';
-
 interface OpenCall {
   readonly request: ClientRequest;
   readonly connectTimer: NodeJS.Timeout;
@@ -142,7 +140,7 @@
         post({ kind: EventKind.TargetDataReceived, callId, data });
       }
     });
-    const resetCheck = TargetClient.#detectReset(answer);
+    const resetCheck = detectReset(answer);
     // Avoids an unhandled rejection: an answer without an 'end' event has already failed the call.
     resetCheck.catch(() => undefined);
     answer.on('end', () => {
@@ -156,25 +154,6 @@
     post({ kind: EventKind.TargetHeadReceived, callId, head });
   }
 
-  /**
-   * Rejects when an answer that ends with its connection was cut by a reset. Node reports a reset
-   * that arrives together with the last bytes as an ordinary end; only a write reveals it. Resolves
-   * at once for an answer with a length or in chunks.
-   */
-  static async #detectReset({ headers, socket }: IncomingMessage): Promise<void> {
-    const isFramed =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    if (isFramed) {
-      return;
-    }
-    await new Promise<void>((resolve, reject) => {
-      socket.prependOnceListener('end', () => {
-        socket.write(EMPTY_LINE, (error) => (error ? reject(error) : resolve()));
-      });
-      socket.once('close', () => resolve());
-    });
-  }
-
   #onEnd(callId: number, isComplete: boolean): void {
     if (!isComplete) {
       this.#fail(callId, 'answer ended before it was complete');
--- a/packages/transport/src/TargetPort.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -1,7 +1,13 @@
-/** @module HTTP client for the target beside this process. */
-import type { Readable } from 'node:stream';
+/**
+ * @module HTTP client for the target beside this process.
+ *
+ * Calls use `node:http` because undici reports an answer without a length as complete when its
+ * connection is reset.
+ */
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { EventKind, TargetErrorStage, type CallTargetEffect, type Event } from '@ebonysill/core';
-import { Agent, type Dispatcher } from 'undici';
+import detectReset from '@ebonysill/http';
+import { Agent } from 'undici';
 import { z } from 'zod';
 import addResume from './addResume.js';
 import { createSplitter } from './chunk-splitter.js';
@@ -9,33 +15,28 @@
 /** Time in which the target must answer a health check. */
 const HEALTH_TIMEOUT_MS = 400;
 
-/** Error codes of failed connections, on which no part of a request was written. */
-const BEFORE_WRITE_CODES: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
 const healthSchema = z.object({ isCold: z.boolean() });
 
 const errorCodeOf = (error: unknown): string =>
   error instanceof Error && 'code' in error ? String(error.code) : '';
 
-/** Sends requests to the target and posts its answers as events. */
-export default class TargetPort {
-  readonly #abortControllers = new Map<string, AbortController>();
-
-  readonly #bodies = new Map<string, Readable>();
+interface OpenCall {
+  readonly request: ClientRequest;
+  /** Until then no part of the request was written. */
+  isConnected: boolean;
+  answer: IncomingMessage | undefined;
+}
 
-  /** Reuses connections; for calls without an idempotency key, which may be repeated. */
-  readonly #pooledAgent = new Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 1 });
+/**
+ * Sends requests to the target and posts its answers as events. Each call opens a connection: a
+ * reused one could deliver a copy of an earlier answer, and a failure to connect proves that the
+ * target did not run the call.
+ */
+export default class TargetPort {
+  readonly #calls = new Map<string, OpenCall>();
 
-  /**
-   * Opens a connection for each call with an idempotency key, so that a failure to connect proves that
-   * the target did not run the call. `pipelining: 0` disables keep-alive.
-   */
-  readonly #singleUseAgent = new Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 0 });
+  /** `pipelining: 0` disables keep-alive. */
+  readonly #healthAgent = new Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 0 });
 
   private constructor(
     private readonly targetUrl: string,
@@ -58,33 +59,41 @@
    */
   call(effect: CallTargetEffect): void {
     const { callId } = effect;
-    const controller = new AbortController();
-    this.#abortControllers.set(callId, controller);
-    this.#request(effect, controller.signal)
-      .then((response) => this.#onResponse(callId, response))
-      .catch((error: unknown) => this.#onError(callId, error));
+    const outgoing = request(new URL(effect.request.path, this.targetUrl), {
+      method: effect.request.method,
+      headers: TargetPort.#headersOf(effect),
+      agent: false,
+    });
+    const call: OpenCall = { request: outgoing, isConnected: false, answer: undefined };
+    this.#calls.set(callId, call);
+    outgoing.on('socket', (socket) =>
+      socket.on('connect', () => {
+        call.isConnected = true;
+      }),
+    );
+    outgoing.on('response', (answer) => this.#onAnswer(callId, call, answer));
+    outgoing.on('error', (error) => this.#onError(callId, error));
+    outgoing.end(TargetPort.#bodyOf(effect));
   }
 
   /** Cancels a call; no further event is posted about it. */
   abort(callId: string): void {
-    const controller = this.#abortControllers.get(callId);
-    this.#removeCall(callId);
-    controller?.abort();
+    this.#removeCall(callId)?.request.destroy();
   }
 
   /** Stops reading an answer until `resume`; has no effect before the head has arrived. */
   pause(callId: string): void {
-    this.#bodies.get(callId)?.pause();
+    this.#calls.get(callId)?.answer?.pause();
   }
 
   /** Continues reading an answer. */
   resume(callId: string): void {
-    this.#bodies.get(callId)?.resume();
+    this.#calls.get(callId)?.answer?.resume();
   }
 
   /** Posts the target's health; without a valid answer in time, the target counts as down and cold. */
   readHealth(): void {
-    this.#pooledAgent
+    this.#healthAgent
       .request({
         origin: this.targetUrl,
         path: '/health',
@@ -99,61 +108,66 @@
 
   /** Closes the connections; calls in progress fail. */
   async shutdown(): Promise<void> {
-    await Promise.all([this.#pooledAgent.destroy(), this.#singleUseAgent.destroy()]);
+    this.#calls.forEach(({ request: outgoing }) => outgoing.destroy());
+    await this.#healthAgent.destroy();
   }
 
-  #request(effect: CallTargetEffect, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
-    const { request, requestId, idempotencyKey, deliveredCount, deliveredText } = effect;
-    const agent = idempotencyKey === undefined ? this.#pooledAgent : this.#singleUseAgent;
-    const body =
-      deliveredCount === 0
-        ? request.body
-        : addResume(request.body, deliveredCount, deliveredText ?? '');
-    return agent.request({
-      origin: this.targetUrl,
-      path: request.path,
-      method: request.method,
-      headers: {
-        'x-request-id': requestId,
-        ...(request.contentType === '' ? {} : { 'content-type': request.contentType }),
-        ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
-      },
-      body: body === '' ? null : Buffer.from(body, 'latin1'),
-      idempotent: false,
-      signal,
-    });
+  static #headersOf({ request: { contentType }, requestId, idempotencyKey }: CallTargetEffect) {
+    return {
+      'x-request-id': requestId,
+      ...(contentType === '' ? {} : { 'content-type': contentType }),
+      ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+    };
+  }
+
+  static #bodyOf({ request: { body }, deliveredCount, deliveredText }: CallTargetEffect): Buffer {
+    const text = deliveredCount === 0 ? body : addResume(body, deliveredCount, deliveredText ?? '');
+    return Buffer.from(text, 'latin1');
   }
 
-  #onResponse(callId: string, { statusCode, headers, body }: Dispatcher.ResponseData): void {
-    if (!this.#abortControllers.has(callId)) {
-      body.destroy();
+  #onAnswer(callId: string, call: OpenCall, answer: IncomingMessage): void {
+    if (!this.#calls.has(callId)) {
+      answer.destroy();
       return;
     }
-    const contentType = String(headers['content-type'] ?? '');
+    Object.assign(call, { answer });
+    const contentType = answer.headers['content-type'] ?? '';
     const splitter = createSplitter(contentType);
-    this.#bodies.set(callId, body);
-    this.post({ kind: EventKind.TargetHead, callId, status: statusCode, contentType });
-    body.on('data', (bytes: Buffer) => {
+    this.post({
+      kind: EventKind.TargetHead,
+      callId,
+      status: answer.statusCode ?? 0,
+      contentType,
+    });
+    answer.on('data', (bytes: Buffer) => {
       this.#postChunks(callId, splitter.push(bytes.toString('latin1')));
     });
-    body.on('end', () => {
-      this.#postChunks(callId, splitter.flush());
-      this.#postLast(callId, { kind: EventKind.TargetEnd, callId });
+    const resetCheck = detectReset(answer);
+    // Avoids an unhandled rejection: an answer without an 'end' event has already failed the call.
+    resetCheck.catch(() => undefined);
+    answer.on('end', () => {
+      resetCheck.then(
+        () => {
+          this.#postChunks(callId, splitter.flush());
+          this.#postLast(callId, { kind: EventKind.TargetEnd, callId });
+        },
+        (error: unknown) => this.#onError(callId, error),
+      );
     });
-    body.on('error', (error) => this.#onError(callId, error));
+    answer.on('error', (error) => this.#onError(callId, error));
   }
 
   #postChunks(callId: string, chunks: readonly string[]): void {
     chunks.forEach((data) => {
-      if (this.#abortControllers.has(callId)) {
+      if (this.#calls.has(callId)) {
         this.post({ kind: EventKind.TargetChunk, callId, data });
       }
     });
   }
 
   #onError(callId: string, error: unknown): void {
-    const isBeforeWrite = BEFORE_WRITE_CODES.includes(errorCodeOf(error));
-    const stage = isBeforeWrite ? TargetErrorStage.BeforeWrite : TargetErrorStage.AfterWrite;
+    const isWritten = this.#calls.get(callId)?.isConnected ?? true;
+    const stage = isWritten ? TargetErrorStage.AfterWrite : TargetErrorStage.BeforeWrite;
     this.#postLast(callId, {
       kind: EventKind.TargetError,
       callId,
@@ -163,14 +177,14 @@
   }
 
   #postLast(callId: string, event: Event): void {
-    if (this.#abortControllers.has(callId)) {
-      this.#removeCall(callId);
+    if (this.#removeCall(callId) !== undefined) {
       this.post(event);
     }
   }
 
-  #removeCall(callId: string): void {
-    this.#abortControllers.delete(callId);
-    this.#bodies.delete(callId);
+  #removeCall(callId: string): OpenCall | undefined {
+    const call = this.#calls.get(callId);
+    this.#calls.delete(callId);
+    return call;
   }
 }
