fix: the exit of a drained gateway waits for connections that were just accepted

What callers could see: a connection that was accepted, and closed without an answer to the request that the caller sent a little later, as the process had exited.

Cause, by reading: the exit waited for requests in progress, not for open connections without one.

Change: the port reports when the listener is closed and all connections have ended; until then the process stops only near the end of the grace period. Idle connections that have had a request are closed as before.

Measured: 'waits for connections that were just accepted' (virtual time) passes and could not before, since the process stopped 0.5 s after it refused connections.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -210,7 +210,7 @@
       const isQuiet =
         this.#acceptedCount === acceptedCount && nowMs - startedAtMs < MAX_QUIET_TURN_MS;
       if (isQuiet || nowMs > latestAtMs) {
-        this.#server.close();
+        this.#server.close(() => this.options.post({ kind: EventKind.CallersDisconnected }));
         this.#releaseHeld();
       } else {
         this.#closeAfterQuietTurn(latestAtMs);
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -9,6 +9,7 @@
 export enum EventKind {
   RequestReceived = 'request-received',
   CallerDisconnected = 'caller-gone',
+  CallersDisconnected = 'callers-gone',
   TargetHeadReceived = 'target-head-received',
   TargetDataReceived = 'target-data-received',
   TargetAnswerEnded = 'target-answer-ended',
@@ -38,6 +39,11 @@
   readonly exchangeId: number;
 }
 
+/** The listener is closed, and all connections of callers have ended. */
+export interface CallersDisconnectedEvent {
+  readonly kind: EventKind.CallersDisconnected;
+}
+
 /** The status line and header fields of a target's answer were received. */
 export interface TargetHeadEvent {
   readonly kind: EventKind.TargetHeadReceived;
@@ -208,6 +214,7 @@
 export type Event =
   | RequestReceivedEvent
   | CallerDisconnectedEvent
+  | CallersDisconnectedEvent
   | TargetHeadEvent
   | TargetDataEvent
   | TargetEndEvent
--- a/packages/gateway/src/lifecycle-service.ts
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -51,6 +51,8 @@
 
   #openCount = 0;
 
+  #hasConnections = true;
+
   readonly #catalogue: CatalogueApi;
 
   readonly #store: StoreApi;
@@ -102,6 +104,9 @@
   };
 
   handle(event: Event): readonly Effect[] {
+    if (event.kind === EventKind.CallersDisconnected) {
+      this.#hasConnections = false;
+    }
     return event.kind === EventKind.TimerFired && event.timer === TimerKind.DrainEnd
       ? this.#checkDrain()
       : [];
@@ -135,11 +140,13 @@
     return [{ kind: EffectKind.StopAccepting }];
   }
 
+  /** A connection that was just accepted may still bring its request. */
   #mayStop(graceLeftMs: number): boolean {
     const stoppedMs =
       this.options.runtime.nowMs() - (this.#acceptingStoppedAtMs ?? Number.POSITIVE_INFINITY);
     return (
-      graceLeftMs <= STOP_MARGIN_MS || (this.#openCount === 0 && stoppedMs >= LAST_REQUESTS_MS)
+      graceLeftMs <= STOP_MARGIN_MS ||
+      (this.#openCount === 0 && !this.#hasConnections && stoppedMs >= LAST_REQUESTS_MS)
     );
   }
 }
