perf: keep the sums of reported loads up to date

Each request summed the counts of all gateways at all targets twice. The sums now change with each message and are read from one map.

Checked against sums over all reports with generated messages (fast-check).

--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -11,6 +11,7 @@
 import type { Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
 import { PeerMessageKind, PeerRole } from './peer-message.js';
+import PeerTotals from './PeerTotals.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
 
@@ -22,12 +23,6 @@
 
 const TIMER_KEY = 0;
 
-interface PeerCounts {
-  /** By instance identifier. */
-  readonly counts: Map<string, number>;
-  lastReceivedAtMs: number;
-}
-
 /** Options of the service; it uses the clock of `runtime`. */
 export interface LoadsOptions {
   readonly runtime: Runtime;
@@ -37,7 +32,7 @@
 class LoadsService {
   readonly #ownCounts = new Map<string, number>();
 
-  readonly #peers = new Map<string, PeerCounts>();
+  readonly #peerTotals: PeerTotals;
 
   #lastBroadcast = '';
 
@@ -45,10 +40,8 @@
 
   readonly #admission: AdmissionApi;
 
-  private constructor(
-    private readonly runtime: Runtime,
-    find: FindService,
-  ) {
+  private constructor(runtime: Runtime, find: FindService) {
+    this.#peerTotals = PeerTotals.create(runtime.nowMs, COUNT_EXPIRY_MS);
     this.#members = find(ServiceName.Members);
     this.#admission = find(ServiceName.Admission);
   }
@@ -78,14 +71,8 @@
 
   readonly ownCountAt = (instanceId: string): number => this.#ownCounts.get(instanceId) ?? 0;
 
-  readonly countAt = (instanceId: string): number => {
-    const sinceMs = this.runtime.nowMs() - COUNT_EXPIRY_MS;
-    let sum = this.ownCountAt(instanceId);
-    this.#peers.forEach(({ counts, lastReceivedAtMs }) => {
-      sum += lastReceivedAtMs > sinceMs ? (counts.get(instanceId) ?? 0) : 0;
-    });
-    return sum;
-  };
+  readonly countAt = (instanceId: string): number =>
+    this.ownCountAt(instanceId) + this.#peerTotals.countAt(instanceId);
 
   handle(event: Event): readonly Effect[] {
     if (event.kind === EventKind.TimerFired && event.timer === TimerKind.LoadBroadcast) {
@@ -99,17 +86,10 @@
 
   #onPeerMessage({ address, message }: PeerMessageEvent): void {
     if (message.kind === PeerMessageKind.Load) {
-      const counts = new Map(message.counts.map(({ instanceId, count }) => [instanceId, count]));
-      this.#peers.set(address, { counts, lastReceivedAtMs: this.runtime.nowMs() });
+      this.#peerTotals.replace(address, message.counts);
     }
     if (message.kind === PeerMessageKind.LoadChange) {
-      const peer = this.#peers.get(address) ?? {
-        counts: new Map<string, number>(),
-        lastReceivedAtMs: 0,
-      };
-      peer.counts.set(message.instanceId, message.count);
-      peer.lastReceivedAtMs = this.runtime.nowMs();
-      this.#peers.set(address, peer);
+      this.#peerTotals.change(address, message);
     }
   }
 
