feat: a gateway that starts asks the others for crashes

Cause: it was told when it said hello to a gateway that knew, but hellos go to three contacts only, which may have started with it, and else by the periodic reports.

Change: it asks each gateway once as it learns of it; that replaces the answer to the hello. Also moves the decisions on retries out of exchanges-service into a service of their own, without a change of behaviour.

Measured: 'a gateway that starts asks for suspects'; 135 tests of gateway and gateway-io pass.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -87,6 +87,7 @@
     answers: answers.default([]),
   }),
   z.object({ kind: z.literal(PeerMessageKind.Suspects), crashes, answers }),
+  z.object({ kind: z.literal(PeerMessageKind.QuerySuspects) }),
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
     report,
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -14,6 +14,7 @@
 import { loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import type { Member } from './peer-message.js';
+import { retriesRegistration } from './retries-service.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
 import type { Runtime } from './runtime.js';
 import { routingRegistration } from './routing-service.js';
@@ -64,6 +65,7 @@
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
+    retriesRegistration({ runtime }),
     exchangesRegistration({ runtime, isStalled }),
     lifecycleRegistration({ runtime, graceMs }),
   ];
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -2,7 +2,7 @@
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
-import type { Resolution } from './exchange.js';
+import type { Exchange, Resolution } from './exchange.js';
 import type { CallerRequest } from './exchange-data.js';
 import type { Member, PassEstimate, PeerRole } from './peer-message.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
@@ -25,6 +25,7 @@
   Suspects = 'suspects',
   Admission = 'admission',
   RetryBudget = 'retry-budget',
+  Retries = 'retries',
   ColdStarts = 'cold-starts',
   Routing = 'routing',
   Exchanges = 'exchanges',
@@ -195,6 +196,20 @@
   readonly tryConsume: (service: string) => boolean;
 }
 
+/** Decides on further targets for a request; each `take` function uses the retry budget. */
+export interface RetriesApi {
+  /** Whether a further target could still answer before the deadline. */
+  readonly hasTime: (exchange: Exchange) => boolean;
+  /** Chooses a target; undefined when there is none, or when the request may crash it. */
+  readonly choose: (exchange: Exchange) => PublishedTarget | undefined;
+  /** Target for a request that a target may have run. */
+  readonly takeAfterRun: (exchange: Exchange) => PublishedTarget | undefined;
+  /** Target for a stream whose call is still in progress, but stalled. */
+  readonly takeAfterStall: (exchange: Exchange) => PublishedTarget | undefined;
+  /** Target for a request that a target has rejected without running it. */
+  readonly takeAfterRejection: (exchange: Exchange) => PublishedTarget | undefined;
+}
+
 /** Limits the requests to cold targets. */
 export interface ColdStartsApi {
   /** Whether this gateway may send a target one more request now. */
@@ -246,6 +261,7 @@
   readonly [ServiceName.Suspects]: SuspectsApi;
   readonly [ServiceName.Admission]: AdmissionApi;
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
+  readonly [ServiceName.Retries]: RetriesApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Exchanges]: object;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -19,6 +19,7 @@
   type LifecycleApi,
   type LoadsApi,
   type Registration,
+  type RetriesApi,
   type RetryBudgetApi,
   type RoutingApi,
   type StoreApi,
@@ -43,13 +44,7 @@
   servedWith,
   type ExchangeEnd,
 } from './exchange-log.js';
-import {
-  AnswerProgress,
-  Exchange,
-  ExchangeOutcome,
-  ExchangeReason,
-  isRetryable,
-} from './exchange.js';
+import { AnswerProgress, Exchange, ExchangeOutcome, ExchangeReason } from './exchange.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
 import type { PublishedTarget } from './published.js';
@@ -71,9 +66,6 @@
 /** Failed connections of one request after which no further target is tried. */
 const MAX_UNREACHABLE_TARGETS = 3;
 
-/** Minimum remaining time for another call; no target could answer in less. */
-const MIN_RETRY_TIME_MS = 50;
-
 class ExchangesService {
   readonly #exchanges = new Map<number, Exchange>();
 
@@ -100,6 +92,8 @@
 
   readonly #retryBudget: RetryBudgetApi;
 
+  readonly #retries: RetriesApi;
+
   readonly #coldStarts: ColdStartsApi;
 
   readonly #lifecycle: LifecycleApi;
@@ -114,6 +108,7 @@
     this.#suspects = find(ServiceName.Suspects);
     this.#admission = find(ServiceName.Admission);
     this.#retryBudget = find(ServiceName.RetryBudget);
+    this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#lifecycle = find(ServiceName.Lifecycle);
     this.#check = {
@@ -233,17 +228,12 @@
 
   /** Calls a target that has not been tried; refuses or fails the request when there is none. */
   #callNextTarget(exchange: Exchange, reasonIfNone: ExchangeReason): readonly Effect[] {
-    const target = this.#chooseTarget(exchange);
+    const target = this.#retries.choose(exchange);
     return target === undefined
       ? this.#refuseOrFail(exchange, reasonIfNone)
       : this.#call(exchange, target);
   }
 
-  /** Chooses no target for a request that has become a suspect since it was admitted. */
-  #chooseTarget(exchange: Exchange): PublishedTarget | undefined {
-    return this.#suspects.barredForMs(exchange) > 0 ? undefined : this.#routing.choose(exchange);
-  }
-
   #call(exchange: Exchange, target: PublishedTarget): readonly Effect[] {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
@@ -430,9 +420,7 @@
   /** The target proved that it did not run the request, so any kind of call may be retried. */
   #onNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
     exchange.recordRejection();
-    const { maxAttempts } = exchange.resolution.route;
-    const isAllowed = exchange.attemptCount <= Math.max(1, maxAttempts - 1);
-    const target = isAllowed ? this.#takeRetry(exchange) : undefined;
+    const target = this.#retries.takeAfterRejection(exchange);
     return [
       callFailedLine(
         exchange,
@@ -457,7 +445,7 @@
       callFailedLine(exchange, ExchangeReason.TargetUnreachable, detail),
       ...this.#suspects.recordUnreachable(target?.instanceId ?? ''),
     ];
-    return exchange.unreachableCount < MAX_UNREACHABLE_TARGETS && this.#hasTime(exchange)
+    return exchange.unreachableCount < MAX_UNREACHABLE_TARGETS && this.#retries.hasTime(exchange)
       ? [...lines, ...this.#callNextTarget(exchange, ExchangeReason.TargetUnreachable)]
       : [...lines, ...this.#refuseOrFail(exchange, ExchangeReason.TargetUnreachable)];
   }
@@ -537,20 +525,10 @@
 
   /** Calls another target after one that may have run the request; undefined if not allowed. */
   #retry(exchange: Exchange): readonly Effect[] | undefined {
-    const { route } = exchange.resolution;
-    const isAllowed = isRetryable(route) && exchange.attemptCount < route.maxAttempts;
-    const target = isAllowed ? this.#takeRetry(exchange) : undefined;
+    const target = this.#retries.takeAfterRun(exchange);
     return target === undefined ? undefined : this.#call(exchange, target);
   }
 
-  /** Takes a retry out of the budget if there is time and a target for it. */
-  #takeRetry(exchange: Exchange): PublishedTarget | undefined {
-    const target = this.#hasTime(exchange) ? this.#chooseTarget(exchange) : undefined;
-    return target !== undefined && this.#retryBudget.tryConsume(exchange.resolution.service)
-      ? target
-      : undefined;
-  }
-
   /** Resumes stalled streams elsewhere; one that cannot be resumed keeps its call. */
   #resumeStalled(): readonly Effect[] {
     return [...this.#exchangeOfCall.values()]
@@ -570,9 +548,7 @@
   }
 
   #resume(exchange: Exchange): readonly Effect[] {
-    const { route } = exchange.resolution;
-    const isAllowed = isRetryable(route) && exchange.attemptCount + 1 < route.maxAttempts;
-    const target = isAllowed ? this.#takeRetry(exchange) : undefined;
+    const target = this.#retries.takeAfterStall(exchange);
     if (target === undefined) {
       return [];
     }
@@ -585,10 +561,6 @@
     return deadlineAtMs - this.options.runtime.nowMs();
   }
 
-  #hasTime(exchange: Exchange): boolean {
-    return this.#remainingMs(exchange) > MIN_RETRY_TIME_MS;
-  }
-
   #onDeadline(exchangeId: number): readonly Effect[] {
     const exchange = this.#exchanges.get(exchangeId);
     if (exchange === undefined) {
@@ -692,6 +664,7 @@
     ServiceName.Suspects,
     ServiceName.Admission,
     ServiceName.RetryBudget,
+    ServiceName.Retries,
     ServiceName.ColdStarts,
     ServiceName.Lifecycle,
   ],
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -20,6 +20,7 @@
   LoadChange = 'load-change',
   CrashReport = 'crash-seen',
   Suspects = 'suspects',
+  QuerySuspects = 'query-suspects',
   RankState = 'rank-state',
   RankCountDelta = 'rank-increase',
   QueryState = 'tell-state',
@@ -153,6 +154,11 @@
   readonly answers: readonly ReportedAnswer[];
 }
 
+/** Asks a gateway for the crashes for which it refuses requests. */
+export interface QuerySuspectsMessage {
+  readonly kind: PeerMessageKind.QuerySuspects;
+}
+
 /**
  * State of a rank, reported by the agent beside it. `HoldConfirmed` also means that the agent will
  * retain the hold in the report.
@@ -229,6 +235,7 @@
   | LoadChangeMessage
   | CrashReportMessage
   | SuspectsMessage
+  | QuerySuspectsMessage
   | RankStateMessage
   | QueryStateMessage
   | RankCountDeltaMessage
--- a/packages/gateway/src/suspects-service.ts
+++ b/packages/gateway/src/suspects-service.ts
@@ -25,7 +25,6 @@
   PeerMessageKind,
   PeerRole,
   type CrashReportMessage,
-  type HelloMessage,
   type ReportedAnswer,
   type ReportedCrash,
   type SuspectsMessage,
@@ -52,6 +51,9 @@
 /** Suspects that are no longer refused are sent one at a time: a crash shows within this time. */
 const TRIAL_INTERVAL_MS = 1_000;
 
+/** Time after the start in which the other gateways become known. */
+const QUERY_PERIOD_MS = 5_000;
+
 /** Crashes in one periodic report, so that it fits a datagram. */
 const MAX_REPORTED_CRASHES = 8;
 
@@ -98,6 +100,11 @@
 
   readonly #jitter: number;
 
+  readonly #startedAtMs: number;
+
+  /** Addresses of the gateways that were asked after the start. */
+  readonly #queriedPeers = new Set<string>();
+
   readonly #members: MembersApi;
 
   private constructor(
@@ -106,6 +113,7 @@
   ) {
     this.#members = find(ServiceName.Members);
     this.#jitter = options.runtime.random();
+    this.#startedAtMs = options.runtime.nowMs();
   }
 
   static create(options: SuspectsOptions, find: FindService): SuspectsService {
@@ -197,7 +205,23 @@
     if (event.kind === EventKind.TimerFired && event.timer === TimerKind.SuspectReport) {
       return [SuspectsService.scheduleReport(), ...this.#reportCrashes()];
     }
-    return event.kind === EventKind.PeerMessageReceived ? this.#onMessage(event) : [];
+    return event.kind === EventKind.PeerMessageReceived
+      ? [...this.#queryNewPeers(), ...this.#onMessage(event)]
+      : [];
+  }
+
+  /** After a start, asks each gateway once: others may have seen crashes before. */
+  #queryNewPeers(): readonly Effect[] {
+    if (this.#nowMs() - this.#startedAtMs > QUERY_PERIOD_MS) {
+      return [];
+    }
+    const unasked = this.#members
+      .others(PeerRole.Gateway)
+      .filter(({ address }) => !this.#queriedPeers.has(address));
+    return unasked.map(({ address }) => {
+      this.#queriedPeers.add(address);
+      return sendToPeer(address, { kind: PeerMessageKind.QuerySuspects });
+    });
   }
 
   #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
@@ -206,8 +230,10 @@
         const { instanceId, fingerprint, segments, answers } = message;
         return this.#merge(address, [{ instanceId, ageMs: 0, fingerprint, segments }], answers);
       }
-      case PeerMessageKind.Hello:
-        return this.#onHello(address, message);
+      case PeerMessageKind.QuerySuspects: {
+        const report = this.#buildReport();
+        return report === undefined ? [] : [sendToPeer(address, report)];
+      }
       case PeerMessageKind.Suspects:
         return this.#merge(address, message.crashes, message.answers);
       default:
@@ -256,14 +282,6 @@
       );
   }
 
-  /** A gateway that has just started knows no member list, and no crashes either. */
-  #onHello(address: string, { member, knownDigest }: HelloMessage): readonly Effect[] {
-    const report = this.#buildReport();
-    return member.role === PeerRole.Gateway && knownDigest === undefined && report !== undefined
-      ? [sendToPeer(address, report)]
-      : [];
-  }
-
   /** Reports crashes repeatedly, since messages may be lost. */
   #reportCrashes(): readonly Effect[] {
     const { random } = this.options.runtime;
--- a/packages/gateway/tests/crashing-segments.test.ts
+++ b/packages/gateway/tests/crashing-segments.test.ts
@@ -106,6 +106,8 @@
   harness.advance(RESTART_MS);
 };
 
+const { CrashReport, QuerySuspects, Suspects } = PeerMessageKind;
+
 const PEER: Member = {
   name: 'gateway-2',
   role: PeerRole.Gateway,
@@ -120,14 +122,14 @@
 const meetPeer = (harness: Harness): void =>
   receive(harness, { kind: PeerMessageKind.Hello, member: PEER });
 
-/** Messages about suspects that a gateway has sent to its peer since it had made `before` effects. */
-const suspectMessages = ({ effects }: Harness, before = 0): readonly PeerMessage[] =>
+const messagesOf = ({ effects }: Harness, before = 0): readonly PeerMessage[] =>
   effects
     .slice(before)
-    .flatMap((effect) => (effect.kind === EffectKind.SendToPeer ? [effect.message] : []))
-    .filter(
-      ({ kind }) => kind === PeerMessageKind.CrashReport || kind === PeerMessageKind.Suspects,
-    );
+    .flatMap((effect) => (effect.kind === EffectKind.SendToPeer ? [effect.message] : []));
+
+/** Messages about suspects that a gateway has sent to its peer since it had made `before` effects. */
+const suspectMessages = (harness: Harness, before = 0): readonly PeerMessage[] =>
+  messagesOf(harness, before).filter(({ kind }) => kind === CrashReport || kind === Suspects);
 
 /** A gateway that knows a peer and that has seen a crash. */
 const gatewayWithCrash = (): Harness => {
@@ -287,13 +289,16 @@
   expect(send(peer, CRASHING)).toEqual(false);
 });
 
-test('a peer that starts is told of suspects at once', () => {
+test('a gateway that starts asks for suspects', () => {
   const harness = gatewayWithCrash();
+  const starting = gateway();
+  meetPeer(starting);
+  const queries = messagesOf(starting).filter(({ kind }) => kind === QuerySuspects);
+  expect(queries.length).toEqual(1);
   const before = harness.effects.length;
-  meetPeer(harness);
-  const peer = gateway();
-  suspectMessages(harness, before).forEach((message) => receive(peer, message));
-  expect(send(peer, CRASHING)).toEqual(false);
+  queries.forEach((message) => receive(harness, message));
+  suspectMessages(harness, before).forEach((message) => receive(starting, message));
+  expect(send(starting, CRASHING)).toEqual(false);
 });
 
 test('a peer that has answers corrects a report', () => {
