fix: bound the prompt segments that are tracked for a request

By reading: a prompt may list a thousand segments; each would be remembered as answered, evicting the others, and be reported to all gateways in one datagram. The first 32 count. The delay after which a refused suspect may return is a whole number of milliseconds.

--- a/packages/gateway/src/suspects-service.ts
+++ b/packages/gateway/src/suspects-service.ts
@@ -42,6 +42,9 @@
 
 const MAX_ANSWERED_SEGMENTS = 4_096;
 
+/** Further segments of a prompt are ignored, so that messages and memory stay bounded. */
+const MAX_SEGMENTS = 32;
+
 /** Interval at which crashes are reported to gateways that may not know them. */
 const REPORT_INTERVAL_MS = 500;
 
@@ -77,7 +80,9 @@
 }
 
 const segmentsOf = ({ request, resolution }: ResolvedRequest): readonly string[] =>
-  request.promptSegments.map((segment) => `${resolution.service}/${segment}`);
+  request.promptSegments
+    .slice(0, MAX_SEGMENTS)
+    .map((segment) => `${resolution.service}/${segment}`);
 
 const traitsOf = (resolved: ResolvedRequest): Traits => ({
   fingerprint: fingerprintOf(resolved.request),
@@ -275,7 +280,7 @@
         log(LogLevel.Warn, LogTopic.CrashSuspected, {
           instanceId,
           count: this.#crashes.filter((crash) => crash.fingerprint === fingerprint).length,
-          durationMs: Math.round(this.#barredForMs({ fingerprint, segments })),
+          durationMs: this.#barredForMs({ fingerprint, segments }),
           detail: fingerprint,
           ...(segments.length === 0 ? {} : { promptSegments: segments.join(',') }),
         }),
@@ -352,7 +357,9 @@
     const untilMs = this.#barUntilMs(traits);
     return untilMs === undefined
       ? 0
-      : Math.max(0, Math.max(untilMs, this.#lastTrialAtMs + TRIAL_INTERVAL_MS) - this.#nowMs());
+      : Math.ceil(
+          Math.max(0, Math.max(untilMs, this.#lastTrialAtMs + TRIAL_INTERVAL_MS) - this.#nowMs()),
+        );
   }
 
   #recentlyInterrupted(instanceId: string): InterruptedRequest[] {
--- a/packages/gateway/tests/crashing-segments.test.ts
+++ b/packages/gateway/tests/crashing-segments.test.ts
@@ -327,3 +327,15 @@
   suspectMessages(peer, before).forEach((message) => receive(harness, message));
   expect(send(harness, CRASHING)).toEqual(true);
 });
+
+test('a crash with many segments is reported in part', () => {
+  const harness = gateway();
+  meetPeer(harness);
+  send(
+    harness,
+    Array.from({ length: 1_000 }, (_, index) => `s-${index}`),
+  );
+  crash(harness);
+  const [report] = messagesOf(harness).filter(({ kind }) => kind === CrashReport);
+  expect(report?.kind === CrashReport && report.segments.length).toEqual(32);
+});
