fix: crashes of many targets at once do not evict a suspect

By reading: the list of crashes held 64, one for each request that waited at a target that crashed. When a zone of targets goes, its sound requests would have pushed out the crashes of a segment that is refused. It holds 256; crashes without a segment in common with the request are passed over before anything is computed.

Measured: 'crashes of many targets evict no suspect' (200 further crashes) fails with 64, passes now.

--- a/packages/gateway/src/bar-suspects.ts
+++ b/packages/gateway/src/bar-suspects.ts
@@ -111,6 +111,9 @@
   evidence: Evidence,
 ): number | undefined => {
   const matching = crashes.filter((crash) => {
+    if (!crash.segments.some((segment) => segments.includes(segment))) {
+      return false;
+    }
     const cause = causeOf(crash, answeredAtMs);
     return (
       cause.evidence === evidence &&
--- a/packages/gateway/src/crash.ts
+++ b/packages/gateway/src/crash.ts
@@ -13,8 +13,8 @@
 /** Reports about one instance within this time are about the same crash. */
 const SAME_CRASH_MS = 3_000;
 
-/** Further crashes add no evidence. */
-const MAX_CRASHES = 64;
+/** The oldest ones are dropped; when many targets crash at once, each had requests waiting. */
+const MAX_CRASHES = 256;
 
 /** Crashes older than this are ignored, so that no request is refused permanently. */
 const CRASH_EXPIRY_MS = 1_200_000;
--- a/packages/gateway/src/suspects-service.ts
+++ b/packages/gateway/src/suspects-service.ts
@@ -37,9 +37,10 @@
 /** A failed connection this soon after an interrupted request means that the target crashed. */
 const CRASH_WINDOW_MS = 2_000;
 
-/** Targets with interrupted requests, and segments that are remembered as answered. */
+/** Maximum number of targets with interrupted requests. */
 const MAX_TRACKED_TARGETS = 1_024;
 
+/** Maximum number of segments that are remembered as answered. */
 const MAX_ANSWERED_SEGMENTS = 4_096;
 
 /** Further segments of a prompt are ignored, so that messages and memory stay bounded. */
--- a/packages/gateway/tests/crashing-segments.test.ts
+++ b/packages/gateway/tests/crashing-segments.test.ts
@@ -339,3 +339,17 @@
   const [report] = messagesOf(harness).filter(({ kind }) => kind === CrashReport);
   expect(report?.kind === CrashReport && report.segments.length).toEqual(32);
 });
+
+test('crashes of many targets evict no suspect', () => {
+  const harness = gatewayWithCrash();
+  Array.from({ length: 200 }, (_, index) =>
+    receive(harness, {
+      kind: CrashReport,
+      fingerprint: `other-${index}`,
+      instanceId: `other-${index}`,
+      segments: ['plain/other'],
+      answers: [],
+    }),
+  );
+  expect(send(harness, CRASHING)).toEqual(false);
+});
