--- a/packages/transport/src/TargetPort.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -24,7 +24,6 @@
   readonly request: ClientRequest;
   /** Until then no part of the request was written. */
   isConnected: boolean;
-  answer: IncomingMessage | undefined;
 }
 
 /**
@@ -35,6 +34,8 @@
 export default class TargetPort {
   readonly #calls = new Map<string, OpenCall>();
 
+  readonly #answers = new Map<string, IncomingMessage>();
+
   /** `pipelining: 0` disables keep-alive. */
   readonly #healthAgent = new Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 0 });
 
@@ -59,21 +60,13 @@
    */
   call(effect: CallTargetEffect): void {
     const { callId } = effect;
-    const outgoing = request(new URL(effect.request.path, this.targetUrl), {
-      method: effect.request.method,
-      headers: TargetPort.#headersOf(effect),
-      agent: false,
-    });
-    const call: OpenCall = { request: outgoing, isConnected: false, answer: undefined };
-    this.#calls.set(callId, call);
-    outgoing.on('socket', (socket) =>
-      socket.on('connect', () => {
-        call.isConnected = true;
-      }),
-    );
-    outgoing.on('response', (answer) => this.#onAnswer(callId, call, answer));
-    outgoing.on('error', (error) => this.#onError(callId, error));
-    outgoing.end(TargetPort.#bodyOf(effect));
+    try {
+      const body = TargetPort.#bodyOf(effect);
+      this.#start(callId, this.#createRequest(effect, body), body);
+    } catch (error) {
+      // A path or content type that cannot be encoded.
+      this.post(TargetPort.#errorEvent(callId, TargetErrorStage.BeforeWrite, error));
+    }
   }
 
   /** Cancels a call; no further event is posted about it. */
@@ -83,12 +76,12 @@
 
   /** Stops reading an answer until `resume`; has no effect before the head has arrived. */
   pause(callId: string): void {
-    this.#calls.get(callId)?.answer?.pause();
+    this.#answers.get(callId)?.pause();
   }
 
   /** Continues reading an answer. */
   resume(callId: string): void {
-    this.#calls.get(callId)?.answer?.resume();
+    this.#answers.get(callId)?.resume();
   }
 
   /** Posts the target's health; without a valid answer in time, the target counts as down and cold. */
@@ -112,12 +105,41 @@
     await this.#healthAgent.destroy();
   }
 
-  static #headersOf({ request: { contentType }, requestId, idempotencyKey }: CallTargetEffect) {
-    return {
-      'x-request-id': requestId,
-      ...(contentType === '' ? {} : { 'content-type': contentType }),
-      ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
-    };
+  #createRequest(
+    { request: target, requestId, idempotencyKey }: CallTargetEffect,
+    body: Buffer,
+  ): ClientRequest {
+    const { hostname, port } = new URL(this.targetUrl);
+    return request({
+      host: hostname,
+      port,
+      path: target.path,
+      method: target.method,
+      headers: {
+        'x-request-id': requestId,
+        ...(body.length === 0 && target.method === 'GET' ? {} : { 'content-length': body.length }),
+        ...(target.contentType === '' ? {} : { 'content-type': target.contentType }),
+        ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+      },
+      agent: false,
+    });
+  }
+
+  #start(callId: string, outgoing: ClientRequest, body: Buffer): void {
+    const call: OpenCall = { request: outgoing, isConnected: false };
+    this.#calls.set(callId, call);
+    outgoing.on('socket', (socket) =>
+      socket.on('connect', () => {
+        call.isConnected = true;
+      }),
+    );
+    outgoing.on('response', (answer) => this.#onAnswer(callId, answer));
+    outgoing.on('upgrade', (_answer, socket) => {
+      socket.destroy();
+      this.#onError(callId, new Error('the target changes the protocol'));
+    });
+    outgoing.on('error', (error) => this.#onError(callId, error));
+    outgoing.end(body);
   }
 
   static #bodyOf({ request: { body }, deliveredCount, deliveredText }: CallTargetEffect): Buffer {
@@ -125,12 +147,12 @@
     return Buffer.from(text, 'latin1');
   }
 
-  #onAnswer(callId: string, call: OpenCall, answer: IncomingMessage): void {
+  #onAnswer(callId: string, answer: IncomingMessage): void {
     if (!this.#calls.has(callId)) {
       answer.destroy();
       return;
     }
-    Object.assign(call, { answer });
+    this.#answers.set(callId, answer);
     const contentType = answer.headers['content-type'] ?? '';
     const splitter = createSplitter(contentType);
     this.post({
@@ -168,12 +190,11 @@
   #onError(callId: string, error: unknown): void {
     const isWritten = this.#calls.get(callId)?.isConnected ?? true;
     const stage = isWritten ? TargetErrorStage.AfterWrite : TargetErrorStage.BeforeWrite;
-    this.#postLast(callId, {
-      kind: EventKind.TargetError,
-      callId,
-      stage,
-      detail: errorCodeOf(error),
-    });
+    this.#postLast(callId, TargetPort.#errorEvent(callId, stage, error));
+  }
+
+  static #errorEvent(callId: string, stage: TargetErrorStage, error: unknown): Event {
+    return { kind: EventKind.TargetError, callId, stage, detail: errorCodeOf(error) };
   }
 
   #postLast(callId: string, event: Event): void {
@@ -185,6 +206,7 @@
   #removeCall(callId: string): OpenCall | undefined {
     const call = this.#calls.get(callId);
     this.#calls.delete(callId);
+    this.#answers.delete(callId);
     return call;
   }
 }
--- a/packages/transport/tests/target-port.test.ts
+++ b/packages/transport/tests/target-port.test.ts
@@ -2,28 +2,48 @@
 import { once } from 'node:events';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
-import { EffectKind, EventKind, type CallTargetEffect, type Event } from '@ebonysill/core';
+import {
+  EffectKind,
+  EventKind,
+  type CallTargetEffect,
+  type Event,
+  type TargetRequest,
+} from '@ebonysill/core';
 import { expect } from 'earl';
 import { TargetPort } from '../src/index.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n';
 
-/** Writes an answer; the text is what the caller sent. */
-type Answer = (socket: Socket, text: string) => void;
+/** Writes an answer to a request with this body and head. */
+type Answer = (socket: Socket, text: string, head: string) => void;
 
-const callOf = (callId: string): CallTargetEffect => ({
+const callOf = (callId: string, changes: Partial<TargetRequest>): CallTargetEffect => ({
   kind: EffectKind.CallTarget,
   callId,
   requestId: callId,
-  request: { service: 's-1', method: 'POST', path: '/x', contentType: 'text/plain', body: callId },
+  request: {
+    service: 's-1',
+    method: 'POST',
+    path: '/x',
+    contentType: 'text/plain',
+    body: callId,
+    ...changes,
+  },
   deliveredCount: 0,
 });
 
 /** Makes calls one after the other; returns the last event of each and the text of its answer. */
-const call = async (answer: Answer, callIds: readonly string[]): Promise<readonly string[]> => {
+const call = async (
+  answer: Answer,
+  callIds: readonly string[],
+  changes: Partial<TargetRequest> = {},
+): Promise<readonly string[]> => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.on('data', (data) => answer(socket, data.toString().split('\r\n\r\n')[1] ?? ''));
+    socket.on('data', (data) => {
+      const [head = '', text = ''] = data.toString().split('\r\n\r\n');
+      answer(socket, text, head);
+    });
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -41,7 +61,7 @@
           resolve(`${event.kind} ${text}`);
         }
       };
-      port.call(callOf(callId));
+      port.call(callOf(callId, changes));
     });
   const results = await callIds.reduce<Promise<readonly string[]>>(
     async (previous, callId) => [...(await previous), await callOnce(callId)],
@@ -126,3 +146,35 @@
   const results = await call((socket, text) => socket.end(head.slice(0, Number(text))), cuts);
   expect(results).toEqual(cuts.map(() => `${ERROR} `));
 });
+
+test('a path that names another host stays a path', async () => {
+  const heads: string[] = [];
+  const answer: Answer = (socket, _text, head) => {
+    heads.push(head.split('\r\n')[0] ?? '');
+    socket.end(`${HEAD}Content-Length: 0\r\n\r\n`);
+  };
+  const results = await call(answer, ['one'], { path: '//127.0.0.2:1/x' });
+  expect(results.map(kindOf)).toEqual([END]);
+  expect(heads).toEqual(['POST //127.0.0.2:1/x HTTP/1.1']);
+});
+
+test('a GET with a body has its length', async () => {
+  const heads: string[] = [];
+  const answer: Answer = (socket, _text, head) => {
+    heads.push(head.toLowerCase());
+    socket.end(`${HEAD}Content-Length: 0\r\n\r\n`);
+  };
+  await call(answer, ['three'], { method: 'GET' });
+  expect(heads.map((head) => head.includes('content-length: 5'))).toEqual([true]);
+});
+
+test('a path that cannot be encoded is an error', async () => {
+  const results = await call(() => undefined, ['one'], { path: '/a b' });
+  expect(results.map(kindOf)).toEqual([ERROR]);
+});
+
+test('a change of protocol is an error', async () => {
+  const switching = 'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n';
+  const results = await call((socket) => socket.write(switching), ['one']);
+  expect(results.map(kindOf)).toEqual([ERROR]);
+});
