feat: log the rate limits that targets name in their answers

Cause: the logs could not tell whether a gateway knows the limit of a target. A value that is no decimal number is ignored with one line for each target. Nothing is decided by it yet.

--- a/packages/gateway-io/tests/target-client.test.ts
+++ b/packages/gateway-io/tests/target-client.test.ts
@@ -3,7 +3,7 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { CallStage, EffectKind, EventKind, type Event } from '@ebonysill/gateway';
+import { CallStage, EffectKind, EventKind, NO_NOTICE, type Event } from '@ebonysill/gateway';
 import { TargetClient } from '../src/index.js';
 
 /** Calls a target that answers with `answer`; resolves with the last event of the call. */
@@ -24,6 +24,7 @@
         isSigned: true,
         isEventStream: false,
         endsWithConnection: false,
+        notice: NO_NOTICE,
         headers: [],
       }),
       post: (posted) => {
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -13,6 +13,7 @@
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
+import { noticesRegistration } from './notices-service.js';
 import type { Member } from './peer-message.js';
 import { retriesRegistration } from './retries-service.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
@@ -64,6 +65,7 @@
     admissionRegistration({ runtime, decide: decideAdmission }),
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
+    noticesRegistration({ runtime }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
     retriesRegistration({ runtime }),
     exchangesRegistration({ runtime, isStalled }),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -3,7 +3,7 @@
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
 import type { Exchange, Resolution } from './exchange.js';
-import type { CallerRequest } from './exchange-data.js';
+import type { CallerRequest, TargetHead } from './exchange-data.js';
 import type { Member, PassEstimate, PeerRole } from './peer-message.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
@@ -27,6 +27,7 @@
   RetryBudget = 'retry-budget',
   Retries = 'retries',
   ColdStarts = 'cold-starts',
+  Notices = 'notices',
   Routing = 'routing',
   Exchanges = 'exchanges',
   Lifecycle = 'lifecycle',
@@ -217,6 +218,12 @@
   readonly recordStart: (target: PublishedTarget) => void;
 }
 
+/** What targets say of themselves in their answers. */
+export interface NoticesApi {
+  /** Records the head of an answer; the effects log what has changed. */
+  readonly recordHead: (target: PublishedTarget, head: TargetHead) => readonly Effect[];
+}
+
 /** Readiness of the process and its drain. */
 export interface LifecycleApi {
   readonly isReady: () => boolean;
@@ -263,6 +270,7 @@
   readonly [ServiceName.RetryBudget]: RetryBudgetApi;
   readonly [ServiceName.Retries]: RetriesApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
+  readonly [ServiceName.Notices]: NoticesApi;
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Exchanges]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -181,6 +181,8 @@
   TargetAdded = 'target added',
   TargetChanged = 'target changed',
   TargetRemoved = 'target removed',
+  TargetLimited = 'target limit changed',
+  NoticeInvalid = 'target notice invalid',
   ItemUnreadable = 'store item unreadable',
   StoreLost = 'store lost',
   StoreRegained = 'store regained',
@@ -219,6 +221,8 @@
   /** Time since the store last confirmed this process's copy of it. */
   readonly knowledgeAgeMs?: number;
   readonly runningCount?: number;
+  /** Requests that a target takes in each second; absent when it names no limit. */
+  readonly maxRequestsPerSecond?: number;
   readonly passMs?: number;
   readonly epoch?: number;
   readonly step?: number;
--- a/packages/gateway/src/exchange-data.ts
+++ b/packages/gateway/src/exchange-data.ts
@@ -1,4 +1,5 @@
 /** @module Requests of callers and answers of targets, as data apart from their encoding. */
+import type { TargetNotice } from './target-notice.js';
 
 /** One header field that is forwarded unchanged. */
 export interface HeaderField {
@@ -63,6 +64,7 @@
   /** Whether neither a length nor chunks, but the end of the connection ends the answer. */
   readonly endsWithConnection: boolean;
   readonly load?: TargetLoad;
+  readonly notice: TargetNotice;
   /** Instance at fault, when it is not the one that answered. */
   readonly faultyInstanceId?: string;
   /** Fields to forward to the caller. */
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -18,6 +18,7 @@
   type FindService,
   type LifecycleApi,
   type LoadsApi,
+  type NoticesApi,
   type Registration,
   type RetriesApi,
   type RetryBudgetApi,
@@ -96,6 +97,8 @@
 
   readonly #coldStarts: ColdStartsApi;
 
+  readonly #notices: NoticesApi;
+
   readonly #lifecycle: LifecycleApi;
 
   private constructor(
@@ -110,6 +113,7 @@
     this.#retryBudget = find(ServiceName.RetryBudget);
     this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
+    this.#notices = find(ServiceName.Notices);
     this.#lifecycle = find(ServiceName.Lifecycle);
     this.#check = {
       catalogue: find(ServiceName.Catalogue),
@@ -277,7 +281,7 @@
       return this.#interrupt(exchange, `the answer has status ${head.status}`);
     }
     exchange.recordHead(head);
-    return [];
+    return exchange.target === undefined ? [] : this.#notices.recordHead(exchange.target, head);
   }
 
   #onData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
@@ -666,6 +670,7 @@
     ServiceName.RetryBudget,
     ServiceName.Retries,
     ServiceName.ColdStarts,
+    ServiceName.Notices,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,4 +18,5 @@
 export * from './published.js';
 export * from './rank-data.js';
 export * from './runtime.js';
+export * from './target-notice.js';
 export { default as TimerKind } from './TimerKind.js';
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -6,6 +6,7 @@
   EventKind,
   ItemKind,
   ItemScope,
+  NO_NOTICE,
   PeerRole,
   ServiceName,
   StoreReadKind,
@@ -96,6 +97,7 @@
   isSigned: true,
   isEventStream: false,
   endsWithConnection: false,
+  notice: NO_NOTICE,
   headers: [],
   ...changes,
 });
