test: gateways exceed the limit that a target names

Seen: a target that names a limit of 0, 0.3, 1 or 4 requests a second gets 200 requests in 4 s from one gateway and 224 from ten, where 5 to 29 may come.

--- /dev/null
+++ b/packages/gateway/tests/fleet.ts
@@ -0,0 +1,125 @@
+/** @module Several gateways on one virtual clock, whose messages reach each other after a delay. */
+import {
+  EffectKind,
+  EventKind,
+  PeerRole,
+  type Effect,
+  type GatewayOptions,
+  type SendToPeerEffect,
+  type StartCallEffect,
+  type StoreItem,
+} from '../src/index.js';
+import { Harness } from './harness.js';
+
+/** Length of a step; messages that are sent in one step arrive in the next. */
+export const STEP_MS = 10;
+
+/** A call that a gateway started. */
+export interface FleetCall {
+  readonly gateway: Harness;
+  readonly callId: number;
+  readonly instanceId: string;
+  readonly atMs: number;
+}
+
+interface Gateway {
+  readonly address: string;
+  readonly harness: Harness;
+  /** Effects up to here were carried out. */
+  doneCount: number;
+}
+
+interface SentMessage {
+  readonly from: string;
+  readonly effect: SendToPeerEffect;
+}
+
+/** Gateways that know each other. */
+export class Fleet {
+  readonly calls: FleetCall[] = [];
+
+  /** Whether a message is lost; by default none is. */
+  isLost: (from: string, to: string) => boolean = () => false;
+
+  readonly #gateways: readonly Gateway[];
+
+  #inFlight: readonly SentMessage[] = [];
+
+  private constructor(gateways: readonly Gateway[]) {
+    this.#gateways = gateways;
+  }
+
+  /**
+   * Creates gateways whose store held these items; `options` replace the harness's defaults.
+   *
+   * @example
+   * const fleet = Fleet.create(10, [targetItem(targetOf('t-1'))]);
+   */
+  static create(
+    count: number,
+    items: readonly StoreItem[],
+    options: Partial<GatewayOptions> = {},
+  ): Fleet {
+    const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}:7000`);
+    const fleet = new Fleet(
+      addresses.map((address, index) => ({
+        address,
+        harness: Harness.create(items, {
+          self: {
+            name: `gateway-${index + 1}`,
+            role: PeerRole.Gateway,
+            address,
+            availabilityZone: 'zone-a',
+          },
+          seeds: addresses.filter((other) => other !== address),
+          ...options,
+        }),
+        doneCount: 0,
+      })),
+    );
+    fleet.run(1_000);
+    return fleet;
+  }
+
+  get harnesses(): readonly Harness[] {
+    return this.#gateways.map(({ harness }) => harness);
+  }
+
+  get nowMs(): number {
+    return this.harnesses[0]?.nowMs ?? 0;
+  }
+
+  /** Advances the clock step by step; `onStep` runs before the messages of a step arrive. */
+  run(spanMs: number, onStep: () => void = () => undefined): void {
+    Array.from({ length: spanMs / STEP_MS }).forEach(() => {
+      onStep();
+      const arriving = this.#inFlight;
+      this.#inFlight = [];
+      arriving.forEach((message) => this.#deliver(message));
+      this.#gateways.forEach((gateway) => {
+        gateway.harness.advance(STEP_MS);
+        this.#carryOut(gateway);
+      });
+    });
+  }
+
+  #deliver({ from, effect: { address, message } }: SentMessage): void {
+    const receiver = this.#gateways.find((gateway) => gateway.address === address);
+    if (receiver !== undefined && !this.isLost(from, address)) {
+      receiver.harness.post({ kind: EventKind.PeerMessageReceived, address: from, message });
+    }
+  }
+
+  #carryOut(gateway: Gateway): void {
+    const { harness, doneCount, address } = gateway;
+    const effects: readonly Effect[] = harness.effects.slice(doneCount);
+    Object.assign(gateway, { doneCount: harness.effects.length });
+    const sent = effects.filter((effect) => effect.kind === EffectKind.SendToPeer);
+    this.#inFlight = [...this.#inFlight, ...sent.map((effect) => ({ from: address, effect }))];
+    effects
+      .filter((effect): effect is StartCallEffect => effect.kind === EffectKind.StartCall)
+      .forEach(({ callId, call: { instanceId } }) =>
+        this.calls.push({ gateway: harness, callId, instanceId, atMs: harness.nowMs }),
+      );
+  }
+}
