fix: gateways together keep the limit that a target names

Cause: what a target says of itself in its answers did not take part in the choice of a target, and gateways did not tell it to each other. Change: a notices service keeps the limits that targets name. Gateways tell each other each change at once and all limits repeatedly; each counts the requests of all gateways, which are announced anyway, against a token bucket a target. The choice of a target, which every first call, retry and resumed stream goes through, leaves out targets without a token. When none has one, the caller is refused at once, with the time until the first is back.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -88,6 +88,16 @@
   }),
   z.object({ kind: z.literal(PeerMessageKind.Suspects), crashes, answers }),
   z.object({ kind: z.literal(PeerMessageKind.QuerySuspects) }),
+  z.object({
+    kind: z.literal(PeerMessageKind.TargetLimits),
+    limits: z.array(
+      z.object({
+        instanceId: z.string(),
+        ageMs: z.number().nonnegative(),
+        maxRequestsPerSecond: z.number().nonnegative().optional(),
+      }),
+    ),
+  }),
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
     report,
--- a/packages/gateway/src/RecentMap.ts
+++ b/packages/gateway/src/RecentMap.ts
@@ -39,6 +39,11 @@
     return this.#entries.delete(key);
   }
 
+  /** Keys and values, the most recent one last. */
+  entries(): IterableIterator<[string, TValue]> {
+    return this.#entries.entries();
+  }
+
   /** Values, the most recent one last. */
   values(): IterableIterator<TValue> {
     return this.#entries.values();
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -150,6 +150,8 @@
   readonly refusalOf: (request: RoutedRequest) => AdmissionResult | undefined;
   /** Chooses a target that has not been tried; undefined when there is none. */
   readonly choose: (request: RoutedRequest) => PublishedTarget | undefined;
+  /** For how long no target of a service wants a request; 0 when one may be sent now. */
+  readonly blockedForMs: (service: string) => number;
   /** Excludes a target for a short time, unless there is no other. */
   readonly avoid: (instanceId: string) => void;
   /** Name of the pool of a target, as in {@link GroupsApi}. */
@@ -222,6 +224,10 @@
 export interface NoticesApi {
   /** Records the head of an answer; the effects log what has changed. */
   readonly recordHead: (target: PublishedTarget, head: TargetHead) => readonly Effect[];
+  /** For how long a target wants no further request; 0 when one may be sent now. */
+  readonly blockedForMs: (target: PublishedTarget) => number;
+  /** Counts a request that this gateway sends now. */
+  readonly recordStart: (target: PublishedTarget) => void;
 }
 
 /** Readiness of the process and its drain. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -24,6 +24,8 @@
   UnknownCredential = 'unknown-credential',
   TooManyStreams = 'too-many-streams',
   NoTarget = 'no-target',
+  /** Every target wants no further request for now. */
+  TargetsBlocked = 'targets-blocked',
   NotRunByTarget = 'not-run-by-target',
   TargetUnreachable = 'target-unreachable',
   TargetFailed = 'target-failed',
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -50,7 +50,7 @@
 import { LocalStatus, localAnswer } from './local-answers.js';
 import type { PublishedTarget } from './published.js';
 import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
-import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf } from './retry-after.js';
+import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf, spreadRetryAfterMs } from './retry-after.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
 
@@ -245,6 +245,7 @@
     this.#exchangeOfCall.set(callId, exchange);
     const announcements = this.#loads.recordStart(target.instanceId);
     this.#coldStarts.recordStart(target);
+    this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
@@ -597,11 +598,19 @@
       return this.#fail(exchange, reason);
     }
     const barredForMs = this.#suspects.barredForMs(exchange);
-    return barredForMs > 0
-      ? this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs)
+    if (barredForMs > 0) {
+      return this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs);
+    }
+    const blockedForMs = this.#routing.blockedForMs(exchange.resolution.service);
+    return blockedForMs > 0
+      ? this.#refuse(exchange, ExchangeReason.TargetsBlocked, this.#spread(blockedForMs))
       : this.#refuse(exchange, reason, retryAfterMsOf(this.#remainingMs(exchange)));
   }
 
+  #spread(delayMs: number): number {
+    return spreadRetryAfterMs(delayMs, this.options.runtime.random());
+  }
+
   #refuse(
     exchange: Exchange,
     reason: ExchangeReason,
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -21,6 +21,7 @@
   CrashReport = 'crash-seen',
   Suspects = 'suspects',
   QuerySuspects = 'query-suspects',
+  TargetLimits = 'target-limits',
   RankState = 'rank-state',
   RankCountDelta = 'rank-increase',
   QueryState = 'tell-state',
@@ -159,6 +160,21 @@
   readonly kind: PeerMessageKind.QuerySuspects;
 }
 
+/** Limit that a target names for the requests of all gateways together. */
+export interface ReportedLimit {
+  readonly instanceId: string;
+  /** Time since the target said so last. */
+  readonly ageMs: number;
+  /** Absent when the target names no limit any more. */
+  readonly maxRequestsPerSecond?: number;
+}
+
+/** Limits that targets named in their answers. */
+export interface TargetLimitsMessage {
+  readonly kind: PeerMessageKind.TargetLimits;
+  readonly limits: readonly ReportedLimit[];
+}
+
 /**
  * State of a rank, reported by the agent beside it. `HoldConfirmed` also means that the agent will
  * retain the hold in the report.
@@ -236,6 +252,7 @@
   | CrashReportMessage
   | SuspectsMessage
   | QuerySuspectsMessage
+  | TargetLimitsMessage
   | RankStateMessage
   | QueryStateMessage
   | RankCountDeltaMessage
--- a/packages/gateway/src/retry-after.ts
+++ b/packages/gateway/src/retry-after.ts
@@ -20,3 +20,13 @@
  */
 export const retryAfterMsOf = (remainingMs: number = DEFAULT_REMAINING_MS): number =>
   Math.min(MAX_RETRY_AFTER_MS, Math.round(remainingMs * RETRY_AFTER_SHARE));
+
+/**
+ * Retry delay when targets take requests again after `delayMs`: between once and twice as long, so
+ * that refused callers do not return at the same time. `random` is uniform in [0, 1).
+ *
+ * @example
+ * spreadRetryAfterMs(200, 0.5); // 300
+ */
+export const spreadRetryAfterMs = (delayMs: number, random: number): number =>
+  Math.min(MAX_RETRY_AFTER_MS, Math.round(delayMs * (1 + random)));
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -10,6 +10,7 @@
   type FindService,
   type GroupsApi,
   type LoadsApi,
+  type NoticesApi,
   type Registration,
   type RoutedRequest,
   type TargetsApi,
@@ -41,6 +42,8 @@
 
   readonly #coldStarts: ColdStartsApi;
 
+  readonly #notices: NoticesApi;
+
   private constructor(
     private readonly options: RoutingOptions,
     find: FindService,
@@ -50,6 +53,7 @@
     this.#groups = find(ServiceName.Groups);
     this.#admission = find(ServiceName.Admission);
     this.#coldStarts = find(ServiceName.ColdStarts);
+    this.#notices = find(ServiceName.Notices);
   }
 
   static create(options: RoutingOptions, find: FindService): RoutingService {
@@ -70,7 +74,10 @@
     const { runtime, availabilityZone, chooseTarget } = this.options;
     const usable = this.#targets.usable(service);
     const untried = usable.filter(
-      (target) => !triedIds.has(target.instanceId) && this.#coldStarts.mayStart(target),
+      (target) =>
+        !triedIds.has(target.instanceId) &&
+        this.#coldStarts.mayStart(target) &&
+        this.#notices.blockedForMs(target) === 0,
     );
     const notAvoided = untried.filter(
       ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
@@ -86,6 +93,13 @@
     });
   };
 
+  readonly blockedForMs = (service: string): number => {
+    const targets = this.#targets.usable(service);
+    return targets.length === 0
+      ? 0
+      : Math.min(...targets.map((target) => this.#notices.blockedForMs(target)));
+  };
+
   readonly avoid = (instanceId: string): void => {
     const nowMs = this.options.runtime.nowMs();
     this.#avoidUntilMs.forEach((untilMs, avoided) => {
@@ -148,9 +162,11 @@
     ServiceName.Groups,
     ServiceName.Admission,
     ServiceName.ColdStarts,
+    ServiceName.Notices,
   ],
   create: (find) => {
-    const { refusalOf, choose, avoid, poolOf } = RoutingService.create(options, find);
-    return createInstance({ refusalOf, choose, avoid, poolOf }, {});
+    const service = RoutingService.create(options, find);
+    const { refusalOf, choose, blockedForMs, avoid, poolOf } = service;
+    return createInstance({ refusalOf, choose, blockedForMs, avoid, poolOf }, {});
   },
 });
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -4,7 +4,6 @@
   EventKind,
   PeerRole,
   type Effect,
-  type GatewayOptions,
   type SendToPeerEffect,
   type StartCallEffect,
   type StoreItem,
@@ -34,32 +33,31 @@
   readonly effect: SendToPeerEffect;
 }
 
+/** Whether a message is lost on its way between two addresses. */
+export type IsLost = (from: string, to: string) => boolean;
+
 /** Gateways that know each other. */
 export class Fleet {
   readonly calls: FleetCall[] = [];
 
-  /** Whether a message is lost; by default none is. */
-  isLost: (from: string, to: string) => boolean = () => false;
-
   readonly #gateways: readonly Gateway[];
 
   #inFlight: readonly SentMessage[] = [];
 
-  private constructor(gateways: readonly Gateway[]) {
+  private constructor(
+    gateways: readonly Gateway[],
+    private readonly isLost: IsLost,
+  ) {
     this.#gateways = gateways;
   }
 
   /**
-   * Creates gateways whose store held these items; `options` replace the harness's defaults.
+   * Creates gateways whose store held these items; by default no message is lost.
    *
    * @example
    * const fleet = Fleet.create(10, [targetItem(targetOf('t-1'))]);
    */
-  static create(
-    count: number,
-    items: readonly StoreItem[],
-    options: Partial<GatewayOptions> = {},
-  ): Fleet {
+  static create(count: number, items: readonly StoreItem[], isLost: IsLost = () => false): Fleet {
     const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}:7000`);
     const fleet = new Fleet(
       addresses.map((address, index) => ({
@@ -72,10 +70,10 @@
             availabilityZone: 'zone-a',
           },
           seeds: addresses.filter((other) => other !== address),
-          ...options,
         }),
         doneCount: 0,
       })),
+      isLost,
     );
     fleet.run(1_000);
     return fleet;
