feat: log when the store was restored from a copy

Cause: the logs could not tell a full read after a restore from a watch that went on. Change: answers of the store carry its era into the events, and a change of it is one log line with the revision that the gateway knew. Nothing is decided by it yet.

--- a/packages/gateway-io/src/HttpClient.ts
+++ b/packages/gateway-io/src/HttpClient.ts
@@ -3,7 +3,7 @@
  *
  * Uses `node:http` because undici needs too much memory for hosts with a few hundred MB.
  */
-import { Agent, request, type IncomingMessage } from 'node:http';
+import { Agent, request, type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import ModernError from 'modern-errors';
 
 /** Options of an HTTP client. */
@@ -21,9 +21,10 @@
   readonly timeoutMs: number;
 }
 
-/** Status and body of an answer. */
+/** Status, header fields and body of an answer. */
 export interface HttpAnswer {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
 }
 
@@ -70,7 +71,8 @@
   async call(call: HttpCall): Promise<HttpAnswer> {
     try {
       const answer = await this.#send(call);
-      return { status: answer.statusCode ?? 0, text: await readText(answer) };
+      const { statusCode: status = 0, headers } = answer;
+      return { status, headers, text: await readText(answer) };
     } catch (error) {
       this.#dropConnections();
       throw error;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -186,6 +186,7 @@
   ItemUnreadable = 'store item unreadable',
   StoreLost = 'store lost',
   StoreRegained = 'store regained',
+  StoreRestored = 'store restored',
   MemberJoined = 'member joined',
   MemberLost = 'member lost',
   RequestEnded = 'request ended',
@@ -218,6 +219,8 @@
   readonly firstEventMs?: number;
   readonly longestPauseMs?: number;
   readonly version?: number;
+  /** How often the store was restored from a copy. */
+  readonly era?: number;
   /** Time since the store last confirmed this process's copy of it. */
   readonly knowledgeAgeMs?: number;
   readonly runningCount?: number;
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -143,6 +143,8 @@
   readonly items: readonly StoreItem[];
   /** Revision of the store that the answer reflects. */
   readonly revision: number;
+  /** How often the store was restored from a copy; absent when it does not say. */
+  readonly era?: number;
   /** Key after which the next page begins; absent on the last page. */
   readonly nextAfterKey?: string;
 }
@@ -162,6 +164,8 @@
   readonly kind: EventKind.StoreFailed;
   readonly read: StoreReadKind;
   readonly failure: StoreFailure;
+  /** As in {@link StoreReadEvent}; absent also without an answer. */
+  readonly era?: number;
   readonly detail: string;
 }
 
--- a/packages/gateway/src/store-service.ts
+++ b/packages/gateway/src/store-service.ts
@@ -57,6 +57,8 @@
 
   #requestedAtMs = 0;
 
+  #era: number | undefined;
+
   private constructor(private readonly runtime: Runtime) {}
 
   static create(runtime: Runtime): StoreService {
@@ -78,9 +80,9 @@
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.StoreRead:
-        return event.read === StoreReadKind.Page ? this.#onPage(event) : this.#onWatch(event);
+        return [...this.#recordEra(event.era), ...this.#onRead(event)];
       case EventKind.StoreFailed:
-        return this.#onFailed(event);
+        return [...this.#recordEra(event.era), ...this.#onFailed(event)];
       case EventKind.TimerFired:
         return event.timer === TimerKind.StoreRetry ? this.#retry() : [];
       default:
@@ -113,6 +115,19 @@
     ];
   }
 
+  #onRead(event: StoreReadEvent): readonly Effect[] {
+    return event.read === StoreReadKind.Page ? this.#onPage(event) : this.#onWatch(event);
+  }
+
+  /** Returns a line when the store was restored since its last answer. */
+  #recordEra(era: number | undefined): readonly Effect[] {
+    const known = this.#era;
+    this.#era = era ?? known;
+    return era === undefined || known === undefined || era === known
+      ? []
+      : [log(LogLevel.Warn, LogTopic.StoreRestored, { era, version: this.#revision })];
+  }
+
   #onPage({ revision, nextAfterKey }: StoreReadEvent): readonly Effect[] {
     this.#firstPageRevision ??= revision;
     if (nextAfterKey !== undefined) {
