--- a/packages/gateway/src/published.ts
+++ b/packages/gateway/src/published.ts
@@ -109,4 +109,6 @@
   readonly phase: TargetPhase;
   /** Time for which the target stays cold; 0 when it is warm. */
   readonly coldRemainingMs: number;
+  /** Unix time of its start in milliseconds, by its own clock; absent when it does not say. */
+  readonly startedAtMs?: number;
 }
