fix: a store that was restored from a copy is read anew

Callers would have seen a route that was added answered with 404, and older settings, without end. Cause: gateways watch from the last revision they know. A restored store gives revisions out again; once it has passed that one it answers the watch, and what it wrote between the copy and that revision is missed. Only a 410 led to a full read. Change: every answer of the store carries its era. When it differs from the one before, the answer counts for nothing and all items are read from the first page, also after a refusal and between two pages. The copy in use stays until then.

--- a/packages/gateway/src/catalogueRegistration.ts
+++ b/packages/gateway/src/catalogueRegistration.ts
@@ -1,7 +1,7 @@
 /** @module The operators' configuration in force; older versions are ignored. */
 import { createInstance } from '@ebonysill/kernel';
 import { log } from './build-effects.js';
-import { ServiceName, type FindService, type Registration } from './directory.js';
+import { ServiceName, type FindService, type Registration, type StoreApi } from './directory.js';
 import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
 import { EventKind, ItemKind, type Event, type StoreItem } from './event.js';
 import type {
@@ -24,10 +24,10 @@
 
   readonly #services = new Map<string, PublishedService>();
 
-  private constructor(private readonly storeAgeMs: () => number) {}
+  private constructor(private readonly store: StoreApi) {}
 
   static create(find: FindService): CatalogueService {
-    return new CatalogueService(find(ServiceName.Store).ageMs);
+    return new CatalogueService(find(ServiceName.Store));
   }
 
   readonly version = (): number => this.#version;
@@ -45,7 +45,7 @@
     this.#routesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
 
   handle(event: Event): readonly Effect[] {
-    return event.kind === EventKind.StoreRead
+    return event.kind === EventKind.StoreRead && !this.store.isDiscarded()
       ? event.items.flatMap((item) => this.#onItem(item))
       : [];
   }
@@ -73,7 +73,7 @@
       log(LogLevel.Info, LogTopic.ConfigurationApplied, {
         version: configuration.version,
         count: configuration.routes.length,
-        knowledgeAgeMs: Math.min(Math.round(this.storeAgeMs()), Number.MAX_SAFE_INTEGER),
+        knowledgeAgeMs: Math.min(Math.round(this.store.ageMs()), Number.MAX_SAFE_INTEGER),
       }),
     ];
   }
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -38,8 +38,10 @@
 
 /** State and age of this process's copy of the store. */
 export interface StoreApi {
-  /** Whether all items were read; false again after the store lost the history of changes. */
+  /** Whether all items were read; false again after the store lost changes or was restored. */
   readonly isLoaded: () => boolean;
+  /** Whether the last answer counts for nothing, since the store was restored from a copy before it. */
+  readonly isDiscarded: () => boolean;
   /** Time since the store last confirmed the copy; infinite before the first read. */
   readonly ageMs: () => number;
 }
--- a/packages/gateway/src/store-service.ts
+++ b/packages/gateway/src/store-service.ts
@@ -2,7 +2,9 @@
  * @module Keeps this process's copy of the store current.
  *
  * All items are read page by page; then changes are watched from the revision of the first page.
- * Each answered watch, with or without changes, confirms that the copy is current.
+ * Each answered watch, with or without changes, confirms that the copy is current. A store that was
+ * restored gives out revisions again, so a watch from before may miss changes: all items are read
+ * again.
  */
 import { createInstance } from '@ebonysill/kernel';
 import { log, setTimer } from './build-effects.js';
@@ -59,6 +61,8 @@
 
   #era: number | undefined;
 
+  #isDiscarded = false;
+
   private constructor(private readonly runtime: Runtime) {}
 
   static create(runtime: Runtime): StoreService {
@@ -67,6 +71,8 @@
 
   readonly isLoaded = (): boolean => this.#isLoaded;
 
+  readonly isDiscarded = (): boolean => this.#isDiscarded;
+
   readonly ageMs = (): number =>
     Math.max(
       this.runtime.nowMs() - this.#confirmedAtMs,
@@ -80,9 +86,15 @@
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.StoreRead:
-        return [...this.#recordEra(event.era), ...this.#onRead(event)];
+        this.#isDiscarded = this.#isRestored(event.era);
+        return this.#isDiscarded
+          ? [...this.#onRestored(), ...this.#readPages(undefined)]
+          : this.#onRead(event);
       case EventKind.StoreFailed:
-        return [...this.#recordEra(event.era), ...this.#onFailed(event)];
+        return [
+          ...(this.#isRestored(event.era) ? this.#onRestored() : []),
+          ...this.#onFailed(event),
+        ];
       case EventKind.TimerFired:
         return event.timer === TimerKind.StoreRetry ? this.#retry() : [];
       default:
@@ -119,13 +131,19 @@
     return event.read === StoreReadKind.Page ? this.#onPage(event) : this.#onWatch(event);
   }
 
-  /** Returns a line when the store was restored since its last answer. */
-  #recordEra(era: number | undefined): readonly Effect[] {
+  /** Whether the store was restored since its last answer; records its era. */
+  #isRestored(era: number | undefined): boolean {
     const known = this.#era;
     this.#era = era ?? known;
-    return era === undefined || known === undefined || era === known
-      ? []
-      : [log(LogLevel.Warn, LogTopic.StoreRestored, { era, version: this.#revision })];
+    return era !== undefined && known !== undefined && era !== known;
+  }
+
+  /** Discards what was read so far of the items; the copy in use stays until they are read again. */
+  #onRestored(): readonly Effect[] {
+    this.#isLoaded = false;
+    this.#firstPageRevision = undefined;
+    const era = this.#era === undefined ? {} : { era: this.#era };
+    return [log(LogLevel.Warn, LogTopic.StoreRestored, { ...era, version: this.#revision })];
   }
 
   #onPage({ revision, nextAfterKey }: StoreReadEvent): readonly Effect[] {
@@ -195,7 +213,11 @@
   create: () => {
     const service = StoreService.create(runtime);
     return createInstance(
-      { isLoaded: service.isLoaded, ageMs: service.ageMs },
+      {
+        isLoaded: service.isLoaded,
+        isDiscarded: service.isDiscarded,
+        ageMs: service.ageMs,
+      },
       { start: () => service.start(), handle: (event) => service.handle(event) },
     );
   },
--- a/packages/gateway/src/targets-service.ts
+++ b/packages/gateway/src/targets-service.ts
@@ -91,6 +91,10 @@
   }
 
   #onRead({ read, items, nextAfterKey }: StoreReadEvent): readonly Effect[] {
+    if (this.#store.isDiscarded()) {
+      this.#readKeys = undefined;
+      return [];
+    }
     if (read === StoreReadKind.Watch) {
       return items.flatMap((item) => this.#onItem(item));
     }
--- a/packages/gateway/tests/restored-store.test.ts
+++ b/packages/gateway/tests/restored-store.test.ts
@@ -65,7 +65,7 @@
   return [...new Set(harness.calledIds().slice(before))].sort();
 };
 
-test('a store that has passed the known revision again is read anew', { todo: true }, () => {
+test('a store that has passed the known revision again is read anew', () => {
   const harness = gateway();
   // Version 2 was written again at revision 18, which the watch from revision 20 does not return.
   expect(readsOf(watch(harness, { era: 2, revision: 23 }))).toEqual([StoreReadKind.Page]);
@@ -75,7 +75,7 @@
   expect(harness.calledIds()).toEqual(['t-1']);
 });
 
-test('a refusal tells that the store was restored', { todo: true }, () => {
+test('a refusal tells that the store was restored', () => {
   const harness = gateway();
   harness.post({
     kind: EventKind.StoreFailed,
@@ -118,15 +118,19 @@
   expect(harness.calledIds()).toEqual(['t-1']);
 });
 
-test('a target that a restored store lacks is kept until it is published again', { todo: true }, () => {
-  const harness = gateway([targetItem(targetOf('t-1')), targetItem(targetOf('t-2'))]);
-  watch(harness, { era: 2, revision: 23 });
-  page(harness, { era: 2, revision: 23, items: [CONFIGURATION, targetItem(targetOf('t-1'))] });
-  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
-  harness.advance(3_000, false);
-  watch(harness, { era: 2, revision: 23 });
-  expect(usedIds(harness)).toEqual(['t-1']);
-});
+test(
+  'a target that a restored store lacks is kept until it is published again',
+  { todo: true },
+  () => {
+    const harness = gateway([targetItem(targetOf('t-1')), targetItem(targetOf('t-2'))]);
+    watch(harness, { era: 2, revision: 23 });
+    page(harness, { era: 2, revision: 23, items: [CONFIGURATION, targetItem(targetOf('t-1'))] });
+    expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+    harness.advance(3_000, false);
+    watch(harness, { era: 2, revision: 23 });
+    expect(usedIds(harness)).toEqual(['t-1']);
+  },
+);
 
 test(
   'a zone that a restored store lacks stays out until that is written again',
