fix: zones and targets that a restored store lacks are kept until they are written again

Callers would have been sent to a zone that operators had taken out, and refused while targets were missing, for about the two seconds in which what was lost is written again. Cause: a full read ends what it does not contain at once. The store loses what it has acknowledged when it is restored from a copy; a watch that told of it counted as no failure of the store, and a zone had no grace at all. Change: a restore counts as a failure of the store, and a zone that a full read lacks soon after one stays out for the same 2.5 s as a target stays in. A removal that the store reports still takes effect at once.

--- a/packages/gateway/src/targets-service.ts
+++ b/packages/gateway/src/targets-service.ts
@@ -18,8 +18,9 @@
 
 /**
  * An entry removed this soon after a failure of the store may have lapsed only because the target
- * could not renew it. Such a target is kept for the same time: targets publish their entries again
- * within about two seconds of the store's recovery.
+ * could not renew it, or be missing in the copy from which the store was restored. Such a target is
+ * kept for the same time: targets publish their entries again within about two seconds of the
+ * store's recovery. The same holds for zones that operators took out.
  */
 const LAPSE_GRACE_MS = 2_500;
 
@@ -42,7 +43,8 @@
 class TargetsService {
   readonly #known = new Map<string, KnownTarget>();
 
-  readonly #excludedZones = new Set<string>();
+  /** By zone: when it is back in use; undefined while the store holds its entry. */
+  readonly #excludedZones = new Map<string, number | undefined>();
 
   /** Keys of the items in the pages of a full read so far; undefined between full reads. */
   #readKeys: Set<string> | undefined;
@@ -93,6 +95,7 @@
   #onRead({ read, items, nextAfterKey }: StoreReadEvent): readonly Effect[] {
     if (this.#store.isDiscarded()) {
       this.#readKeys = undefined;
+      this.#storeFailedAtMs = this.runtime.nowMs();
       return [];
     }
     if (read === StoreReadKind.Watch) {
@@ -108,14 +111,14 @@
   /** Removes what a full read of the store did not contain. */
   #reconcile(readKeys: ReadonlySet<string>): readonly Effect[] {
     this.#readKeys = undefined;
-    const zones = [...this.#excludedZones].filter(
+    const zones = [...this.#excludedZones.keys()].filter(
       (zone) => !readKeys.has(`${ItemScope.Zone}/${zone}`),
     );
     const targets = [...this.#known.keys()].filter(
       (id) => !readKeys.has(`${ItemScope.Target}/${id}`),
     );
     return [
-      ...zones.flatMap((zone) => this.#onZoneRestored(zone)),
+      ...zones.flatMap((zone) => this.#onZoneMissing(zone)),
       ...targets.flatMap((id) => this.#onTargetRemoved(id)),
     ];
   }
@@ -195,16 +198,26 @@
     if (known === undefined) {
       return [];
     }
-    const mayHaveLapsed =
-      this.runtime.nowMs() - this.#storeFailedAtMs < LAPSE_GRACE_MS &&
-      known.target.phase === TargetPhase.Available;
-    if (!mayHaveLapsed) {
+    if (!this.#hasFailedLately() || known.target.phase !== TargetPhase.Available) {
       return this.#drop(id, 'entry removed');
     }
     this.#known.set(id, { ...known, lapsesAtMs: this.runtime.nowMs() + LAPSE_GRACE_MS });
     return [setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)];
   }
 
+  #hasFailedLately(): boolean {
+    return this.runtime.nowMs() - this.#storeFailedAtMs < LAPSE_GRACE_MS;
+  }
+
+  /** A full read did not contain the zone. */
+  #onZoneMissing(zone: string): readonly Effect[] {
+    if (!this.#hasFailedLately()) {
+      return this.#onZoneRestored(zone);
+    }
+    this.#excludedZones.set(zone, this.runtime.nowMs() + LAPSE_GRACE_MS);
+    return [setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)];
+  }
+
   #drop(instanceId: string, detail: string): readonly Effect[] {
     this.#known.delete(instanceId);
     const knowledgeAgeMs = Math.round(this.#store.ageMs());
@@ -212,21 +225,28 @@
   }
 
   #dropLapsed(): readonly Effect[] {
-    const nowMs = this.runtime.nowMs();
-    const lapsing = [...this.#known].filter(([, { lapsesAtMs }]) => lapsesAtMs !== undefined);
-    const due = lapsing.filter(([, { lapsesAtMs = 0 }]) => lapsesAtMs <= nowMs);
-    const dropped = due.flatMap(([id]) => this.#drop(id, 'entry was not published again'));
+    const lapsingTargets = [...this.#known].flatMap(([id, { lapsesAtMs }]) =>
+      lapsesAtMs === undefined ? [] : [{ lapsesAtMs, end: () => this.#dropUnrenewed(id) }],
+    );
+    const lapsingZones = [...this.#excludedZones].flatMap(([zone, lapsesAtMs]) =>
+      lapsesAtMs === undefined ? [] : [{ lapsesAtMs, end: () => this.#onZoneRestored(zone) }],
+    );
+    const lapsing = [...lapsingTargets, ...lapsingZones];
+    const due = lapsing.filter(({ lapsesAtMs }) => lapsesAtMs <= this.runtime.nowMs());
+    const lines = due.flatMap(({ end }) => end());
     return lapsing.length > due.length
-      ? [...dropped, setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)]
-      : dropped;
+      ? [...lines, setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)]
+      : lines;
+  }
+
+  #dropUnrenewed(id: string): readonly Effect[] {
+    return this.#drop(id, 'entry was not published again');
   }
 
   #onZoneOut(zone: string): readonly Effect[] {
-    if (this.#excludedZones.has(zone)) {
-      return [];
-    }
-    this.#excludedZones.add(zone);
-    return [log(LogLevel.Info, LogTopic.ZoneOut, { zone })];
+    const isKnown = this.#excludedZones.has(zone);
+    this.#excludedZones.set(zone, undefined);
+    return isKnown ? [] : [log(LogLevel.Info, LogTopic.ZoneOut, { zone })];
   }
 
   #onZoneRestored(zone: string): readonly Effect[] {
--- a/packages/gateway/tests/restored-store.test.ts
+++ b/packages/gateway/tests/restored-store.test.ts
@@ -87,26 +87,22 @@
   expect(readsOf(harness.advance(400, false))).toEqual([StoreReadKind.Page]);
 });
 
-test(
-  'a store that is restored between two pages is read from the first page',
-  { todo: true },
-  () => {
-    const harness = gateway([targetItem(targetOf('t-1')), targetItem(targetOf('t-2'))]);
-    watch(harness, { era: 2, revision: 23 });
-    const first = [CONFIGURATION, targetItem(targetOf('t-1'))];
-    page(harness, { era: 2, revision: 24, items: first, nextAfterKey: 'k' });
-    const effects = page(harness, { era: 3, revision: 21 });
-    expect(
-      effects.flatMap((effect) => (effect.kind === EffectKind.ReadStore ? [effect.afterKey] : [])),
-    ).toEqual([undefined]);
-    harness.advance(3_000, false);
-    expect(usedIds(harness)).toEqual(['t-1', 't-2']);
-    page(harness, { era: 3, revision: 25, items: [CONFIGURATION, targetItem(targetOf('t-2'))] });
-    harness.advance(3_000, false);
-    watch(harness, { era: 3, revision: 25 });
-    expect(usedIds(harness)).toEqual(['t-2']);
-  },
-);
+test('a store that is restored between two pages is read from the first page', () => {
+  const harness = gateway([targetItem(targetOf('t-1')), targetItem(targetOf('t-2'))]);
+  watch(harness, { era: 2, revision: 23 });
+  const first = [CONFIGURATION, targetItem(targetOf('t-1'))];
+  page(harness, { era: 2, revision: 24, items: first, nextAfterKey: 'k' });
+  const effects = page(harness, { era: 3, revision: 21 });
+  expect(
+    effects.flatMap((effect) => (effect.kind === EffectKind.ReadStore ? [effect.afterKey] : [])),
+  ).toEqual([undefined]);
+  harness.advance(3_000, false);
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+  page(harness, { era: 3, revision: 25, items: [CONFIGURATION, targetItem(targetOf('t-2'))] });
+  harness.advance(3_000, false);
+  watch(harness, { era: 3, revision: 25 });
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
 
 test('a restored store does not bring an older configuration back', () => {
   const harness = gateway();
@@ -118,43 +114,35 @@
   expect(harness.calledIds()).toEqual(['t-1']);
 });
 
-test(
-  'a target that a restored store lacks is kept until it is published again',
-  { todo: true },
-  () => {
-    const harness = gateway([targetItem(targetOf('t-1')), targetItem(targetOf('t-2'))]);
-    watch(harness, { era: 2, revision: 23 });
-    page(harness, { era: 2, revision: 23, items: [CONFIGURATION, targetItem(targetOf('t-1'))] });
-    expect(usedIds(harness)).toEqual(['t-1', 't-2']);
-    harness.advance(3_000, false);
-    watch(harness, { era: 2, revision: 23 });
-    expect(usedIds(harness)).toEqual(['t-1']);
-  },
-);
-
-test(
-  'a zone that a restored store lacks stays out until that is written again',
-  { todo: true },
-  () => {
-    const zoneB = targetItem(targetOf('t-2', { availabilityZone: 'zone-b' }));
-    const targets = [targetItem(targetOf('t-1')), zoneB];
-    const harness = gateway([...targets, ZONE_OUT]);
-    watch(harness, { era: 2, revision: 23 });
-    page(harness, { era: 2, revision: 23, items: [CONFIGURATION, ...targets] });
-    expect(usedIds(harness)).toEqual(['t-1']);
-    harness.advance(1_500, false);
-    watch(harness, { era: 2, revision: 24, items: [ZONE_OUT] });
-    harness.advance(3_000, false);
-    watch(harness, { era: 2, revision: 25 });
-    expect(usedIds(harness)).toEqual(['t-1']);
-    watch(harness, {
-      era: 2,
-      revision: 26,
-      items: [{ kind: ItemKind.Removed, scope: ItemScope.Zone, id: 'zone-b' }],
-    });
-    expect(usedIds(harness)).toEqual(['t-1', 't-2']);
-  },
-);
+test('a target that a restored store lacks is kept until it is published again', () => {
+  const harness = gateway([targetItem(targetOf('t-1')), targetItem(targetOf('t-2'))]);
+  watch(harness, { era: 2, revision: 23 });
+  page(harness, { era: 2, revision: 23, items: [CONFIGURATION, targetItem(targetOf('t-1'))] });
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+  harness.advance(3_000, false);
+  watch(harness, { era: 2, revision: 23 });
+  expect(usedIds(harness)).toEqual(['t-1']);
+});
+
+test('a zone that a restored store lacks stays out until that is written again', () => {
+  const zoneB = targetItem(targetOf('t-2', { availabilityZone: 'zone-b' }));
+  const targets = [targetItem(targetOf('t-1')), zoneB];
+  const harness = gateway([...targets, ZONE_OUT]);
+  watch(harness, { era: 2, revision: 23 });
+  page(harness, { era: 2, revision: 23, items: [CONFIGURATION, ...targets] });
+  expect(usedIds(harness)).toEqual(['t-1']);
+  harness.advance(1_500, false);
+  watch(harness, { era: 2, revision: 24, items: [ZONE_OUT] });
+  harness.advance(3_000, false);
+  watch(harness, { era: 2, revision: 25 });
+  expect(usedIds(harness)).toEqual(['t-1']);
+  watch(harness, {
+    era: 2,
+    revision: 26,
+    items: [{ kind: ItemKind.Removed, scope: ItemScope.Zone, id: 'zone-b' }],
+  });
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+});
 
 test('a zone that is not taken out again is back', () => {
   const zoneB = targetItem(targetOf('t-2', { availabilityZone: 'zone-b' }));
