fix: requests that arrive late in the grace period of a stop are answered

Cause: requests were accepted until 2 s before the end of the grace period, whatever their time limit, and what was still in progress at the end was cut. Change: later than 3 s into the drain a request is accepted only if its own time limit ends before the stop; another is refused at once and may be sent elsewhere. 0.5 s before the end of the grace period, before the process stops, each request without an answer so far is answered with 502; streams that have begun go on until the stop.

--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -236,8 +236,10 @@
 export interface LifecycleApi {
   readonly isReady: () => boolean;
   readonly isDraining: () => boolean;
-  /** Whether a request that begins now can end before the process stops. */
-  readonly mayBegin: (isStream: boolean) => boolean;
+  /** Whether a request that takes at most `longestMs` may begin. */
+  readonly mayBegin: (isStream: boolean, longestMs: number) => boolean;
+  /** Whether the process stops so soon that requests without an answer have to be answered now. */
+  readonly isEnding: () => boolean;
   /** Counts exchanges, which a drain waits for. */
   readonly recordExchangeStart: () => void;
   readonly recordExchangeEnd: () => void;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -157,6 +157,8 @@
     switch (timer) {
       case TimerKind.RequestDeadline:
         return this.#onDeadline(key);
+      case TimerKind.DrainEnd:
+        return this.#lifecycle.isEnding() ? this.#failUnanswered() : [];
       case TimerKind.StallCheck:
         return [ExchangesService.scheduleStallCheck(), ...this.#resumeStalled()];
       default:
@@ -213,7 +215,7 @@
     const refusal = this.#routing.refusalOf(exchange);
     this.#exchanges.set(exchange.id, exchange);
     this.#lifecycle.recordExchangeStart();
-    if (!this.#lifecycle.mayBegin(exchange.isStream)) {
+    if (!this.#lifecycle.mayBegin(exchange.isStream, this.#remainingMs(exchange))) {
       return this.#refuse(exchange, ExchangeReason.Draining, DRAINING_RETRY_AFTER_MS);
     }
     const barredForMs = this.#suspects.barredForMs(exchange);
@@ -578,6 +580,16 @@
     ];
   }
 
+  /** Answers what would end without an answer when the process stops; streams go on until then. */
+  #failUnanswered(): readonly Effect[] {
+    return [...this.#exchanges.values()]
+      .filter(({ isAnswerBegun }) => !isAnswerBegun)
+      .flatMap((exchange) => {
+        exchange.markAbandoned();
+        return [...this.#cancelCall(exchange), ...this.#fail(exchange, ExchangeReason.Draining)];
+      });
+  }
+
   #onCallerDisconnected(exchangeId: number): readonly Effect[] {
     const exchange = this.#exchanges.get(exchangeId);
     return exchange === undefined
--- a/packages/gateway/src/lifecycle-service.ts
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -23,11 +23,14 @@
 /** By then the load balancer has removed this process, after two failed checks a second apart. */
 const CLOSE_IDLE_AFTER_MS = 2_200;
 
-/** Time into the drain after which new streams might not end within the grace period. */
-const STREAM_CUTOFF_MS = 3_000;
+/**
+ * Time into the drain in which callers may not know of it, so that all requests are accepted. Streams
+ * that begin later would hold up the drain.
+ */
+const ACCEPT_ALL_MS = 3_000;
 
-/** Remaining grace period below which no request is accepted; routes time out within it. */
-const REQUEST_CUTOFF_MARGIN_MS = 2_000;
+/** Remaining grace period at which requests without an answer so far are answered as failed. */
+const ANSWER_MARGIN_MS = 500;
 
 /** Remaining grace period at which the process stops even with open exchanges. */
 const STOP_MARGIN_MS = 400;
@@ -53,6 +56,9 @@
 
   #hasConnections = true;
 
+  /** Whether requests without an answer were answered; they are before the process stops. */
+  #hasAnsweredAll = false;
+
   readonly #catalogue: CatalogueApi;
 
   readonly #store: StoreApi;
@@ -76,14 +82,14 @@
     this.#catalogue.version() > 0 &&
     (this.#store.ageMs() < MAX_READY_AGE_MS || !this.#catalogue.needsCredentials());
 
-  readonly mayBegin = (isStream: boolean): boolean => {
-    const { runtime, graceMs } = this.options;
-    const cutoffMs = isStream ? STREAM_CUTOFF_MS : graceMs - REQUEST_CUTOFF_MARGIN_MS;
-    return (
-      this.#drainStartedAtMs === undefined || runtime.nowMs() - this.#drainStartedAtMs < cutoffMs
-    );
+  readonly mayBegin = (isStream: boolean, longestMs: number): boolean => {
+    const elapsedMs = this.#drainingForMs();
+    const endsInTime = !isStream && elapsedMs + longestMs <= this.#answerAtMs;
+    return elapsedMs < ACCEPT_ALL_MS || endsInTime;
   };
 
+  readonly isEnding = (): boolean => this.#drainingForMs() >= this.#answerAtMs;
+
   readonly recordExchangeStart = (): void => {
     this.#openCount += 1;
   };
@@ -112,10 +118,20 @@
       : [];
   }
 
+  /** Time since the drain began; negative infinity before it. */
+  #drainingForMs(): number {
+    return this.options.runtime.nowMs() - (this.#drainStartedAtMs ?? Number.POSITIVE_INFINITY);
+  }
+
+  /** Time into the drain by which every request must have its answer. */
+  get #answerAtMs(): number {
+    return this.options.graceMs - ANSWER_MARGIN_MS;
+  }
+
   /** Callers may still use open connections, so the process runs for most of the grace period. */
   #checkDrain(): readonly Effect[] {
-    const { runtime, graceMs } = this.options;
-    const elapsedMs = runtime.nowMs() - (this.#drainStartedAtMs ?? 0);
+    const { graceMs } = this.options;
+    const elapsedMs = this.#drainingForMs();
     if (this.#mayStop(graceMs - elapsedMs)) {
       return [
         { kind: EffectKind.CloseIdleCallers },
@@ -123,6 +139,7 @@
         { kind: EffectKind.Stop },
       ];
     }
+    this.#hasAnsweredAll = this.isEnding();
     const isLastPhase = elapsedMs >= graceMs - STOP_ACCEPTING_MARGIN_MS;
     return [
       { kind: EffectKind.CloseIdleCallers },
@@ -145,7 +162,7 @@
     const stoppedMs =
       this.options.runtime.nowMs() - (this.#acceptingStoppedAtMs ?? Number.POSITIVE_INFINITY);
     return (
-      graceLeftMs <= STOP_MARGIN_MS ||
+      (graceLeftMs <= STOP_MARGIN_MS && this.#hasAnsweredAll) ||
       (this.#openCount === 0 && !this.#hasConnections && stoppedMs >= LAST_REQUESTS_MS)
     );
   }
@@ -169,6 +186,7 @@
         isReady: service.isReady,
         isDraining: service.isDraining,
         mayBegin: service.mayBegin,
+        isEnding: service.isEnding,
         recordExchangeStart: service.recordExchangeStart,
         recordExchangeEnd: service.recordExchangeEnd,
         drain: service.drain,
--- a/packages/gateway/tests/drain.test.ts
+++ b/packages/gateway/tests/drain.test.ts
@@ -16,6 +16,7 @@
     configurationItem(
       configurationOf(1, [
         routeOf(),
+        routeOf({ name: 'r-2', pathPrefix: '/p/', kind: CallKind.NonIdempotent, timeoutMs: 3_009 }),
         routeOf({ pathPrefix: '/s/', kind: CallKind.Streaming, maxPauseMs: 120, timeoutMs: 8_000 }),
       ]),
     ),
@@ -135,3 +136,38 @@
   expect(harness.statuses()).toEqual([503]);
   expect(hasStopped(harness)).toEqual(false);
 });
+
+test('refuses a request that may not end before the stop', () => {
+  const harness = gateway();
+  drain(harness);
+  harness.advance(4_500);
+  harness.request({ path: '/p/x' });
+  harness.advance(200);
+  const effects = harness.request({ path: '/p/x', remainingMs: 3_009 });
+  const [answer] = effects.flatMap((effect) =>
+    effect.kind === EffectKind.SendAnswer ? [effect] : [],
+  );
+  expect([answer?.status, answer?.retryAfterMs]).toEqual([503, 20]);
+  harness.request({ path: '/p/x', remainingMs: 2_500 });
+  expect(harness.calledIds().length).toEqual(2);
+});
+
+test('answers what is still in progress at the end of the grace period', () => {
+  const harness = gateway();
+  drain(harness);
+  harness.advance(2_900);
+  harness.request({ path: '/s/x', remainingMs: 8_000 });
+  harness.request({ path: '/p/x' });
+  harness.advance(4_300, true);
+  expect(harness.statuses()).toEqual([504]);
+  harness.advance(400);
+  const ends = harness.effects.filter(
+    ({ kind }) => kind === EffectKind.SendAnswer || kind === EffectKind.Stop,
+  );
+  expect(harness.statuses()).toEqual([504, 502]);
+  expect(ends.map(({ kind }) => kind)).toEqual([
+    EffectKind.SendAnswer,
+    EffectKind.SendAnswer,
+    EffectKind.Stop,
+  ]);
+});
