fix: a target that says that it leaves gets no further request

Cause: as with limits, what a target says of itself took no part in the choice of a target. Whether a target may be called is one pure decision, passed as an argument, that the choice of a target asks; a leaving target counts as no place either. Streams that run there go on. Gateways tell each other. The answer of another instance (421) tells nothing of the target.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -89,7 +89,7 @@
   z.object({ kind: z.literal(PeerMessageKind.Suspects), crashes, answers }),
   z.object({ kind: z.literal(PeerMessageKind.QuerySuspects) }),
   z.object({
-    kind: z.literal(PeerMessageKind.TargetLimits),
+    kind: z.literal(PeerMessageKind.TargetNotices),
     limits: z.array(
       z.object({
         instanceId: z.string(),
@@ -97,6 +97,7 @@
         maxRequestsPerSecond: z.number().nonnegative().optional(),
       }),
     ),
+    leaving: z.array(z.object({ instanceId: z.string(), startedAtMs: z.number().optional() })),
   }),
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
--- a/packages/gateway/src/TimerKind.ts
+++ b/packages/gateway/src/TimerKind.ts
@@ -9,7 +9,7 @@
   Membership = 'membership',
   LoadBroadcast = 'load-spread',
   SuspectReport = 'suspect-report',
-  LimitReport = 'limit-report',
+  NoticeReport = 'notice-report',
   DrainEnd = 'drain-end',
   RankReport = 'rank-report',
   ExpertCount = 'expert-count',
--- a/packages/gateway/src/answer-status.ts
+++ b/packages/gateway/src/answer-status.ts
@@ -10,6 +10,9 @@
 
 const FIRST_SERVER_ERROR = 500;
 
+/** The process at the address is another instance than the one that was called. */
+const MISDIRECTED = 421;
+
 /** Statuses from which callers conclude that the request did not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
@@ -56,3 +59,11 @@
  */
 export const isLiveStream = ({ status, isEventStream, isSigned }: TargetHead): boolean =>
   isSuccess(status) && isEventStream && isSigned;
+
+/**
+ * Whether an answer may come from another instance than the one that was called.
+ *
+ * @example
+ * isMisdirected(421); // true
+ */
+export const isMisdirected = (status: number): boolean => status === MISDIRECTED;
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -4,6 +4,7 @@
 import catalogueRegistration from './catalogueRegistration.js';
 import { chooseLeastLoaded, type ChooseTarget } from './choose-target.js';
 import { admitByPass, type DecideAdmission } from './decide-admission.js';
+import { decideByNotices, type DecideCall } from './decide-call.js';
 import type { AnyRegistration } from './directory.js';
 import { coldStartsRegistration } from './cold-starts-service.js';
 import engineLimitsRegistration from './engineLimitsRegistration.js';
@@ -36,6 +37,8 @@
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
   readonly decideAdmission?: DecideAdmission;
+  /** Decides whether a target may be called by what it said; by default does what it asks for. */
+  readonly decideCall?: DecideCall;
   /** Decides how long requests are refused that may crash targets; by default by the evidence. */
   readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
@@ -52,6 +55,7 @@
   const { runtime, self, seeds, retryBudget, graceMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
+  const { decideCall = decideByNotices } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -65,7 +69,7 @@
     admissionRegistration({ runtime, decide: decideAdmission }),
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
-    noticesRegistration({ runtime }),
+    noticesRegistration({ runtime, decideCall }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
     retriesRegistration({ runtime }),
     exchangesRegistration({ runtime, isStalled }),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,5 +1,6 @@
 /** @module Names and APIs of the services. */
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
+import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
 import type { Exchange, Resolution } from './exchange.js';
@@ -152,7 +153,7 @@
   readonly refusalOf: (request: RoutedRequest) => AdmissionResult | undefined;
   /** Chooses a target that has not been tried; undefined when there is none. */
   readonly choose: (request: RoutedRequest) => PublishedTarget | undefined;
-  /** For how long no target of a service wants a request; 0 when one may be sent now. */
+  /** Time until some target of a service wants a request; 0 when one does now, or none will. */
   readonly blockedForMs: (service: string) => number;
   /** Excludes a target for a short time, unless there is no other. */
   readonly avoid: (instanceId: string) => void;
@@ -226,8 +227,8 @@
 export interface NoticesApi {
   /** Records the head of an answer; the effects log what has changed. */
   readonly recordHead: (target: PublishedTarget, head: TargetHead) => readonly Effect[];
-  /** For how long a target wants no further request; 0 when one may be sent now. */
-  readonly blockedForMs: (target: PublishedTarget) => number;
+  /** Whether a target may be called, by what it said. */
+  readonly decide: (target: PublishedTarget) => CallDecision;
   /** Counts a request that this gateway sends now. */
   readonly recordStart: (target: PublishedTarget) => void;
 }
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -182,6 +182,7 @@
   TargetChanged = 'target changed',
   TargetRemoved = 'target removed',
   TargetLimited = 'target limit changed',
+  TargetLeaving = 'target leaves',
   NoticeInvalid = 'target notice invalid',
   ItemUnreadable = 'store item unreadable',
   StoreLost = 'store lost',
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export { default as AnswerBuffers } from './AnswerBuffers.js';
 export * from './AnswerBuffers.js';
 export * from './decide-admission.js';
+export * from './decide-call.js';
 export * from './event-splitter.js';
 export * from './is-stalled.js';
 export * from './exchange-data.js';
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -21,7 +21,7 @@
   CrashReport = 'crash-seen',
   Suspects = 'suspects',
   QuerySuspects = 'query-suspects',
-  TargetLimits = 'target-limits',
+  TargetNotices = 'target-notices',
   RankState = 'rank-state',
   RankCountDelta = 'rank-increase',
   QueryState = 'tell-state',
@@ -169,10 +169,18 @@
   readonly maxRequestsPerSecond?: number;
 }
 
-/** Limits that targets named in their answers. */
-export interface TargetLimitsMessage {
-  readonly kind: PeerMessageKind.TargetLimits;
+/** A target that said that it leaves; one of the same name with another start does not. */
+export interface ReportedLeaving {
+  readonly instanceId: string;
+  /** As in the entry of the target. */
+  readonly startedAtMs?: number;
+}
+
+/** What targets said of themselves in their answers. */
+export interface TargetNoticesMessage {
+  readonly kind: PeerMessageKind.TargetNotices;
   readonly limits: readonly ReportedLimit[];
+  readonly leaving: readonly ReportedLeaving[];
 }
 
 /**
@@ -252,7 +260,7 @@
   | CrashReportMessage
   | SuspectsMessage
   | QuerySuspectsMessage
-  | TargetLimitsMessage
+  | TargetNoticesMessage
   | RankStateMessage
   | QueryStateMessage
   | RankCountDeltaMessage
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -1,6 +1,7 @@
 /** @module Chooses the target of a request among those that may accept it. */
 import { createInstance } from '@ebonysill/kernel';
 import type { ChooseTarget } from './choose-target.js';
+import { CallPermission } from './decide-call.js';
 import {
   AdmissionVerdict,
   ServiceName,
@@ -61,7 +62,7 @@
   }
 
   readonly refusalOf = (request: RoutedRequest): AdmissionResult | undefined => {
-    const targets = this.#targets.usable(request.resolution.service);
+    const targets = this.#staying(request.resolution.service);
     const results = [...this.#evaluatePools(request, targets).values()];
     return results.every(({ verdict }) => verdict === AdmissionVerdict.Refused)
       ? results[0]
@@ -72,12 +73,12 @@
     const { service } = request.resolution;
     const { triedIds } = request;
     const { runtime, availabilityZone, chooseTarget } = this.options;
-    const usable = this.#targets.usable(service);
+    const usable = this.#staying(service);
     const untried = usable.filter(
       (target) =>
         !triedIds.has(target.instanceId) &&
         this.#coldStarts.mayStart(target) &&
-        this.#notices.blockedForMs(target) === 0,
+        this.#notices.decide(target).permission === CallPermission.Allowed,
     );
     const notAvoided = untried.filter(
       ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
@@ -94,10 +95,8 @@
   };
 
   readonly blockedForMs = (service: string): number => {
-    const targets = this.#targets.usable(service);
-    return targets.length === 0
-      ? 0
-      : Math.min(...targets.map((target) => this.#notices.blockedForMs(target)));
+    const waits = this.#staying(service).map((target) => this.#notices.decide(target).waitMs);
+    return waits.length === 0 ? 0 : Math.min(...waits);
   };
 
   readonly avoid = (instanceId: string): void => {
@@ -112,6 +111,13 @@
 
   readonly poolOf = (target: PublishedTarget): string => this.#groups.poolOf(target);
 
+  /** Usable targets without those that said that they leave. */
+  #staying(service: string): readonly PublishedTarget[] {
+    return this.#targets
+      .usable(service)
+      .filter((target) => this.#notices.decide(target).permission !== CallPermission.Never);
+  }
+
   /** Targets in pools that admit one more stream; all targets when no pool does. */
   #filterAdmitted(
     results: ReadonlyMap<string, AdmissionResult>,
--- a/packages/gateway/src/target-notice.ts
+++ b/packages/gateway/src/target-notice.ts
@@ -4,9 +4,11 @@
 export interface TargetNotice {
   /** Requests that the target takes in each second from all gateways together. */
   readonly maxRequestsPerSecond?: number;
+  /** Whether the target leaves, so that it wants no further request. */
+  readonly isLeaving: boolean;
   /** Names of fields whose values are ignored. */
   readonly invalidFields: readonly string[];
 }
 
 /** Notice of an answer without any such field. */
-export const NO_NOTICE: TargetNotice = { invalidFields: [] };
+export const NO_NOTICE: TargetNotice = { isLeaving: false, invalidFields: [] };
--- a/packages/gateway/tests/target-limit.test.ts
+++ b/packages/gateway/tests/target-limit.test.ts
@@ -78,7 +78,7 @@
 const limitTo =
   (maxRequestsPerSecond: number) =>
   (instanceId: string): TargetNotice =>
-    instanceId === LIMITED ? { maxRequestsPerSecond, invalidFields: [] } : NO_NOTICE;
+    instanceId === LIMITED ? { ...NO_NOTICE, maxRequestsPerSecond } : NO_NOTICE;
 
 [0, 0.3, 1, 4].forEach((rate) => {
   test(`one gateway keeps a limit of ${rate}`, () => {
@@ -153,7 +153,7 @@
     });
   });
   fleet.run(20);
-  fleet.calls.forEach((call) => answer(call, { maxRequestsPerSecond: 0.5, invalidFields: [] }));
+  fleet.calls.forEach((call) => answer(call, { ...NO_NOTICE, maxRequestsPerSecond: 0.5 }));
   return fleet;
 };
 
