fix: a target that turned a request away is left alone for as long as it says

Cause: as with limits, what a target says of itself took no part in the choice of a target. When all targets of a service pause, or are at their limits, a caller is refused at once, with the time until the first of them is back.

--- a/packages/gateway/src/decide-call.ts
+++ b/packages/gateway/src/decide-call.ts
@@ -12,6 +12,8 @@
 /** What a target said that is still in force. */
 export interface NoticesInForce {
   readonly isLeaving: boolean;
+  /** Time for which the target wants no request from this gateway. */
+  readonly pauseMs: number;
   /** Time until the target's limit allows the next request. */
   readonly limitMs: number;
 }
@@ -30,12 +32,12 @@
  * Does what the target asks for.
  *
  * @example
- * decideByNotices({ isLeaving: false, limitMs: 400 }).waitMs; // 400
+ * decideByNotices({ isLeaving: false, pauseMs: 400, limitMs: 0 }).waitMs; // 400
  */
-export const decideByNotices: DecideCall = ({ isLeaving, limitMs }) => {
+export const decideByNotices: DecideCall = ({ isLeaving, pauseMs, limitMs }) => {
   if (isLeaving) {
     return { permission: CallPermission.Never, waitMs: 0 };
   }
-  const permission = limitMs > 0 ? CallPermission.Later : CallPermission.Allowed;
-  return { permission, waitMs: limitMs };
+  const waitMs = Math.max(0, pauseMs, limitMs);
+  return { permission: waitMs > 0 ? CallPermission.Later : CallPermission.Allowed, waitMs };
 };
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -183,6 +183,7 @@
   TargetRemoved = 'target removed',
   TargetLimited = 'target limit changed',
   TargetLeaving = 'target leaves',
+  TargetPaused = 'target paused',
   NoticeInvalid = 'target notice invalid',
   ItemUnreadable = 'store item unreadable',
   StoreLost = 'store lost',
--- a/packages/gateway/src/notices-service.ts
+++ b/packages/gateway/src/notices-service.ts
@@ -2,7 +2,7 @@
  * @module Keeps what targets say of themselves in the heads of their answers.
  *
  * A limit on requests and the leaving of a target concern all gateways, which tell each other of
- * them: at once, and then repeatedly.
+ * them: at once, and then repeatedly. A pause concerns only the gateway that was turned away.
  */
 import { createInstance } from '@ebonysill/kernel';
 import { isMisdirected } from './answer-status.js';
@@ -27,6 +27,9 @@
 /** Maximum number of targets that are remembered, for each kind of notice. */
 const MAX_TARGETS = 1_024;
 
+/** Longest pause that a target can ask for. */
+const MAX_PAUSE_MS = 300_000;
+
 /** Interval at which notices are reported to gateways that may not know them. */
 const REPORT_INTERVAL_MS = 500;
 
@@ -70,6 +73,9 @@
   /** By instance identifier. */
   readonly #leaving = RecentMap.create<Leaving>(MAX_TARGETS);
 
+  /** By instance identifier: until when the target wants no request from this gateway. */
+  readonly #pausedUntilMs = RecentMap.create<number>(MAX_TARGETS);
+
   /** Instance identifiers of targets with a field that could not be decoded. */
   readonly #invalidIds = RecentMap.create<true>(MAX_TARGETS);
 
@@ -88,7 +94,7 @@
   }
 
   readonly recordHead = (target: PublishedTarget, head: TargetHead): readonly Effect[] => {
-    const { invalidFields, maxRequestsPerSecond, isLeaving } = head.notice;
+    const { invalidFields, maxRequestsPerSecond, isLeaving, pauseMs } = head.notice;
     if (isMisdirected(head.status)) {
       return [];
     }
@@ -97,13 +103,16 @@
       ...this.#logInvalid(target, invalidFields),
       ...(isReliable ? this.#recordLimit(target.instanceId, maxRequestsPerSecond) : []),
       ...(isLeaving ? this.#recordLeaving(target) : []),
+      ...(pauseMs === undefined ? [] : this.#recordPause(target, pauseMs)),
     ];
   };
 
   readonly decide = (target: PublishedTarget): CallDecision => {
     const { instanceId } = target;
+    const pausedUntilMs = this.#pausedUntilMs.get(instanceId) ?? -Infinity;
     return this.options.decideCall({
       isLeaving: this.#isLeaving(target),
+      pauseMs: Math.max(0, pausedUntilMs - this.#nowMs()),
       limitMs: this.#limits.msUntilNext(instanceId),
     });
   };
@@ -170,6 +179,16 @@
     return leaving !== undefined && leaving.startedAtMs === startedAtMs;
   }
 
+  /** A further pause does not shorten an earlier one. */
+  #recordPause({ instanceId, service }: PublishedTarget, askedMs: number): readonly Effect[] {
+    const untilMs = this.#nowMs() + Math.min(askedMs, MAX_PAUSE_MS);
+    const knownUntilMs = this.#pausedUntilMs.get(instanceId) ?? -Infinity;
+    this.#pausedUntilMs.set(instanceId, Math.max(untilMs, knownUntilMs));
+    return knownUntilMs > this.#nowMs()
+      ? []
+      : [log(LogLevel.Info, LogTopic.TargetPaused, { instanceId, service, durationMs: askedMs })];
+  }
+
   /** Reports notices repeatedly, since messages may be lost. */
   #report(): readonly Effect[] {
     const nowMs = this.#nowMs();
--- a/packages/gateway/src/target-notice.ts
+++ b/packages/gateway/src/target-notice.ts
@@ -6,6 +6,8 @@
   readonly maxRequestsPerSecond?: number;
   /** Whether the target leaves, so that it wants no further request. */
   readonly isLeaving: boolean;
+  /** Time for which it wants no request from this gateway; only when it turned one away. */
+  readonly pauseMs?: number;
   /** Names of fields whose values are ignored. */
   readonly invalidFields: readonly string[];
 }
--- a/packages/gateway/tests/target-notices.test.ts
+++ b/packages/gateway/tests/target-notices.test.ts
@@ -1,6 +1,7 @@
-/** @module Targets that say that they leave. */
+/** @module Targets that say that they leave, or for how long they want no request. */
 import { test } from 'node:test';
 import { expect } from 'earl';
+import * as fc from 'fast-check';
 import {
   CallKind,
   CallStage,
@@ -29,6 +30,8 @@
 
 const LEAVING: TargetNotice = { ...NO_NOTICE, isLeaving: true };
 
+const pauseOf = (pauseMs: number): TargetNotice => ({ ...NO_NOTICE, pauseMs });
+
 const ROUTES = [
   routeOf({ maxAttempts: 3 }),
   routeOf({
@@ -66,6 +69,9 @@
   return endAnswer(harness);
 };
 
+const turnAway = (harness: Harness, pauseMs: number): readonly Effect[] =>
+  exchange(harness, { status: 503, isNotRun: true, isSigned: false, notice: pauseOf(pauseMs) });
+
 /** Identifiers of the targets of thirty requests. */
 const usedIds = (harness: Harness): readonly string[] => {
   const before = harness.calledIds().length;
@@ -74,6 +80,11 @@
   return [...new Set(harness.calledIds().slice(before))].sort();
 };
 
+const retryAfterOf = (effects: readonly Effect[]): number | undefined =>
+  effects
+    .flatMap((effect) => (effect.kind === EffectKind.SendAnswer ? [effect.retryAfterMs] : []))
+    .at(-1);
+
 test('a target that says that it leaves gets no further request', () => {
   const harness = gateway(targetOf('t-1', STARTED));
   exchange(harness, { notice: LEAVING });
@@ -179,6 +190,71 @@
   );
 });
 
+test('a target gets no request while it wants none', () => {
+  const harness = gateway(targetOf('t-1'), targetOf('t-2'));
+  turnAway(harness, 2_000);
+  const [pausedId = ''] = harness.calledIds();
+  harness.disconnectCallers();
+  const otherIds = ['t-1', 't-2'].filter((instanceId) => instanceId !== pausedId);
+  expect(usedIds(harness)).toEqual(otherIds);
+  harness.advance(1_900);
+  expect(usedIds(harness)).toEqual(otherIds);
+  harness.advance(200);
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+});
+
+test('a request for which all targets pause is refused until the first is back', () => {
+  const harness = gateway(targetOf('t-1'));
+  expect(retryAfterOf(turnAway(harness, 400))).toEqual(600);
+  harness.advance(100);
+  const effects = harness.request();
+  expect(harness.statuses()).toEqual([503, 503]);
+  expect(retryAfterOf(effects)).toEqual(450);
+});
+
+test('a shorter pause does not end a longer one', () => {
+  const harness = gateway(targetOf('t-1'));
+  harness.request();
+  const first = harness.lastCallId();
+  harness.request();
+  const notices = [pauseOf(3_000), pauseOf(0)];
+  notices.forEach((notice, index) =>
+    harness.post({
+      kind: EventKind.TargetHeadReceived,
+      callId: first + index,
+      head: headOf({ status: 503, isNotRun: true, notice }),
+    }),
+  );
+  harness.advance(2_900);
+  expect(usedIds(harness)).toEqual([]);
+});
+
+test('a target cannot ask for a pause without end', () => {
+  const harness = gateway(targetOf('t-1'));
+  turnAway(harness, 999_999_999_000);
+  harness.advance(300_100);
+  expect(usedIds(harness)).toEqual(['t-1']);
+});
+
+test('a pause concerns only the gateway that was turned away', () => {
+  const fleet = Fleet.create(2, [
+    configurationItem(configurationOf(1, ROUTES)),
+    targetItem(targetOf('t-1', STARTED)),
+  ]);
+  const [first, second] = fleet.harnesses;
+  turnAway(first ?? gateway(), 5_000);
+  fleet.run(1_000);
+  expect(usedIds(second ?? gateway())).toEqual(['t-1']);
+});
+
+test('a suspended host does not shorten a pause', () => {
+  const harness = gateway(targetOf('t-1'));
+  turnAway(harness, 2_000);
+  harness.suspendedMs = 60_000;
+  harness.read(StoreReadKind.Watch, []);
+  expect(usedIds(harness)).toEqual([]);
+});
+
 test('values that cannot be read are logged once a target', () => {
   const harness = gateway(targetOf('t-1'));
   const notice = { ...NO_NOTICE, invalidFields: ['server-limit'] };
@@ -188,3 +264,58 @@
   );
   expect(lines.length).toEqual(1);
 });
+
+/** What a target does with one request: the time until then, and the head of its answer. */
+const answerArbitrary = fc.record({
+  afterMs: fc.integer({ min: 0, max: 1_500 }),
+  isLeaving: fc.boolean(),
+  pauseMs: fc.option(fc.integer({ min: 0, max: 4_000 }), { nil: undefined }),
+  isFailing: fc.boolean(),
+});
+
+test('no call begins in a pause or after its target left', () => {
+  fc.assert(
+    fc.property(fc.array(answerArbitrary, { maxLength: 40 }), (answers) => {
+      const targets = ['t-1', 't-2', 't-3'];
+      const harness = gateway(...targets.map((instanceId) => targetOf(instanceId, STARTED)));
+      const blockedUntilMs = new Map<string, number>();
+      let checkedCount = 0;
+      const checkCalls = (): void => {
+        const calls = harness.calledIds();
+        calls.slice(checkedCount).forEach((instanceId) => {
+          expect(blockedUntilMs.get(instanceId) ?? 0).toSatisfy((value) => value <= harness.nowMs);
+        });
+        checkedCount = calls.length;
+      };
+      answers.forEach(({ afterMs, isLeaving, pauseMs, isFailing }, index) => {
+        harness.advance(afterMs);
+        harness.request({ path: index % 2 === 0 ? '/a/x' : '/s/x' });
+        const isCalled = harness.calledIds().length > checkedCount;
+        checkCalls();
+        if (!isCalled) {
+          return;
+        }
+        const instanceId = harness.calledIds().at(-1) ?? '';
+        const isPausing = pauseMs !== undefined;
+        receiveHead(harness, {
+          status: isPausing ? 503 : 200,
+          isNotRun: isPausing,
+          notice: { ...NO_NOTICE, isLeaving, ...(isPausing ? { pauseMs } : {}) },
+        });
+        const untilMs = isLeaving ? Infinity : harness.nowMs + (pauseMs ?? 0);
+        blockedUntilMs.set(instanceId, Math.max(untilMs, blockedUntilMs.get(instanceId) ?? 0));
+        if (isFailing) {
+          harness.post({
+            kind: EventKind.TargetCallFailed,
+            callId: harness.lastCallId(),
+            stage: CallStage.Sent,
+            detail: 'reset',
+          });
+        } else {
+          endAnswer(harness);
+        }
+        checkCalls();
+      });
+    }),
+  );
+});
