fix: a process whose status or datagram port is taken exits

Cause: StatusServer and DatagramPort waited for the callback of listen and bind, which never comes; the error went to the log alone.

--- a/packages/gateway-io/src/DatagramPort.ts
+++ b/packages/gateway-io/src/DatagramPort.ts
@@ -1,5 +1,6 @@
 /** @module Messages between processes, encoded with MessagePack and sent in UDP datagrams. */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import { once } from 'node:events';
 import { EventKind, type Event, type SendToPeerEffect } from '@ebonysill/gateway';
 import { pack, unpack } from 'msgpackr';
 import type { ListenAddress } from './CallerServer.js';
@@ -20,7 +21,7 @@
   ) {}
 
   /**
-   * Creates a port that is bound to its address.
+   * Creates a port that is bound to its address; rejects when that is taken.
    *
    * @example
    * const datagrams = await DatagramPort.create({ listen, post, onError });
@@ -29,10 +30,9 @@
     const socket = createSocket('udp4');
     const port = new DatagramPort(socket, options);
     socket.on('message', (data, remote) => port.#receive(data, remote));
+    socket.bind(options.listen.port, options.listen.host);
+    await once(socket, 'listening');
     socket.on('error', options.onError);
-    await new Promise<void>((resolve) => {
-      socket.bind(options.listen.port, options.listen.host, resolve);
-    });
     return port;
   }
 
--- a/packages/gateway-io/src/StatusServer.ts
+++ b/packages/gateway-io/src/StatusServer.ts
@@ -1,4 +1,5 @@
 /** @module HTTP servers for the health checks of load balancers and for monitoring. */
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { ListenAddress } from './CallerServer.js';
 
@@ -22,7 +23,7 @@
   private constructor(private readonly server: Server) {}
 
   /**
-   * Creates a server that listens.
+   * Creates a server that listens; rejects when its address is taken.
    *
    * @example
    * await StatusServer.create({ listen, answer: () => READY, onError });
@@ -36,10 +37,9 @@
       });
       response.end(body);
     });
+    server.listen(listen.port, listen.host);
+    await once(server, 'listening');
     server.on('error', onError);
-    await new Promise<void>((resolve) => {
-      server.listen(listen.port, listen.host, resolve);
-    });
     return new StatusServer(server);
   }
 
