fix: a configuration whose group lists a rank twice is refused

Operators could publish a group in which one rank stands twice; the group then never has all its ranks. Cause: only lists of the top level were checked for doubled names. Change: the ranks of each group are checked too; the problem names the field. Result: the new test failed before and passes.

--- a/packages/settings/src/parseConfiguration.ts
+++ b/packages/settings/src/parseConfiguration.ts
@@ -81,6 +81,21 @@
       : [{ path: [list, index, field], message: `"${name}" is listed more than once` }],
   );
 
+const findDoubledRanks = ({ groups }: Shape): readonly Issue[] =>
+  groups.flatMap(({ ranks }, groupIndex) => {
+    const rankIds = ranks.map(({ rankId }) => rankId);
+    return rankIds.flatMap((rankId, index) =>
+      rankIds.indexOf(rankId) === index
+        ? []
+        : [
+            {
+              path: ['groups', groupIndex, 'ranks', index, 'rankId'],
+              message: `"${rankId}" is listed more than once`,
+            },
+          ],
+    );
+  });
+
 const findIssues = (shape: Shape): readonly Issue[] => {
   const zoneNames = shape.availabilityZones.map(({ name }) => name);
   const serviceNames = shape.services.map(({ name }) => name);
@@ -116,6 +131,7 @@
     ...findDuplicates('targets', 'targetId', targetIds),
     ...findDuplicates('organisations', 'organisationId', organisationIds),
     ...findDuplicates('groups', 'groupId', groupIds),
+    ...findDoubledRanks(shape),
     ...targetIssues,
   ];
 };
--- a/packages/settings/tests/settings.test.ts
+++ b/packages/settings/tests/settings.test.ts
@@ -105,6 +105,20 @@
   ]);
 });
 
+test('a rank that is listed twice in a group is refused', () => {
+  const rankOf = (rankId: string, sidecarPort: number): object => ({
+    rankId,
+    sidecarHost: '10.0.0.1',
+    sidecarPort,
+  });
+  const first = { groupId: 'group-1', ranks: [rankOf('rank-1', 7_001), rankOf('rank-2', 7_002)] };
+  const second = { groupId: 'group-2', ranks: [rankOf('rank-3', 7_003), rankOf('rank-3', 7_004)] };
+  expect(fieldsOf({ ...CONFIGURATION, groups: [first] })).toEqual([]);
+  expect(fieldsOf({ ...CONFIGURATION, groups: [first, second] })).toEqual([
+    'groups.1.ranks.1.rankId',
+  ]);
+});
+
 test('arbitrary text is refused without an exception', () => {
   fc.assert(
     fc.property(fc.oneof(fc.string(), fc.json()), (text) => {
