fix: the description of changes names groups

Operators who compared two configurations did not see that a group was added, changed or removed: the list of groups was left out. Result: the new test failed before and passes.

--- a/packages/cli/src/describe-changes.ts
+++ b/packages/cli/src/describe-changes.ts
@@ -43,6 +43,7 @@
       delta.organisations,
       ({ organisationId }) => organisationId,
     ),
+    ...describeList('group', base.groups, delta.groups, ({ groupId }) => groupId),
   ];
 };
 
--- a/packages/cli/tests/init.test.ts
+++ b/packages/cli/tests/init.test.ts
@@ -89,6 +89,17 @@
   );
 });
 
+test('describes a group that is added', async () => {
+  const answers = await readExample('thaalam');
+  const base = generateConfiguration(answers, 1).configuration;
+  const ranks = [{ rankId: 'rank-1', sidecarHost: '10.0.0.1', sidecarPort: 7_001 }];
+  const next = { ...base, revision: 2, groups: [{ groupId: 'group-1', ranks }] };
+  expect(describeChanges(base, next)).toEqual([
+    'revision 1 becomes 2',
+    `group "group-1" is added: ${JSON.stringify(next.groups[0])}`,
+  ]);
+});
+
 test('status table shows load, links, memory and uptime', () => {
   const table = formatStatus([
     {
