fix: a call that a sidecar cannot send makes room for the next run

Callers whose requests waited at a sidecar waited on, until another event or the next health read, after a call that could not be sent. Cause: the failed run was removed and no waiting run started, unlike after an answer. Change: the next waiting run starts at once. Result: the new test failed before and passes.

--- a/packages/sidecar/src/execution-service.ts
+++ b/packages/sidecar/src/execution-service.ts
@@ -342,7 +342,8 @@
       return [];
     }
     if (stage === TargetErrorStage.BeforeWrite) {
-      return this.#failRun(run, notRun(Reason.TargetLost, 'the target could not be reached'));
+      const problem = notRun(Reason.TargetLost, 'the target could not be reached');
+      return [...this.#failRun(run, problem), ...this.#startWaiting()];
     }
     run.setState(RunState.AwaitingHealth);
     return [{ kind: EffectKind.ReadTargetHealth }];
