fix: an answered run at a sidecar ends when its last subscriber leaves

Callers that waited at the sidecar waited 0.25 s longer: a run whose answer was complete, and whose last subscriber left before it had received all of it, was aborted, and held a place of the target for the time that a target needs to notice. Cause: only waiting runs and runs with a key were told apart from running ones. Change: an answered run is over. Result: the new test failed before and passes, with the scenario tests of the fleet.

--- a/packages/sidecar/src/execution-service.ts
+++ b/packages/sidecar/src/execution-service.ts
@@ -250,8 +250,8 @@
   }
 
   /**
-   * Removes a subscriber. After the last, a waiting run ends and a started run is aborted; a started
-   * run with a key record continues, so that its outcome is recorded.
+   * Removes a subscriber. After the last, a waiting or answered run ends and a started run is aborted;
+   * a started run with a key record continues, so that its outcome is recorded.
    */
   #detach(run: Run, linkId: string, runId: string): readonly Effect[] {
     run.unsubscribe((subscriber) => subscriber.matches(linkId, runId));
@@ -261,10 +261,8 @@
     if (run.state === RunState.Waiting) {
       return this.#failRun(run, CALLER_CANCELLED);
     }
-    if (run.recordId !== undefined) {
-      return this.#relayAnswer(run);
-    }
-    return abortRun(run);
+    const isAnswered = run.state === RunState.Answered;
+    return isAnswered || run.recordId !== undefined ? this.#relayAnswer(run) : abortRun(run);
   }
 
   #onCredit(linkId: string, { runId, chunkCount }: CreditMessage): readonly Effect[] {
--- a/packages/sidecar/tests/execution.test.ts
+++ b/packages/sidecar/tests/execution.test.ts
@@ -120,3 +120,17 @@
   });
   expect(startedIds(effects).length).toEqual(1);
 });
+
+test('an answered run whose last subscriber leaves is over', () => {
+  const sidecar = createSidecar();
+  const [callId = ''] = startedIds(receive(sidecar, runOf('run-1')));
+  sidecar.handle({ kind: EventKind.TargetHead, callId, status: 200, contentType: '' });
+  Array.from({ length: 600 }, (_, index) =>
+    sidecar.handle({ kind: EventKind.TargetChunk, callId, data: `chunk ${index}` }),
+  );
+  sidecar.handle({ kind: EventKind.TargetEnd, callId });
+  expect(sidecar.isDrained()).toEqual(false);
+  const effects = receive(sidecar, { kind: MessageKind.Cancel, runId: 'run-1' });
+  expect(effects.some(({ kind }) => kind === EffectKind.AbortTarget)).toEqual(false);
+  expect(sidecar.isDrained()).toEqual(true);
+});
