fix: a target whose health check answers with a failure is down

Callers' requests went on to a target that answered its health check with 503, as long as the body had the expected form. Cause: the status was not read. Change: only 200 counts as up. Result: the new test failed before and passes.

--- a/packages/transport/src/TargetPort.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -5,7 +5,13 @@
  * connection is reset.
  */
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
-import { EventKind, TargetErrorStage, type CallTargetEffect, type Event } from '@ebonysill/core';
+import {
+  EventKind,
+  TargetErrorStage,
+  type CallTargetEffect,
+  type Event,
+  type TargetHealthEvent,
+} from '@ebonysill/core';
 import detectReset from '@ebonysill/http';
 import { Agent } from 'undici';
 import { z } from 'zod';
@@ -15,8 +21,14 @@
 /** Time in which the target must answer a health check. */
 const HEALTH_TIMEOUT_MS = 400;
 
+const STATUS_OK = 200;
+
 const healthSchema = z.object({ isCold: z.boolean() });
 
+type Health = Pick<TargetHealthEvent, 'isUp' | 'isCold'>;
+
+const DOWN: Health = { isUp: false, isCold: true };
+
 const errorCodeOf = (error: unknown): string =>
   error instanceof Error && 'code' in error ? String(error.code) : '';
 
@@ -84,19 +96,26 @@
     this.#answers.get(callId)?.resume();
   }
 
-  /** Posts the target's health; without a valid answer in time, the target counts as down and cold. */
+  /**
+   * Posts the target's health; without a valid answer of success in time, the target counts as down
+   * and cold.
+   */
   readHealth(): void {
-    this.#healthAgent
-      .request({
-        origin: this.targetUrl,
-        path: '/health',
-        method: 'GET',
-        signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
-      })
-      .then(({ body }) => body.json())
-      .then((json) => healthSchema.parse(json))
-      .then(({ isCold }) => this.post({ kind: EventKind.TargetHealth, isUp: true, isCold }))
-      .catch(() => this.post({ kind: EventKind.TargetHealth, isUp: false, isCold: true }));
+    this.#fetchHealth().then(
+      ({ isUp, isCold }) => this.post({ kind: EventKind.TargetHealth, isUp, isCold }),
+      () => this.post({ kind: EventKind.TargetHealth, ...DOWN }),
+    );
+  }
+
+  async #fetchHealth(): Promise<Health> {
+    const { statusCode, body } = await this.#healthAgent.request({
+      origin: this.targetUrl,
+      path: '/health',
+      method: 'GET',
+      signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
+    });
+    const { isCold } = healthSchema.parse(await body.json());
+    return statusCode === STATUS_OK ? { isUp: true, isCold } : DOWN;
   }
 
   /** Closes the connections; calls in progress fail. */
--- a/packages/transport/tests/target-port.test.ts
+++ b/packages/transport/tests/target-port.test.ts
@@ -178,3 +178,30 @@
   const results = await call((socket) => socket.write(switching), ['one']);
   expect(results.map(kindOf)).toEqual([ERROR]);
 });
+
+/** Reads the health of a target that answers with this status line. */
+const healthOf = async (statusLine: string): Promise<Event> => {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () =>
+      socket.end(`HTTP/1.1 ${statusLine}\r\nContent-Length: 16\r\n\r\n{"isCold":false}`),
+    );
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port: serverPort } = server.address() as AddressInfo;
+  let port: TargetPort | undefined;
+  const event = await new Promise<Event>((resolve) => {
+    port = TargetPort.create(`http://127.0.0.1:${serverPort}`, resolve);
+    port.readHealth();
+  });
+  await port?.shutdown();
+  server.close();
+  return event;
+};
+
+test('a target whose health check fails is down', async () => {
+  const kind = EventKind.TargetHealth;
+  expect(await healthOf('200 OK')).toEqual({ kind, isUp: true, isCold: false });
+  expect(await healthOf('503 Failing')).toEqual({ kind, isUp: false, isCold: true });
+});
