--- a/packages/gateway/tests/target-notices.test.ts
+++ b/packages/gateway/tests/target-notices.test.ts
@@ -12,6 +12,7 @@
   LogTopic,
   NO_NOTICE,
   StoreReadKind,
+  TargetReachability,
   type Effect,
   type PublishedTarget,
   type TargetHead,
@@ -255,6 +256,46 @@
   expect(usedIds(harness)).toEqual([]);
 });
 
+test('a cold target that wants no request gets none', () => {
+  const configuration = configurationOf(1, ROUTES);
+  const services = configuration.services.map((service) => ({ ...service, coldPerSecond: 50 }));
+  const harness = Harness.create([
+    configurationItem({ ...configuration, services }),
+    targetItem(targetOf('t-1', { coldRemainingMs: 60_000 })),
+  ]);
+  exchange(harness, {});
+  turnAway(harness, 2_000);
+  harness.advance(1_500);
+  harness.request();
+  expect(harness.calledIds().length).toEqual(2);
+  harness.advance(1_000);
+  harness.request();
+  expect(harness.calledIds().length).toEqual(3);
+});
+
+[0, 100_000].forEach((pauseMs) => {
+  test(`the trial of a suspect respects a pause of ${pauseMs} ms`, () => {
+    const harness = gateway(targetOf('t-1', STARTED));
+    exchange(harness, {});
+    const suspect = { promptSegments: ['common', 'crashing'], path: '/s/x' };
+    harness.request(suspect);
+    harness.post({
+      kind: EventKind.TargetCallFailed,
+      callId: harness.lastCallId(),
+      stage: CallStage.Sent,
+      detail: 'reset',
+    });
+    const reachability = TargetReachability.Refusing;
+    harness.post({ kind: EventKind.TargetChecked, instanceId: 't-1', reachability });
+    harness.advance(4_000);
+    turnAway(harness, pauseMs);
+    harness.advance(60_000);
+    const before = harness.calledIds().length;
+    harness.request(suspect);
+    expect(harness.calledIds().length - before).toEqual(pauseMs === 0 ? 1 : 0);
+  });
+});
+
 test('values that cannot be read are logged once a target', () => {
   const harness = gateway(targetOf('t-1'));
   const notice = { ...NO_NOTICE, invalidFields: ['server-limit'] };
