--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,7 +1,7 @@
 /** @module A server's entry is removed soon after a gateway lost its connection to the store. */
 /* eslint-disable import-x/extensions -- Node resolves ES modules by their full file name */
 import { fileURLToPath } from 'node:url';
-import { runCase, hasTrouble } from '../lib/run-case.mjs';
+import runCase from '../run-case.mjs';
 import {
   CONFIG_KEY,
   HOST,
@@ -11,11 +11,14 @@
   startGateways,
   startStore,
   zoneOf,
-} from '../lib/small-deployment.mjs';
-import PlainServer from '../lib/PlainServer.mjs';
-import { answerAfter } from '../lib/answers.mjs';
-import { sendRequest } from '../lib/client.mjs';
-import { repeat, sleep, sleepUntil } from '../lib/timing.mjs';
+} from '../small-deployment.mjs';
+import PlainServer from '../PlainServer.mjs';
+import { answerAfter } from '../answers.mjs';
+import { sendRequest } from '../client.mjs';
+import { repeat, sleep, sleepUntil } from '../timing.mjs';
+
+/** With TROUBLE=0 the case does the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const KEY = 'n2ctnfzs989anu6wsjnb';
 
--- a/review/lib/Deployment.mjs
+++ b/review/Deployment.mjs
@@ -14,7 +14,7 @@
 import { createServer as createNetServer } from 'node:net';
 import { waitFor } from './timing.mjs';
 
-const ROOT = resolve(fileURLToPath(new URL('.', import.meta.url)), '../..');
+const ROOT = resolve(fileURLToPath(new URL('.', import.meta.url)), '..');
 
 const READY_TIMEOUT_MS = 20_000;
 
--- a/review/lib/run-case.mjs
+++ b/review/run-case.mjs
@@ -3,9 +3,6 @@
 import CaseRecord from './CaseRecord.mjs';
 import Deployment from './Deployment.mjs';
 
-/** Whether the case runs with its disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 /** Exits although sockets of stand-ins are still open, which would keep the process running. */
 const exit = (code) => {
   // eslint-disable-next-line n/no-process-exit
@@ -18,7 +15,7 @@
  * Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
  * `run` gets the deployment and the record, and resolves with the breaks of the rule.
  */
-export const runCase = async (folder, run) => {
+const runCase = async (folder, run) => {
   const record = new CaseRecord();
   const deployment = await Deployment.create();
   let code = 2;
@@ -44,3 +41,5 @@
   await record.write(folder);
   exit(code);
 };
+
+export default runCase;
