feat: package of scheduling decisions, switched on by the settings of a deployment

Decisions on requests that compete for targets get a package of their own that imports no service. First decision: calls carry the published priority of the organisation, else of the route; it was decoded and reached no target before. Without the feature a gateway decides as before.

--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,4 +1,5 @@
 /** @module The services that make up a gateway. */
+import type { DecidePriority } from '@ebonysill/scheduling';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import catalogueRegistration from './catalogueRegistration.js';
@@ -43,6 +44,8 @@
   readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
   readonly isStalled?: IsStalled;
+  /** Decides the priority of calls to targets; by default targets use their own. */
+  readonly decidePriority?: DecidePriority;
 }
 
 /**
@@ -55,7 +58,7 @@
   const { runtime, self, seeds, retryBudget, graceMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideCall = decideByNotices } = options;
+  const { decideCall = decideByNotices, decidePriority } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -72,7 +75,11 @@
     noticesRegistration({ runtime, decideCall }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
     retriesRegistration({ runtime }),
-    exchangesRegistration({ runtime, isStalled }),
+    exchangesRegistration({
+      runtime,
+      isStalled,
+      ...(decidePriority === undefined ? {} : { decidePriority }),
+    }),
     lifecycleRegistration({ runtime, graceMs }),
   ];
 };
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -1,5 +1,6 @@
 /** @module Forwards each caller's request to a target and returns the answer. */
 import { InvariantError, createInstance } from '@ebonysill/kernel';
+import type { DecidePriority } from '@ebonysill/scheduling';
 import AnswerBuffers from './AnswerBuffers.js';
 import {
   isFailure,
@@ -59,6 +60,8 @@
   readonly runtime: Runtime;
   /** Decides whether a stream is resumed at another target. */
   readonly isStalled: IsStalled;
+  /** Decides the priority of calls to targets; absent when targets use their own. */
+  readonly decidePriority?: DecidePriority;
 }
 
 /** Interval of the check for stalled streams; callers leave two seconds after the last event. */
@@ -252,7 +255,8 @@
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
-    const call = buildTargetCall(exchange, target, this.options.runtime.nowMs());
+    const { runtime, decidePriority } = this.options;
+    const call = buildTargetCall({ exchange, target, nowMs: runtime.nowMs(), decidePriority });
     return [{ kind: EffectKind.StartCall, callId, call }, ...announcements];
   }
 
--- /dev/null
+++ b/packages/gateway/src/feature.ts
@@ -0,0 +1,24 @@
+/** @module Features that a deployment asks for, and the decisions that each of them uses. */
+import { priorityOf } from '@ebonysill/scheduling';
+import type { GatewayOptions } from './create-gateway-services.js';
+
+/** Something that a gateway does only where its deployment asks for it. */
+export enum Feature {
+  /** Requests are queued, refused and placed by priority, size and what all gateways know. */
+  Scheduling = 'scheduling',
+}
+
+/** Decisions of a gateway that a feature replaces. */
+export type FeatureDecisions = Pick<GatewayOptions, 'decidePriority'>;
+
+/** Returns the decisions of these features. */
+type DecisionsOf = (features: readonly Feature[]) => FeatureDecisions;
+
+/**
+ * Decisions that replace the default ones; without features there are none.
+ *
+ * @example
+ * createGatewayServices({ ...options, ...decisionsOf([Feature.Scheduling]) });
+ */
+export const decisionsOf: DecisionsOf = (features) =>
+  features.includes(Feature.Scheduling) ? { decidePriority: priorityOf } : {};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from './choose-target.js';
 export * from './crash.js';
 export * from './create-gateway-services.js';
+export * from './feature.js';
 export * from './directory.js';
 export * from './effect.js';
 export * from './event.js';
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,3 @@
+/** @module Decisions on requests that compete for targets. */
+export * from './demand.js';
+export * from './urgency.js';
--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -30,6 +30,8 @@
     windowSeconds: z.number().positive(),
     extraCount: z.number().min(0),
   }),
+  /** What the deployment asks for, in the words of its platform; unknown words are ignored. */
+  features: z.array(nameField).default([]),
 });
 
 /** Validated settings of a gateway. */
