fix: routes stay closed when the last credential is revoked

Callers saw: once the last credential of the last organisation was revoked, requests with revoked, unknown and no credentials ran. Cause: whether credentials are needed was read from how many were left. Change: it follows from whether the configuration lists organisations, even an empty list. An empty credential identifies nobody. A configuration that cannot be decoded ends what the one before allowed: its age counts like that of a stale copy. A header timeout of 0 no longer means none to Node. Looked at for the same mistake: routes, split services without entries (503), service names without targets (503), limits of 0 (body limit refuses all, header timeout mended), remaining time of 0 and unreadable, empty seeds, an empty settings file (refused), the entry process (always asks for credentials). The features setting becomes a text, as lists in a template are only joined by commas.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -59,6 +59,9 @@
 /** Connections hardly arrive within a turn of the event loop that is shorter. */
 const MAX_QUIET_TURN_MS = 0.3;
 
+/** Node takes 0 for no limit at all. */
+const MIN_HEADER_TIMEOUT_MS = 1;
+
 /** Length of the queue of connections that are not accepted yet. */
 const BACKLOG = 1_024;
 
@@ -133,7 +136,7 @@
   /** Applies the configured body limit and timeouts. */
   applyLimits({ maxBodyBytes, headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
     this.#maxBodyBytes = maxBodyBytes;
-    this.#server.headersTimeout = headerTimeoutMs;
+    this.#server.headersTimeout = Math.max(MIN_HEADER_TIMEOUT_MS, headerTimeoutMs);
     this.#server.keepAliveTimeout = idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
   }
 
--- a/packages/gateway/src/catalogueRegistration.ts
+++ b/packages/gateway/src/catalogue-service.ts
@@ -3,7 +3,7 @@
 import { log } from './build-effects.js';
 import { ServiceName, type FindService, type Registration, type StoreApi } from './directory.js';
 import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
-import { EventKind, ItemKind, type Event, type StoreItem } from './event.js';
+import { EventKind, ItemKind, ItemScope, type Event, type StoreItem } from './event.js';
 import type {
   CallerLimits,
   Organisation,
@@ -11,6 +11,12 @@
   PublishedService,
   Route,
 } from './published.js';
+import type { Runtime } from './runtime.js';
+
+/** Options of the service; it uses the clock of `runtime`. */
+export interface CatalogueOptions {
+  readonly runtime: Runtime;
+}
 
 /** Indexes the configuration by host, credential and service name. */
 class CatalogueService {
@@ -18,23 +24,34 @@
 
   #limits: CallerLimits | undefined;
 
+  #needsCredentials = true;
+
+  /** Since when the store's configuration cannot be decoded; undefined while it can. */
+  #unreadableSinceMs: number | undefined;
+
   readonly #routesByHost = new Map<string, readonly Route[]>();
 
   readonly #organisations = new Map<string, Organisation>();
 
   readonly #services = new Map<string, PublishedService>();
 
-  private constructor(private readonly store: StoreApi) {}
+  private constructor(
+    private readonly runtime: Runtime,
+    private readonly store: StoreApi,
+  ) {}
 
-  static create(find: FindService): CatalogueService {
-    return new CatalogueService(find(ServiceName.Store));
+  static create(runtime: Runtime, find: FindService): CatalogueService {
+    return new CatalogueService(runtime, find(ServiceName.Store));
   }
 
   readonly version = (): number => this.#version;
 
   readonly limits = (): CallerLimits | undefined => this.#limits;
 
-  readonly needsCredentials = (): boolean => this.#organisations.size > 0;
+  readonly needsCredentials = (): boolean => this.#needsCredentials;
+
+  readonly unreadableForMs = (): number =>
+    this.#unreadableSinceMs === undefined ? 0 : this.runtime.nowMs() - this.#unreadableSinceMs;
 
   readonly organisationOf = (credential: string): Organisation | undefined =>
     this.#organisations.get(credential);
@@ -51,21 +68,25 @@
   }
 
   #onItem(item: StoreItem): readonly Effect[] {
-    return item.kind === ItemKind.Configuration && item.configuration.version > this.#version
-      ? this.#apply(item.configuration)
-      : [];
+    if (item.scope !== ItemScope.Configuration) {
+      return [];
+    }
+    if (item.kind === ItemKind.Unreadable) {
+      this.#unreadableSinceMs ??= this.runtime.nowMs();
+    }
+    if (item.kind !== ItemKind.Configuration) {
+      return [];
+    }
+    this.#unreadableSinceMs = undefined;
+    return item.configuration.version > this.#version ? this.#apply(item.configuration) : [];
   }
 
   #apply(configuration: PublishedConfiguration): readonly Effect[] {
     this.#version = configuration.version;
     this.#limits = configuration.limits;
     this.#indexRoutes(configuration.routes);
-    this.#organisations.clear();
-    configuration.organisations.forEach((organisation) =>
-      organisation.credentials.forEach((credential) =>
-        this.#organisations.set(credential, organisation),
-      ),
-    );
+    this.#needsCredentials = configuration.needsCredentials;
+    this.#indexOrganisations(configuration.organisations);
     this.#services.clear();
     configuration.services.forEach((service) => this.#services.set(service.name, service));
     return [
@@ -78,6 +99,16 @@
     ];
   }
 
+  /** An empty credential is what a caller without one may send, so it identifies nobody. */
+  #indexOrganisations(organisations: readonly Organisation[]): void {
+    this.#organisations.clear();
+    organisations.forEach((organisation) =>
+      organisation.credentials
+        .filter((credential) => credential !== '')
+        .forEach((credential) => this.#organisations.set(credential, organisation)),
+    );
+  }
+
   /** Longest prefix first, so that the first match is the longest. */
   #indexRoutes(routes: readonly Route[]): void {
     this.#routesByHost.clear();
@@ -94,15 +125,15 @@
  * Registers the service that holds the configuration.
  *
  * @example
- * const services = [storeRegistration({ runtime }), catalogueRegistration()];
+ * const services = [storeRegistration({ runtime }), catalogueRegistration({ runtime })];
  */
-const catalogueRegistration = (): Registration<ServiceName.Catalogue> => ({
+export const catalogueRegistration = ({
+  runtime,
+}: CatalogueOptions): Registration<ServiceName.Catalogue> => ({
   name: ServiceName.Catalogue,
   requires: [ServiceName.Store],
   create: (find) => {
-    const service = CatalogueService.create(find);
+    const service = CatalogueService.create(runtime, find);
     return createInstance(service, { handle: (event) => service.handle(event) });
   },
 });
-
-export default catalogueRegistration;
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -2,7 +2,7 @@
 import type { DecidePriority } from '@ebonysill/scheduling';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
-import catalogueRegistration from './catalogueRegistration.js';
+import { catalogueRegistration } from './catalogue-service.js';
 import { chooseLeastLoaded, type ChooseTarget } from './choose-target.js';
 import { admitByPass, type DecideAdmission } from './decide-admission.js';
 import { decideByNotices, type DecideCall } from './decide-call.js';
@@ -62,7 +62,7 @@
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
-    catalogueRegistration(),
+    catalogueRegistration({ runtime }),
     targetsRegistration({ runtime }),
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime }),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -57,6 +57,8 @@
   readonly organisationOf: (credential: string) => Organisation | undefined;
   /** Whether callers need credentials at all. */
   readonly needsCredentials: () => boolean;
+  /** How long the store has held a configuration that cannot be decoded; 0 while it can be. */
+  readonly unreadableForMs: () => number;
   readonly serviceOf: (name: string) => PublishedService | undefined;
   readonly limits: () => CallerLimits | undefined;
 }
--- a/packages/gateway/src/engineLimitsRegistration.ts
+++ b/packages/gateway/src/engineLimitsRegistration.ts
@@ -67,7 +67,7 @@
  * Registers the service that answers hellos and target look-ups of agents.
  *
  * @example
- * const services = [catalogueRegistration(), engineLimitsRegistration()];
+ * const services = [catalogueRegistration({ runtime }), engineLimitsRegistration()];
  */
 const engineLimitsRegistration = (): Registration<ServiceName.EngineLimits> => ({
   name: ServiceName.EngineLimits,
--- a/packages/gateway/src/published.ts
+++ b/packages/gateway/src/published.ts
@@ -87,6 +87,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly PublishedService[];
+  /** Whether callers need credentials, even if no organisation or no credential is left. */
+  readonly needsCredentials: boolean;
   readonly organisations: readonly Organisation[];
   readonly limits: CallerLimits;
 }
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -72,12 +72,16 @@
       };
 };
 
+/** Age of what is known of the configuration in force: one that cannot be decoded adds nothing. */
+const ageMsOf = ({ catalogue, store }: RequestCheck): number =>
+  Math.max(store.ageMs(), catalogue.unreadableForMs());
+
 const checkCredential = (
   check: RequestCheck,
   route: Route,
   credential: string | undefined,
 ): CheckResult => {
-  const ageMs = check.store.ageMs();
+  const ageMs = ageMsOf(check);
   if (ageMs > MAX_CREDENTIAL_AGE_MS) {
     return STALE;
   }
@@ -96,13 +100,13 @@
  * checkRequest({ catalogue, store, random }, request).verdict;
  */
 export const checkRequest = (check: RequestCheck, request: CallerRequest): CheckResult => {
-  const { catalogue, store } = check;
+  const { catalogue } = check;
   if (catalogue.version() === 0) {
     return deny(LocalStatus.NotRun, ExchangeReason.NotConfigured);
   }
   const route = catalogue.routeOf(request.host, request.path);
   if (route === undefined) {
-    return store.ageMs() > MAX_DENIAL_AGE_MS ? STALE : NO_ROUTE;
+    return ageMsOf(check) > MAX_DENIAL_AGE_MS ? STALE : NO_ROUTE;
   }
   return route.isPublic || !catalogue.needsCredentials()
     ? allow(check, route, undefined)
--- a/packages/gateway/src/store-service.ts
+++ b/packages/gateway/src/store-service.ts
@@ -203,7 +203,7 @@
  * Registers the service that keeps the copy of the store.
  *
  * @example
- * const services = [storeRegistration({ runtime }), catalogueRegistration()];
+ * const services = [storeRegistration({ runtime }), catalogueRegistration({ runtime })];
  */
 export const storeRegistration = ({ runtime }: StoreOptions): Registration<ServiceName.Store> => ({
   name: ServiceName.Store,
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -51,6 +51,7 @@
   version,
   routes,
   services: [{ name: 'plain', healthPath: '/health', coldPerSecond: 0 }],
+  needsCredentials: true,
   organisations: [{ name: 'org-1', credentials }],
   limits: {
     maxHeaderBytes: 16_384,
--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -30,8 +30,11 @@
     windowSeconds: z.number().positive(),
     extraCount: z.number().min(0),
   }),
-  /** What the deployment asks for, in the words of its platform; unknown words are ignored. */
-  features: z.array(nameField).default([]),
+  /** What the deployment asks for, in its platform's words, separated by commas; others are ignored. */
+  features: z
+    .string()
+    .default('')
+    .transform((words) => words.split(',')),
 });
 
 /** Validated settings of a gateway. */
