--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -11,6 +11,8 @@
 import engineLimitsRegistration from './engineLimitsRegistration.js';
 import { exchangesRegistration } from './exchanges-service.js';
 import { groupsRegistration } from './groups-service.js';
+import { intakeRegistration } from './intake/intake-service.js';
+import { refusalsRegistration } from './intake/refusals-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
@@ -75,6 +77,8 @@
     noticesRegistration({ runtime, decideCall }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
     retriesRegistration({ runtime }),
+    refusalsRegistration({ runtime }),
+    intakeRegistration({ runtime }),
     exchangesRegistration({
       runtime,
       isStalled,
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -3,9 +3,10 @@
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
-import type { Exchange, Resolution } from './exchange.js';
+import type { Exchange, ExchangeReason, Resolution } from './exchange.js';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import type { Member, PassEstimate, PeerRole } from './peer-message.js';
+import type { Denial } from './request-check.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
   CallerLimits,
@@ -30,7 +31,9 @@
   ColdStarts = 'cold-starts',
   Notices = 'notices',
   Routing = 'routing',
+  Refusals = 'refusals',
   Exchanges = 'exchanges',
+  Intake = 'intake',
   Lifecycle = 'lifecycle',
   EngineLimits = 'engine-advice',
   RankMonitor = 'rank-monitor',
@@ -218,6 +221,24 @@
   readonly takeAfterRejection: (exchange: Exchange) => PublishedTarget | undefined;
 }
 
+/** Answers requests that did not run and never will. */
+export interface RefusalsApi {
+  /** Answers a request that the check denied. */
+  readonly deny: (exchangeId: number, request: CallerRequest, denial: Denial) => readonly Effect[];
+  /** Refuses a request; `admission` is given when it is the cause. */
+  readonly refuse: (
+    exchange: Exchange,
+    cause: ExchangeReason,
+    admission?: AdmissionResult,
+  ) => readonly Effect[];
+}
+
+/** Calls and answers of admitted requests. */
+export interface ExchangesApi {
+  /** Starts the first call of an admitted request. */
+  readonly start: (exchange: Exchange, target: PublishedTarget) => readonly Effect[];
+}
+
 /** Limits the requests to cold targets. */
 export interface ColdStartsApi {
   /** Whether this gateway may send a target one more request now. */
@@ -285,7 +306,9 @@
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
   readonly [ServiceName.Routing]: RoutingApi;
-  readonly [ServiceName.Exchanges]: object;
+  readonly [ServiceName.Refusals]: RefusalsApi;
+  readonly [ServiceName.Exchanges]: ExchangesApi;
+  readonly [ServiceName.Intake]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
   readonly [ServiceName.EngineLimits]: object;
   readonly [ServiceName.RankMonitor]: RankMonitorApi;
--- a/packages/gateway/src/exchange-log.ts
+++ b/packages/gateway/src/exchange-log.ts
@@ -49,8 +49,8 @@
 /** Line about a call that failed and may be retried. */
 type CallFailedLine = (exchange: Exchange, reason: ExchangeReason, detail: string) => LogEffect;
 
-/** Line about an error; the exchange is undefined when it did not begin. */
-type InternalErrorLine = (exchange: Exchange | undefined, error: unknown) => LogEffect;
+/** Line about an error; the identifier is undefined when the exchange has ended. */
+type InternalErrorLine = (requestId: string | undefined, error: unknown) => LogEffect;
 
 /** Line about the end of an exchange. */
 type EndedLine = (exchange: Exchange, end: ExchangeEnd, state: ExchangeEndState) => LogEffect;
@@ -98,11 +98,11 @@
  * Builds the line about an error in the handler of one exchange.
  *
  * @example
- * internalErrorLine(exchange, new TypeError('no route'));
+ * internalErrorLine('attempt-1', new TypeError('no route'));
  */
-export const internalErrorLine: InternalErrorLine = (exchange, error) =>
+export const internalErrorLine: InternalErrorLine = (requestId, error) =>
   log(LogLevel.Warn, LogTopic.ExchangeFailed, {
-    ...(exchange === undefined ? {} : { requestId: exchange.request.attemptId }),
+    ...(requestId === undefined ? {} : { requestId }),
     detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
   });
 
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -1,4 +1,4 @@
-/** @module Forwards each caller's request to a target and returns the answer. */
+/** @module Forwards each admitted request to a target and returns the answer. */
 import { InvariantError, createInstance } from '@ebonysill/kernel';
 import type { DecidePriority } from '@ebonysill/scheduling';
 import AnswerBuffers from './AnswerBuffers.js';
@@ -14,15 +14,14 @@
 import {
   ServiceName,
   type AdmissionApi,
-  type AdmissionResult,
   type ColdStartsApi,
   type FindService,
   type LifecycleApi,
   type LoadsApi,
   type NoticesApi,
+  type RefusalsApi,
   type Registration,
   type RetriesApi,
-  type RetryBudgetApi,
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
@@ -31,7 +30,6 @@
 import {
   EventKind,
   type Event,
-  type RequestReceivedEvent,
   type TargetCallFailedEvent,
   type TargetCheckedEvent,
   type TimerFiredEvent,
@@ -40,18 +38,16 @@
 import { MAX_EVENT_BYTES, type StreamEvent } from './event-splitter.js';
 import {
   callFailedLine,
-  deniedLine,
   endedLine,
   internalErrorLine,
   servedWith,
   type ExchangeEnd,
 } from './exchange-log.js';
 import { AnswerProgress, Exchange, ExchangeOutcome, ExchangeReason } from './exchange.js';
+import { endStateOf } from './intake/end-state.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
 import type { PublishedTarget } from './published.js';
-import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
-import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf, spreadRetryAfterMs } from './retry-after.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
 
@@ -82,20 +78,18 @@
 
   #nextCallId = 1;
 
-  readonly #check: RequestCheck;
-
   readonly #store: StoreApi;
 
   readonly #routing: RoutingApi;
 
+  readonly #refusals: RefusalsApi;
+
   readonly #loads: LoadsApi;
 
   readonly #suspects: SuspectsApi;
 
   readonly #admission: AdmissionApi;
 
-  readonly #retryBudget: RetryBudgetApi;
-
   readonly #retries: RetriesApi;
 
   readonly #coldStarts: ColdStartsApi;
@@ -110,29 +104,32 @@
   ) {
     this.#store = find(ServiceName.Store);
     this.#routing = find(ServiceName.Routing);
+    this.#refusals = find(ServiceName.Refusals);
     this.#loads = find(ServiceName.Loads);
     this.#suspects = find(ServiceName.Suspects);
     this.#admission = find(ServiceName.Admission);
-    this.#retryBudget = find(ServiceName.RetryBudget);
     this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
     this.#lifecycle = find(ServiceName.Lifecycle);
-    this.#check = {
-      catalogue: find(ServiceName.Catalogue),
-      store: this.#store,
-      random: options.runtime.random,
-    };
   }
 
   static create(options: ExchangesOptions, find: FindService): ExchangesService {
     return new ExchangesService(options, find);
   }
 
+  readonly start = (exchange: Exchange, target: PublishedTarget): readonly Effect[] => {
+    this.#exchanges.set(exchange.id, exchange);
+    this.#lifecycle.recordExchangeStart();
+    const leftMs = Math.max(0, exchange.deadlineAtMs - this.options.runtime.nowMs());
+    return this.#guard(exchange.id, () => [
+      setTimer(TimerKind.RequestDeadline, exchange.id, leftMs),
+      ...this.#call(exchange, target),
+    ]);
+  };
+
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
-      case EventKind.RequestReceived:
-        return this.#guard(event.exchangeId, () => this.#onRequest(event));
       case EventKind.CallerDisconnected:
         return this.#onCallerDisconnected(event.exchangeId);
       case EventKind.TargetHeadReceived:
@@ -187,52 +184,14 @@
         throw error;
       }
       const exchange = this.#exchanges.get(exchangeId);
-      return [
-        internalErrorLine(exchange, error),
-        ...(exchange === undefined
-          ? [localAnswer(exchangeId, LocalStatus.BadGateway, ExchangeReason.InternalError)]
-          : [...this.#cancelCall(exchange), ...this.#fail(exchange, ExchangeReason.InternalError)]),
-      ];
-    }
-  }
-
-  #onRequest({ exchangeId, request }: RequestReceivedEvent): readonly Effect[] {
-    const { nowMs } = this.options.runtime;
-    const result = checkRequest(this.#check, request);
-    if (result.verdict === CheckVerdict.Denied) {
-      const { status, reason } = result;
-      const retryAfterMs =
-        status === LocalStatus.NotRun ? retryAfterMsOf(request.remainingMs) : undefined;
-      return [
-        localAnswer(exchangeId, status, reason, retryAfterMs),
-        deniedLine(request.attemptId, status, reason, this.#storeAgeMs()),
-      ];
+      return exchange === undefined
+        ? [internalErrorLine(undefined, error)]
+        : [
+            internalErrorLine(exchange.request.attemptId, error),
+            ...this.#cancelCall(exchange),
+            ...this.#fail(exchange, ExchangeReason.InternalError),
+          ];
     }
-    const { resolution } = result;
-    const exchange = Exchange.create(exchangeId, request, resolution, nowMs());
-    this.#retryBudget.recordRequest(resolution.service);
-    return this.#admit(exchange);
-  }
-
-  #admit(exchange: Exchange): readonly Effect[] {
-    const refusal = this.#routing.refusalOf(exchange);
-    this.#exchanges.set(exchange.id, exchange);
-    this.#lifecycle.recordExchangeStart();
-    if (!this.#lifecycle.mayBegin(exchange.isStream, this.#remainingMs(exchange))) {
-      return this.#refuse(exchange, ExchangeReason.Draining, DRAINING_RETRY_AFTER_MS);
-    }
-    const barredForMs = this.#suspects.barredForMs(exchange);
-    if (barredForMs > 0) {
-      return this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs);
-    }
-    if (refusal !== undefined) {
-      return this.#refuse(exchange, ExchangeReason.TooManyStreams, refusal.retryAfterMs, refusal);
-    }
-    const leftMs = Math.max(0, exchange.deadlineAtMs - this.options.runtime.nowMs());
-    return [
-      setTimer(TimerKind.RequestDeadline, exchange.id, leftMs),
-      ...this.#callNextTarget(exchange, ExchangeReason.NoTarget),
-    ];
   }
 
   /** Calls a target that has not been tried; refuses or fails the request when there is none. */
@@ -568,10 +527,6 @@
     return [line, ...this.#cancelCall(exchange), ...this.#call(exchange, target)];
   }
 
-  #remainingMs({ deadlineAtMs }: Exchange): number {
-    return deadlineAtMs - this.options.runtime.nowMs();
-  }
-
   #onDeadline(exchangeId: number): readonly Effect[] {
     const exchange = this.#exchanges.get(exchangeId);
     if (exchange === undefined) {
@@ -613,31 +568,7 @@
     if (exchange.mayHaveRun) {
       return this.#fail(exchange, reason);
     }
-    const barredForMs = this.#suspects.barredForMs(exchange);
-    if (barredForMs > 0) {
-      return this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs);
-    }
-    const blockedForMs = this.#routing.blockedForMs(exchange.resolution.service);
-    return blockedForMs > 0
-      ? this.#refuse(exchange, ExchangeReason.TargetsBlocked, this.#spread(blockedForMs))
-      : this.#refuse(exchange, reason, retryAfterMsOf(this.#remainingMs(exchange)));
-  }
-
-  #spread(delayMs: number): number {
-    return spreadRetryAfterMs(delayMs, this.options.runtime.random());
-  }
-
-  #refuse(
-    exchange: Exchange,
-    reason: ExchangeReason,
-    retryAfterMs: number,
-    admission?: AdmissionResult,
-  ): readonly Effect[] {
-    const end = { outcome: ExchangeOutcome.Refused, reason, status: LocalStatus.NotRun };
-    return [
-      localAnswer(exchange.id, LocalStatus.NotRun, reason, retryAfterMs),
-      ...this.#finish(exchange, end, admission),
-    ];
+    return [...this.#refusals.refuse(exchange, reason), ...this.#remove(exchange)];
   }
 
   #fail(
@@ -651,27 +582,21 @@
     return [answer, ...this.#finish(exchange, { outcome: ExchangeOutcome.Failed, reason, status })];
   }
 
-  #finish(
-    exchange: Exchange,
-    end: ExchangeEnd,
-    { passMs, runningCount }: Partial<AdmissionResult> = {},
-  ): readonly Effect[] {
-    this.#exchanges.delete(exchange.id);
-    this.#checkedTargets.delete(exchange.id);
-    this.#lifecycle.recordExchangeEnd();
-    return [
-      clearTimer(TimerKind.RequestDeadline, exchange.id),
-      endedLine(exchange, end, {
-        nowMs: this.options.runtime.nowMs(),
-        passMs: passMs ?? this.#admission.passMsOf(exchange.pool),
-        ...(runningCount === undefined ? {} : { runningCount }),
-        knowledgeAgeMs: this.#storeAgeMs(),
-      }),
-    ];
+  #finish(exchange: Exchange, end: ExchangeEnd): readonly Effect[] {
+    const sources = {
+      runtime: this.options.runtime,
+      store: this.#store,
+      admission: this.#admission,
+    };
+    return [...this.#remove(exchange), endedLine(exchange, end, endStateOf(sources, exchange))];
   }
 
-  #storeAgeMs(): number {
-    return Math.min(Math.round(this.#store.ageMs()), Number.MAX_SAFE_INTEGER);
+  /** Forgets an exchange that has ended. */
+  #remove({ id }: Exchange): readonly Effect[] {
+    this.#exchanges.delete(id);
+    this.#checkedTargets.delete(id);
+    this.#lifecycle.recordExchangeEnd();
+    return [clearTimer(TimerKind.RequestDeadline, id)];
   }
 }
 
@@ -687,12 +612,11 @@
   name: ServiceName.Exchanges,
   requires: [
     ServiceName.Store,
-    ServiceName.Catalogue,
     ServiceName.Routing,
+    ServiceName.Refusals,
     ServiceName.Loads,
     ServiceName.Suspects,
     ServiceName.Admission,
-    ServiceName.RetryBudget,
     ServiceName.Retries,
     ServiceName.ColdStarts,
     ServiceName.Notices,
@@ -701,7 +625,7 @@
   create: (find) => {
     const service = ExchangesService.create(options, find);
     return createInstance(
-      {},
+      { start: service.start },
       {
         start: () => [ExchangesService.scheduleStallCheck()],
         handle: (event) => service.handle(event),
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -11,14 +11,16 @@
   Denied = 'denied',
 }
 
+/** Answer to a denied request. */
+export interface Denial {
+  readonly status: LocalStatus;
+  readonly reason: ExchangeReason;
+}
+
 /** Resolution of an allowed request, or the answer to a denied one. */
 export type CheckResult =
   | { readonly verdict: CheckVerdict.Allowed; readonly resolution: Resolution }
-  | {
-      readonly verdict: CheckVerdict.Denied;
-      readonly status: LocalStatus;
-      readonly reason: ExchangeReason;
-    };
+  | ({ readonly verdict: CheckVerdict.Denied } & Denial);
 
 /** State against which requests are checked. */
 export interface RequestCheck {
