fix: callers are sent on at once when only this gateway cannot serve

Callers of a gateway that had lost the store were told to wait a quarter of their time, 2,000 ms for a stream, although the next gateway would have served them. The same held for a gateway that had not loaded a configuration yet.

A refusal whose cause lies with this gateway now says 20 to 60 ms, spread, and twice as much each time the same request is refused for such a cause, up to the delay of before. Whether other gateways can serve follows from the age of their copies of the store, a new optional field of the load message, which idle gateways now send once a second. A third of the others has to be fresh. A gateway that hears nothing of others takes the cause for its own; one that never knew others goes by the time of the caller. Callers of a draining gateway are still told 20 ms at first.

The lines of refused requests have retryAfterMs and scope.

Not measured on a deployment.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -76,6 +76,7 @@
     counts: z.array(z.object(targetCount)),
     // Gateways of earlier versions report no passes.
     passes: z.array(z.object({ pool: z.string(), passMs: z.number() })).default([]),
+    copyAgeMs: z.number().nonnegative().optional(),
   }),
   z.object({ kind: z.literal(PeerMessageKind.LoadChange), ...targetCount }),
   z.object({
--- a/packages/gateway-io/tests/peer-messages.test.ts
+++ b/packages/gateway-io/tests/peer-messages.test.ts
@@ -1,4 +1,4 @@
-/** @module Messages about crashes, as other versions of a gateway send them. */
+/** @module Messages as other versions of a gateway send them. */
 import { test } from 'node:test';
 import { PeerMessageKind } from '@ebonysill/gateway';
 import { expect } from 'earl';
@@ -29,3 +29,9 @@
   const message = { kind: PeerMessageKind.Suspects, crashes, answers: [] };
   expect(parsePeerMessage(message)).toEqual(undefined);
 });
+
+// Guards against mixed versions: load messages that are dropped leave targets overcommitted.
+test('a load message of an earlier version has no passes and no age', () => {
+  const kind = PeerMessageKind.Load;
+  expect(parsePeerMessage({ kind, counts: [] })).toEqual({ kind, counts: [], passes: [] });
+});
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -11,7 +11,9 @@
 import engineLimitsRegistration from './engineLimitsRegistration.js';
 import { exchangesRegistration } from './exchanges-service.js';
 import { groupsRegistration } from './groups-service.js';
+import { copiesRegistration } from './intake/copies-service.js';
 import { intakeRegistration } from './intake/intake-service.js';
+import { returnsRegistration } from './intake/returns-service.js';
 import { refusalsRegistration } from './intake/refusals-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
@@ -77,6 +79,8 @@
     noticesRegistration({ runtime, decideCall }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
     retriesRegistration({ runtime }),
+    copiesRegistration({ runtime }),
+    returnsRegistration({ runtime }),
     refusalsRegistration({ runtime }),
     intakeRegistration({ runtime }),
     exchangesRegistration({
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,4 +1,5 @@
 /** @module Names and APIs of the services. */
+import type { OtherCopies, RefusalScope } from '@ebonysill/scheduling';
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
@@ -31,6 +32,8 @@
   ColdStarts = 'cold-starts',
   Notices = 'notices',
   Routing = 'routing',
+  Copies = 'copies',
+  Returns = 'returns',
   Refusals = 'refusals',
   Exchanges = 'exchanges',
   Intake = 'intake',
@@ -221,6 +224,34 @@
   readonly takeAfterRejection: (exchange: Exchange) => PublishedTarget | undefined;
 }
 
+/** Ages of the gateways' copies of the store. */
+export interface CopiesApi {
+  /** Age of this gateway's copy; the greatest safe integer while it has no configuration. */
+  readonly ownAgeMs: () => number;
+  readonly others: () => OtherCopies;
+}
+
+/** A request that was refused. */
+export interface RefusedRequest {
+  /** Refusals so far that concerned one gateway each. */
+  readonly localCount: number;
+  /** When the caller's deadline ends. */
+  readonly expiresAtMs: number;
+}
+
+/** Refused requests whose callers may come back. */
+export interface ReturnsApi {
+  /** The refusal of a request with the same method, path, credential and body. */
+  readonly find: (request: CallerRequest) => RefusedRequest | undefined;
+  readonly record: (request: CallerRequest, refused: RefusedRequest) => void;
+}
+
+/** What a refused caller was told. */
+export interface ToldReturn {
+  readonly scope: RefusalScope;
+  readonly retryAfterMs: number;
+}
+
 /** Answers requests that did not run and never will. */
 export interface RefusalsApi {
   /** Answers a request that the check denied. */
@@ -306,6 +337,8 @@
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
   readonly [ServiceName.Routing]: RoutingApi;
+  readonly [ServiceName.Copies]: CopiesApi;
+  readonly [ServiceName.Returns]: ReturnsApi;
   readonly [ServiceName.Refusals]: RefusalsApi;
   readonly [ServiceName.Exchanges]: ExchangesApi;
   readonly [ServiceName.Intake]: object;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -226,6 +226,10 @@
   /** Time since the store last confirmed this process's copy of it. */
   readonly knowledgeAgeMs?: number;
   readonly runningCount?: number;
+  /** Delay that a refused caller was told. */
+  readonly retryAfterMs?: number;
+  /** Whom the cause of a refusal concerns: this gateway or the fleet. */
+  readonly scope?: string;
   /** Requests that a target takes in each second; absent when it names no limit. */
   readonly maxRequestsPerSecond?: number;
   readonly passMs?: number;
--- a/packages/gateway/src/exchange-log.ts
+++ b/packages/gateway/src/exchange-log.ts
@@ -1,8 +1,10 @@
 /** @module Log lines about exchanges: the decision, and the state that it was based on. */
 import { log } from './build-effects.js';
+import type { ToldReturn } from './directory.js';
 import { LogLevel, LogTopic, type LogEffect, type LogFields } from './effect.js';
 import type { CallerRequest } from './exchange-data.js';
 import { ExchangeOutcome, ExchangeReason, type Exchange } from './exchange.js';
+import type { Denial } from './request-check.js';
 
 /** How an exchange ended. */
 export interface ExchangeEnd {
@@ -22,6 +24,8 @@
   /** Requests in the pool, when that is why the request was refused. */
   readonly runningCount?: number;
   readonly nowMs: number;
+  /** What the caller was told; absent unless it was refused. */
+  readonly told?: ToldReturn;
   /** Time since the store last confirmed this process's copy of it. */
   readonly knowledgeAgeMs: number;
 }
@@ -41,9 +45,9 @@
 /** Line about a request that was denied before it became an exchange. */
 type DeniedLine = (
   requestId: string,
-  status: number,
-  reason: ExchangeReason,
+  denial: Denial,
   knowledgeAgeMs: number,
+  told?: ToldReturn,
 ) => LogEffect;
 
 /** Line about a call that failed and may be retried. */
@@ -59,14 +63,15 @@
  * Builds the line about a denied request.
  *
  * @example
- * deniedLine('attempt-1', 404, ExchangeReason.NoRoute, 800);
+ * deniedLine('attempt-1', { status: 404, reason: ExchangeReason.NoRoute }, 800);
  */
-export const deniedLine: DeniedLine = (requestId, status, reason, knowledgeAgeMs) =>
+export const deniedLine: DeniedLine = (requestId, { status, reason }, knowledgeAgeMs, told) =>
   log(LogLevel.Info, LogTopic.RequestEnded, {
     requestId,
     status,
     reason,
     outcome: ExchangeOutcome.Refused,
+    ...told,
     knowledgeAgeMs,
   });
 
@@ -127,6 +132,7 @@
     longestPauseMs: Math.round(exchange.longestPauseMs),
     passMs: Math.round(state.passMs),
     ...(state.runningCount === undefined ? {} : { runningCount: state.runningCount }),
+    ...state.told,
     knowledgeAgeMs: state.knowledgeAgeMs,
   });
 };
--- a/packages/gateway/src/fingerprint.ts
+++ b/packages/gateway/src/fingerprint.ts
@@ -24,6 +24,22 @@
   return hash;
 };
 
+/** Bytes at each end of a body by which a returning request is recognised. */
+const RETURN_BODY_BYTES = 1_024;
+
+/**
+ * Digest by which a refused request is recognised when its caller retries it. It covers only the
+ * ends of a long body, because it is computed for each refusal.
+ *
+ * @example
+ * returnDigestOf(request) === returnDigestOf({ ...request, attemptId: 'another' }); // true
+ */
+export const returnDigestOf = ({ method, path, credential = '', body }: CallerRequest): number => {
+  const head = digestOf(`${method} ${path} ${credential} ${body.length}`);
+  const begin = body.subarray(0, RETURN_BODY_BYTES).reduce(mix, head);
+  return body.subarray(RETURN_BODY_BYTES).subarray(-RETURN_BODY_BYTES).reduce(mix, begin);
+};
+
 /**
  * Identifies a request by what stays the same when its caller retries it: method, path, credential
  * and body.
--- a/packages/gateway/src/intake/refusals-service.ts
+++ b/packages/gateway/src/intake/refusals-service.ts
@@ -1,14 +1,18 @@
 /** @module Refuses requests that did not run, and tells their callers when to come back. */
 import { createInstance } from '@ebonysill/kernel';
+import { RefusalScope, decideReturnMs, decideScope } from '@ebonysill/scheduling';
 import {
   ServiceName,
   type AdmissionApi,
   type AdmissionResult,
+  type CopiesApi,
   type FindService,
   type Registration,
+  type ReturnsApi,
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
+  type ToldReturn,
 } from '../directory.js';
 import type { Effect } from '../effect.js';
 import type { CallerRequest } from '../exchange-data.js';
@@ -16,7 +20,7 @@
 import { ExchangeOutcome, ExchangeReason, type Exchange } from '../exchange.js';
 import { LocalStatus, localAnswer } from '../local-answers.js';
 import type { Denial } from '../request-check.js';
-import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf, spreadRetryAfterMs } from '../retry-after.js';
+import { DEFAULT_REMAINING_MS, retryAfterMsOf, spreadRetryAfterMs } from '../retry-after.js';
 import type { Runtime } from '../runtime.js';
 import { endStateOf, storeAgeMsOf } from './end-state.js';
 
@@ -26,11 +30,25 @@
 }
 
 /** Why a request is refused, and when its caller may come back. */
-interface Refusal {
+interface Refusal extends ToldReturn {
   readonly reason: ExchangeReason;
-  readonly retryAfterMs: number;
 }
 
+/** Whom a cause concerns that lies with the gateway, and the spread of its delay in [0, 1). */
+interface GatewayCause {
+  readonly scope: RefusalScope;
+  readonly random: number;
+}
+
+/** Callers of a gateway that drains come one after another, so that their delays need no spread. */
+const DRAINING: GatewayCause = { scope: RefusalScope.Gateway, random: 0 };
+
+const fleetWide = (reason: ExchangeReason, retryAfterMs: number): Refusal => ({
+  reason,
+  scope: RefusalScope.Fleet,
+  retryAfterMs,
+});
+
 class RefusalsService {
   readonly #store: StoreApi;
 
@@ -40,6 +58,10 @@
 
   readonly #admission: AdmissionApi;
 
+  readonly #copies: CopiesApi;
+
+  readonly #returns: ReturnsApi;
+
   private constructor(
     private readonly runtime: Runtime,
     find: FindService,
@@ -48,6 +70,8 @@
     this.#routing = find(ServiceName.Routing);
     this.#suspects = find(ServiceName.Suspects);
     this.#admission = find(ServiceName.Admission);
+    this.#copies = find(ServiceName.Copies);
+    this.#returns = find(ServiceName.Returns);
   }
 
   static create(runtime: Runtime, find: FindService): RefusalsService {
@@ -56,13 +80,13 @@
 
   readonly deny = (
     exchangeId: number,
-    { attemptId, remainingMs }: CallerRequest,
-    { status, reason }: Denial,
+    request: CallerRequest,
+    denial: Denial,
   ): readonly Effect[] => {
-    const retryAfterMs = status === LocalStatus.NotRun ? retryAfterMsOf(remainingMs) : undefined;
+    const told = denial.status === LocalStatus.NotRun ? this.#toldOf(request, denial) : undefined;
     return [
-      localAnswer(exchangeId, status, reason, retryAfterMs),
-      deniedLine(attemptId, status, reason, storeAgeMsOf(this.#store)),
+      localAnswer(exchangeId, denial.status, denial.reason, told?.retryAfterMs),
+      deniedLine(request.attemptId, denial, storeAgeMsOf(this.#store), told),
     ];
   };
 
@@ -71,40 +95,68 @@
     cause: ExchangeReason,
     admission?: AdmissionResult,
   ): readonly Effect[] => {
-    const { reason, retryAfterMs } = this.#refusalOf(exchange, cause, admission);
+    const { reason, ...told } = this.#refusalOf(exchange, cause, admission);
     const end = { outcome: ExchangeOutcome.Refused, reason, status: LocalStatus.NotRun };
     const sources = { runtime: this.runtime, store: this.#store, admission: this.#admission };
     return [
-      localAnswer(exchange.id, LocalStatus.NotRun, reason, retryAfterMs),
-      endedLine(exchange, end, endStateOf(sources, exchange, admission)),
+      localAnswer(exchange.id, LocalStatus.NotRun, reason, told.retryAfterMs),
+      endedLine(exchange, end, { ...endStateOf(sources, exchange, admission), told }),
     ];
   };
 
+  /** What the caller of a request is told that is refused before it is resolved. */
+  #toldOf(request: CallerRequest, { reason }: Denial): ToldReturn {
+    switch (reason) {
+      case ExchangeReason.StoreCopyStale:
+      case ExchangeReason.NotConfigured: {
+        const scope = decideScope(this.#copies.others());
+        const { remainingMs = DEFAULT_REMAINING_MS } = request;
+        return this.#sendBack(request, remainingMs, { scope, random: this.runtime.random() });
+      }
+      default:
+        return { scope: RefusalScope.Fleet, retryAfterMs: retryAfterMsOf(request.remainingMs) };
+    }
+  }
+
+  /** Sends a caller to another gateway, or back when the fleet has recovered. */
+  #sendBack(request: CallerRequest, remainingMs: number, cause: GatewayCause): ToldReturn {
+    const { scope, random } = cause;
+    const refusalCount = this.#returns.find(request)?.localCount ?? 0;
+    if (scope === RefusalScope.Gateway) {
+      this.#returns.record(request, {
+        localCount: refusalCount + 1,
+        expiresAtMs: this.runtime.nowMs() + remainingMs,
+      });
+    }
+    const fleetDelayMs = retryAfterMsOf(remainingMs);
+    return { scope, retryAfterMs: decideReturnMs({ scope, fleetDelayMs, refusalCount, random }) };
+  }
+
   #refusalOf(
     exchange: Exchange,
     reason: ExchangeReason,
     admission: AdmissionResult | undefined,
   ): Refusal {
+    const { request, deadlineAtMs } = exchange;
     if (reason === ExchangeReason.Draining) {
-      return { reason, retryAfterMs: DRAINING_RETRY_AFTER_MS };
+      const remainingMs = deadlineAtMs - this.runtime.nowMs();
+      return { reason, ...this.#sendBack(request, remainingMs, DRAINING) };
     }
     const barredForMs = this.#suspects.barredForMs(exchange);
     if (barredForMs > 0) {
-      return { reason: ExchangeReason.CrashSuspect, retryAfterMs: barredForMs };
+      return fleetWide(ExchangeReason.CrashSuspect, barredForMs);
     }
     return admission === undefined
       ? this.#withoutTarget(exchange, reason)
-      : { reason, retryAfterMs: admission.retryAfterMs };
+      : fleetWide(reason, admission.retryAfterMs);
   }
 
   #withoutTarget({ resolution, deadlineAtMs }: Exchange, reason: ExchangeReason): Refusal {
+    const { nowMs, random } = this.runtime;
     const blockedForMs = this.#routing.blockedForMs(resolution.service);
     return blockedForMs > 0
-      ? {
-          reason: ExchangeReason.TargetsBlocked,
-          retryAfterMs: spreadRetryAfterMs(blockedForMs, this.runtime.random()),
-        }
-      : { reason, retryAfterMs: retryAfterMsOf(deadlineAtMs - this.runtime.nowMs()) };
+      ? fleetWide(ExchangeReason.TargetsBlocked, spreadRetryAfterMs(blockedForMs, random()))
+      : fleetWide(reason, retryAfterMsOf(deadlineAtMs - nowMs()));
   }
 }
 
@@ -118,7 +170,14 @@
   runtime,
 }: RefusalsOptions): Registration<ServiceName.Refusals> => ({
   name: ServiceName.Refusals,
-  requires: [ServiceName.Store, ServiceName.Routing, ServiceName.Suspects, ServiceName.Admission],
+  requires: [
+    ServiceName.Store,
+    ServiceName.Routing,
+    ServiceName.Suspects,
+    ServiceName.Admission,
+    ServiceName.Copies,
+    ServiceName.Returns,
+  ],
   create: (find) => {
     const { deny, refuse } = RefusalsService.create(runtime, find);
     return createInstance({ deny, refuse }, {});
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -4,6 +4,7 @@
 import {
   ServiceName,
   type AdmissionApi,
+  type CopiesApi,
   type FindService,
   type MembersApi,
   type Registration,
@@ -18,6 +19,12 @@
 /** Interval of messages with all counts; they report ended requests, which is less urgent. */
 const BROADCAST_INTERVAL_MS = 250;
 
+/**
+ * Interval of the messages of a gateway without requests; they tell the age of its copy of the store,
+ * by which others decide whether they alone have lost the store.
+ */
+const IDLE_INTERVAL_MS = 1_000;
+
 /** Counts of a gateway from which nothing was received for this long are ignored. */
 const COUNT_EXPIRY_MS = 1_500;
 
@@ -36,14 +43,22 @@
 
   #lastBroadcast = '';
 
+  #lastBroadcastAtMs = Number.NEGATIVE_INFINITY;
+
   readonly #members: MembersApi;
 
   readonly #admission: AdmissionApi;
 
-  private constructor(runtime: Runtime, find: FindService) {
+  readonly #copies: CopiesApi;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    find: FindService,
+  ) {
     this.#peerTotals = PeerTotals.create(runtime.nowMs, COUNT_EXPIRY_MS);
     this.#members = find(ServiceName.Members);
     this.#admission = find(ServiceName.Admission);
+    this.#copies = find(ServiceName.Copies);
   }
 
   static create(runtime: Runtime, find: FindService): LoadsService {
@@ -97,18 +112,24 @@
     return setTimer(TimerKind.LoadBroadcast, TIMER_KEY, BROADCAST_INTERVAL_MS);
   }
 
-  /** Sends nothing when no request is in progress and the last broadcast already said so. */
+  /** Sends less often while no request is in progress and the last broadcast already said so. */
   #broadcast(): readonly Effect[] {
     const counts = [...this.#ownCounts].map(([instanceId, count]) => ({ instanceId, count }));
     const passes = this.#admission.ownEstimates();
+    const copyAgeMs = this.#copies.ownAgeMs();
     const text = JSON.stringify(counts);
-    if (counts.length === 0 && text === this.#lastBroadcast) {
+    const nowMs = this.runtime.nowMs();
+    const isRecent = nowMs - this.#lastBroadcastAtMs < IDLE_INTERVAL_MS;
+    if (counts.length === 0 && text === this.#lastBroadcast && isRecent) {
       return [];
     }
     this.#lastBroadcast = text;
+    this.#lastBroadcastAtMs = nowMs;
     return this.#members
       .others(PeerRole.Gateway)
-      .map(({ address }) => sendToPeer(address, { kind: PeerMessageKind.Load, counts, passes }));
+      .map(({ address }) =>
+        sendToPeer(address, { kind: PeerMessageKind.Load, counts, passes, copyAgeMs }),
+      );
   }
 }
 
@@ -120,7 +141,7 @@
  */
 export const loadsRegistration = ({ runtime }: LoadsOptions): Registration<ServiceName.Loads> => ({
   name: ServiceName.Loads,
-  requires: [ServiceName.Members, ServiceName.Admission],
+  requires: [ServiceName.Members, ServiceName.Admission, ServiceName.Copies],
   create: (find) => {
     const service = LoadsService.create(runtime, find);
     return createInstance(service, {
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -117,6 +117,8 @@
   readonly kind: PeerMessageKind.Load;
   readonly counts: readonly TargetCount[];
   readonly passes: readonly PassEstimate[];
+  /** Age of the sender's copy of the store; absent in messages of earlier versions. */
+  readonly copyAgeMs?: number;
 }
 
 /** New count of requests at one target, sent at once so that other gateways choose another one. */
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -34,7 +34,7 @@
  * Maximum age of the store copy for accepting a credential, since it may have been revoked.
  * Operators allow 5 s from their change; one second is left for the target's queue and the network.
  */
-const MAX_CREDENTIAL_AGE_MS = 4_000;
+export const MAX_CREDENTIAL_AGE_MS = 4_000;
 
 /** Maximum age of the store copy for answering that a route or credential does not exist. */
 const MAX_DENIAL_AGE_MS = 2_500;
--- a/packages/gateway/src/retry-after.ts
+++ b/packages/gateway/src/retry-after.ts
@@ -6,11 +6,8 @@
 /** Maximum retry delay; most outages of a group end within it. */
 export const MAX_RETRY_AFTER_MS = 2_000;
 
-/** Retry delay sent while this process drains; it is short because another process will answer. */
-export const DRAINING_RETRY_AFTER_MS = 20;
-
 /** Remaining time assumed for a caller that sent none. */
-const DEFAULT_REMAINING_MS = 1_000;
+export const DEFAULT_REMAINING_MS = 1_000;
 
 /**
  * Retry delay of a caller for whose request there is no target now.
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -42,6 +42,8 @@
 
   readonly #gateways: readonly Gateway[];
 
+  readonly #withoutStore = new Set<Harness>();
+
   #inFlight: readonly SentMessage[] = [];
 
   private constructor(
@@ -87,6 +89,14 @@
     return this.harnesses[0]?.nowMs ?? 0;
   }
 
+  /** From now on the store does not answer the gateway with this index. */
+  loseStore(index: number): void {
+    const harness = this.harnesses[index];
+    if (harness !== undefined) {
+      this.#withoutStore.add(harness);
+    }
+  }
+
   /** Advances the clock step by step; `onStep` runs before the messages of a step arrive. */
   run(spanMs: number, onStep: () => void = () => undefined): void {
     Array.from({ length: spanMs / STEP_MS }).forEach(() => {
@@ -95,7 +105,7 @@
       this.#inFlight = [];
       arriving.forEach((message) => this.#deliver(message));
       this.#gateways.forEach((gateway) => {
-        gateway.harness.advance(STEP_MS);
+        gateway.harness.advance(STEP_MS, !this.#withoutStore.has(gateway.harness));
         this.#carryOut(gateway);
       });
     });
