feat: decisions on requests that wait for a place

Pure decisions for the feature `scheduling`: the order of waiting requests (priority, share of the organisation, return as told, time left; ageing by one level), whether a request waits, the share and rate at which one gateway starts requests while passes are nearly long, and the delay of callers for which the fleet has no place.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,4 +1,9 @@
 /** @module Decisions on requests that compete for targets. */
+export * from './decide-fleet-return.js';
 export * from './decide-return.js';
+export * from './decide-start-rate.js';
+export * from './decide-wait.js';
 export * from './demand.js';
+export * from './order-demands.js';
+export * from './queue-decisions.js';
 export * from './urgency.js';
