feat: requests wait for a place that comes free in time

Callers saw a refusal whenever there was no place at that moment, though places come free within the objective, and less urgent requests took what more urgent ones were refused.

With the feature `scheduling` the service `waiting` holds requests by service, at most 128, starts them in order when calls end or every 10 ms, and refuses those that cannot start in time. It holds none while the gateway drains or the service has no target. `throughput` measures the rate at which places come free over all gateways; `returns` recognises refused requests at any gateway. Both report with the load message, in optional fields. Refused callers are told a delay by that rate. Lines of requests that waited have waitOutcome, waitedMs, aheadCount, waitingCount, endsPerSecond and reportAgeMs. Without the feature requests start at once or are refused as before.

Not measured on a deployment.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -1,5 +1,10 @@
 /** @module Validates messages from other processes. */
-import { PeerMessageKind, PeerRole, type PeerMessage } from '@ebonysill/gateway';
+import {
+  MAX_REPORTED_REFUSALS,
+  PeerMessageKind,
+  PeerRole,
+  type PeerMessage,
+} from '@ebonysill/gateway';
 import * as z from 'zod';
 
 const member = z.object({
@@ -41,6 +46,14 @@
   z.object({ instanceId: z.string(), ageMs: z.number(), fingerprint: z.string(), segments }),
 );
 
+const refusal = z.object({
+  digest: z.number(),
+  service: z.string().optional(),
+  localCount: z.number().nonnegative(),
+  dueInMs: z.number(),
+  expiresInMs: z.number(),
+});
+
 const targetCount = { instanceId: z.string(), count: z.number() };
 
 const schema = z.discriminatedUnion('kind', [
@@ -77,6 +90,10 @@
     // Gateways of earlier versions report no passes.
     passes: z.array(z.object({ pool: z.string(), passMs: z.number() })).default([]),
     copyAgeMs: z.number().nonnegative().optional(),
+    rates: z
+      .array(z.object({ pool: z.string(), endsPerSecond: z.number().nonnegative() }))
+      .optional(),
+    refusals: z.array(refusal).max(MAX_REPORTED_REFUSALS).optional(),
   }),
   z.object({ kind: z.literal(PeerMessageKind.LoadChange), ...targetCount }),
   z.object({
--- a/packages/gateway/src/TimerKind.ts
+++ b/packages/gateway/src/TimerKind.ts
@@ -3,6 +3,7 @@
 /** What a timer is for. */
 enum TimerKind {
   RequestDeadline = 'request-deadline',
+  QueueCheck = 'queue-check',
   StallCheck = 'stall-check',
   StoreRetry = 'store-retry',
   LapseCheck = 'lapse-check',
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,5 +1,5 @@
 /** @module The services that make up a gateway. */
-import type { DecidePriority } from '@ebonysill/scheduling';
+import type { DecidePriority, QueueDecisions } from '@ebonysill/scheduling';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import { catalogueRegistration } from './catalogue-service.js';
@@ -15,6 +15,8 @@
 import { intakeRegistration } from './intake/intake-service.js';
 import { returnsRegistration } from './intake/returns-service.js';
 import { refusalsRegistration } from './intake/refusals-service.js';
+import { throughputRegistration } from './intake/throughput-service.js';
+import { waitingRegistration } from './intake/waiting-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
@@ -50,6 +52,8 @@
   readonly isStalled?: IsStalled;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
+  /** Decisions on requests that wait; by default none does. */
+  readonly queueDecisions?: QueueDecisions;
 }
 
 /**
@@ -62,7 +66,8 @@
   const { runtime, self, seeds, retryBudget, graceMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideCall = decideByNotices, decidePriority } = options;
+  const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
+  const queueing = queueDecisions === undefined ? {} : { queueDecisions };
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -81,7 +86,9 @@
     retriesRegistration({ runtime }),
     copiesRegistration({ runtime }),
     returnsRegistration({ runtime }),
-    refusalsRegistration({ runtime }),
+    throughputRegistration({ runtime }),
+    refusalsRegistration({ runtime, ...queueing }),
+    waitingRegistration({ runtime, ...queueing }),
     intakeRegistration({ runtime }),
     exchangesRegistration({
       runtime,
--- a/packages/gateway/src/decide-admission.ts
+++ b/packages/gateway/src/decide-admission.ts
@@ -42,6 +42,14 @@
 /** Share of a group's places that is used while passes are persistently long. */
 const PERSISTENT_PLACE_SHARE = 0.3;
 
+/**
+ * Duration from which passes are long; 0 without an objective.
+ *
+ * @example
+ * longPassMsOf(120); // 84
+ */
+export const longPassMsOf = (maxPauseMs: number): number => maxPauseMs * LONG_PASS_FRACTION;
+
 /**
  * Whether passes are so long that more streams would wait too long for their events.
  *
@@ -49,7 +57,7 @@
  * arePassesLong(90, 120); // true
  */
 export const arePassesLong = (passMs: number, maxPauseMs: number): boolean =>
-  maxPauseMs > 0 && passMs >= maxPauseMs * LONG_PASS_FRACTION;
+  maxPauseMs > 0 && passMs >= longPassMsOf(maxPauseMs);
 
 /**
  * Admits a stream while passes are short, and to part of the places while they stay long anyway.
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,12 +1,12 @@
 /** @module Names and APIs of the services. */
-import type { OtherCopies, RefusalScope } from '@ebonysill/scheduling';
+import type { OtherCopies, RefusalScope, ReturnKind } from '@ebonysill/scheduling';
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
 import type { Exchange, ExchangeReason, Resolution } from './exchange.js';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
-import type { Member, PassEstimate, PeerRole } from './peer-message.js';
+import type { Member, PassEstimate, PeerRole, PoolRate, ReportedRefusal } from './peer-message.js';
 import type { Denial } from './request-check.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
@@ -34,8 +34,10 @@
   Routing = 'routing',
   Copies = 'copies',
   Returns = 'returns',
+  Throughput = 'throughput',
   Refusals = 'refusals',
   Exchanges = 'exchanges',
+  Waiting = 'waiting',
   Intake = 'intake',
   Lifecycle = 'lifecycle',
   EngineLimits = 'engine-advice',
@@ -233,8 +235,12 @@
 
 /** A request that was refused. */
 export interface RefusedRequest {
+  /** Service that had no place; absent when the cause lay with a gateway. */
+  readonly service?: string;
   /** Refusals so far that concerned one gateway each. */
   readonly localCount: number;
+  /** When its caller was told to come back. */
+  readonly dueAtMs: number;
   /** When the caller's deadline ends. */
   readonly expiresAtMs: number;
 }
@@ -243,7 +249,33 @@
 export interface ReturnsApi {
   /** The refusal of a request with the same method, path, credential and body. */
   readonly find: (request: CallerRequest) => RefusedRequest | undefined;
+  /** Whether a request is a return; each refusal counts for one return. */
+  readonly takeReturn: (request: CallerRequest) => ReturnKind;
   readonly record: (request: CallerRequest, refused: RefusedRequest) => void;
+  /** Callers that a service had no place for and that have not come back yet. */
+  readonly dueCount: (service: string) => number;
+  /** Refusals of this gateway since the last call, for the others. */
+  readonly takeNews: () => readonly ReportedRefusal[];
+}
+
+/** How fast places come free and answers arrive. */
+export interface ThroughputApi {
+  readonly recordStart: (service: string, organisation: string) => void;
+  readonly recordEnd: (pool: string) => void;
+  /** Records the time from the start of a call to its answer, or to its first event. */
+  readonly recordAnswer: (route: string, timeMs: number) => void;
+  /** Time to an answer that most do not exceed; undefined before the first. */
+  readonly usualAnswerMs: (route: string) => number | undefined;
+  /** Starts of this gateway within the last second. */
+  readonly startsOf: (service: string, organisation: string) => number;
+  /** Requests of all gateways that end in a pool; 0 when unknown. */
+  readonly endsPerSecond: (pool: string) => number;
+  /** The same for all pools of a service. */
+  readonly serviceEndsPerSecond: (service: string) => number;
+  /** Age of the oldest report that is used; 0 without one. */
+  readonly oldestReportMs: () => number;
+  /** What this gateway measures itself, for the others. */
+  readonly ownRates: () => readonly PoolRate[];
 }
 
 /** What a refused caller was told. */
@@ -270,6 +302,11 @@
   readonly start: (exchange: Exchange, target: PublishedTarget) => readonly Effect[];
 }
 
+/** Starts admitted requests, or holds them until there is a place. */
+export interface WaitingApi {
+  readonly admit: (exchange: Exchange) => readonly Effect[];
+}
+
 /** Limits the requests to cold targets. */
 export interface ColdStartsApi {
   /** Whether this gateway may send a target one more request now. */
@@ -339,8 +376,10 @@
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Copies]: CopiesApi;
   readonly [ServiceName.Returns]: ReturnsApi;
+  readonly [ServiceName.Throughput]: ThroughputApi;
   readonly [ServiceName.Refusals]: RefusalsApi;
   readonly [ServiceName.Exchanges]: ExchangesApi;
+  readonly [ServiceName.Waiting]: WaitingApi;
   readonly [ServiceName.Intake]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
   readonly [ServiceName.EngineLimits]: object;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -226,6 +226,14 @@
   /** Time since the store last confirmed this process's copy of it. */
   readonly knowledgeAgeMs?: number;
   readonly runningCount?: number;
+  /** How a request that waited left the queue. */
+  readonly waitOutcome?: string;
+  readonly waitedMs?: number;
+  readonly aheadCount?: number;
+  readonly waitingCount?: number;
+  readonly endsPerSecond?: number;
+  /** Age of the oldest report of another gateway that a decision used. */
+  readonly reportAgeMs?: number;
   /** Delay that a refused caller was told. */
   readonly retryAfterMs?: number;
   /** Whom the cause of a refusal concerns: this gateway or the fleet. */
--- a/packages/gateway/src/exchange-log.ts
+++ b/packages/gateway/src/exchange-log.ts
@@ -132,6 +132,7 @@
     longestPauseMs: Math.round(exchange.longestPauseMs),
     passMs: Math.round(state.passMs),
     ...(state.runningCount === undefined ? {} : { runningCount: state.runningCount }),
+    ...exchange.wait,
     ...state.told,
     knowledgeAgeMs: state.knowledgeAgeMs,
   });
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,6 +1,7 @@
 /** @module State of one caller's request while this process handles it. */
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import { EventSplitter } from './event-splitter.js';
+import type { WaitTrace } from './intake/wait-trace.js';
 import { CallKind, type Organisation, type PublishedTarget, type Route } from './published.js';
 
 /** How an exchange ended. */
@@ -101,6 +102,9 @@
 
   splitter = EventSplitter.create();
 
+  /** What was known when the request had to wait; undefined if it did not. */
+  wait: WaitTrace | undefined;
+
   readonly triedIds = new Set<string>();
 
   private constructor(
@@ -150,6 +154,11 @@
     return this.resolution.route.kind === CallKind.Streaming;
   }
 
+  /** Records why and how long the request waited. */
+  recordWait(wait: WaitTrace): void {
+    this.wait = wait;
+  }
+
   /** Records the start of a call to a target and discards the answer of the previous call. */
   recordCall(callId: number, target: PublishedTarget, pool: string): void {
     this.callId = callId;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -25,6 +25,7 @@
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
+  type ThroughputApi,
 } from './directory.js';
 import { EffectKind, type Effect } from './effect.js';
 import {
@@ -96,6 +97,8 @@
 
   readonly #notices: NoticesApi;
 
+  readonly #throughput: ThroughputApi;
+
   readonly #lifecycle: LifecycleApi;
 
   private constructor(
@@ -111,6 +114,7 @@
     this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
+    this.#throughput = find(ServiceName.Throughput);
     this.#lifecycle = find(ServiceName.Lifecycle);
   }
 
@@ -211,6 +215,8 @@
     this.#coldStarts.recordStart(target);
     this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
+    const { service, organisation } = exchange.resolution;
+    this.#throughput.recordStart(service, organisation?.name ?? '');
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
@@ -229,6 +235,7 @@
     this.#exchangeOfCall.delete(callId);
     this.#loads.recordEnd(target.instanceId);
     this.#admission.recordEnd(pool, exchange.id);
+    this.#throughput.recordEnd(pool);
     exchange.clearCall();
   }
 
@@ -308,11 +315,22 @@
   }
 
   #recordProgress(exchange: Exchange, event: StreamEvent): void {
+    if (exchange.firstEventMs === undefined) {
+      this.#recordAnswerTime(exchange);
+    }
     const pauseMs = exchange.recordEvent(this.options.runtime.nowMs(), event.id);
     this.#admission.recordEvent(exchange.pool, exchange.id, pauseMs);
     exchange.recordGroupEvents(this.#admission.eventCountOf(exchange.pool));
   }
 
+  /** Times of requests that were called more than once are not usual. */
+  #recordAnswerTime({ resolution, receivedAtMs, wait, triedIds }: Exchange): void {
+    if (triedIds.size === 1) {
+      const timeMs = this.options.runtime.nowMs() - receivedAtMs - (wait?.waitedMs ?? 0);
+      this.#throughput.recordAnswer(resolution.route.name, timeMs);
+    }
+  }
+
   /** A stream that is resumed at another target keeps the head sent for the first one. */
   static #beginAnswer(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
     return exchange.markAnswerBegun()
@@ -374,6 +392,7 @@
     if (promisesNotRun(status)) {
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
+    this.#recordAnswerTime(exchange);
     return [
       ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
@@ -620,6 +639,7 @@
     ServiceName.Retries,
     ServiceName.ColdStarts,
     ServiceName.Notices,
+    ServiceName.Throughput,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
--- a/packages/gateway/src/intake/intake-service.ts
+++ b/packages/gateway/src/intake/intake-service.ts
@@ -1,16 +1,14 @@
-/** @module Checks and admits callers' requests; exchanges take over those that have a target. */
+/** @module Checks callers' requests and passes on those that may be sent to a target. */
 import { InvariantError, createInstance } from '@ebonysill/kernel';
 import {
   ServiceName,
-  type ExchangesApi,
   type FindService,
   type LifecycleApi,
   type RefusalsApi,
   type Registration,
-  type RetriesApi,
   type RetryBudgetApi,
-  type RoutingApi,
   type SuspectsApi,
+  type WaitingApi,
 } from '../directory.js';
 import type { Effect } from '../effect.js';
 import { EventKind, type Event, type RequestReceivedEvent } from '../event.js';
@@ -28,31 +26,25 @@
 class IntakeService {
   readonly #check: RequestCheck;
 
-  readonly #routing: RoutingApi;
-
   readonly #suspects: SuspectsApi;
 
   readonly #retryBudget: RetryBudgetApi;
 
-  readonly #retries: RetriesApi;
-
   readonly #lifecycle: LifecycleApi;
 
   readonly #refusals: RefusalsApi;
 
-  readonly #exchanges: ExchangesApi;
+  readonly #waiting: WaitingApi;
 
   private constructor(
     private readonly options: IntakeOptions,
     find: FindService,
   ) {
-    this.#routing = find(ServiceName.Routing);
     this.#suspects = find(ServiceName.Suspects);
     this.#retryBudget = find(ServiceName.RetryBudget);
-    this.#retries = find(ServiceName.Retries);
     this.#lifecycle = find(ServiceName.Lifecycle);
     this.#refusals = find(ServiceName.Refusals);
-    this.#exchanges = find(ServiceName.Exchanges);
+    this.#waiting = find(ServiceName.Waiting);
     this.#check = {
       catalogue: find(ServiceName.Catalogue),
       store: find(ServiceName.Store),
@@ -95,21 +87,13 @@
   }
 
   #admit(exchange: Exchange): readonly Effect[] {
-    const refusal = this.#routing.refusalOf(exchange);
     const remainingMs = exchange.deadlineAtMs - this.options.runtime.nowMs();
     if (!this.#lifecycle.mayBegin(exchange.isStream, remainingMs)) {
       return this.#refusals.refuse(exchange, ExchangeReason.Draining);
     }
-    if (this.#suspects.barredForMs(exchange) > 0) {
-      return this.#refusals.refuse(exchange, ExchangeReason.CrashSuspect);
-    }
-    if (refusal !== undefined) {
-      return this.#refusals.refuse(exchange, ExchangeReason.TooManyStreams, refusal);
-    }
-    const target = this.#retries.choose(exchange);
-    return target === undefined
-      ? this.#refusals.refuse(exchange, ExchangeReason.NoTarget)
-      : this.#exchanges.start(exchange, target);
+    return this.#suspects.barredForMs(exchange) > 0
+      ? this.#refusals.refuse(exchange, ExchangeReason.CrashSuspect)
+      : this.#waiting.admit(exchange);
   }
 }
 
@@ -117,20 +101,18 @@
  * Registers the service that takes in new requests.
  *
  * @example
- * const services = [exchangesRegistration(options), intakeRegistration({ runtime })];
+ * const services = [waitingRegistration(options), intakeRegistration({ runtime })];
  */
 export const intakeRegistration = (options: IntakeOptions): Registration<ServiceName.Intake> => ({
   name: ServiceName.Intake,
   requires: [
     ServiceName.Store,
     ServiceName.Catalogue,
-    ServiceName.Routing,
     ServiceName.Suspects,
     ServiceName.RetryBudget,
-    ServiceName.Retries,
     ServiceName.Lifecycle,
     ServiceName.Refusals,
-    ServiceName.Exchanges,
+    ServiceName.Waiting,
   ],
   create: (find) => {
     const service = IntakeService.create(options, find);
--- a/packages/gateway/src/intake/refusals-service.ts
+++ b/packages/gateway/src/intake/refusals-service.ts
@@ -1,17 +1,24 @@
 /** @module Refuses requests that did not run, and tells their callers when to come back. */
 import { createInstance } from '@ebonysill/kernel';
-import { RefusalScope, decideReturnMs, decideScope } from '@ebonysill/scheduling';
+import {
+  RefusalScope,
+  decideReturnMs,
+  decideScope,
+  type QueueDecisions,
+} from '@ebonysill/scheduling';
 import {
   ServiceName,
   type AdmissionApi,
   type AdmissionResult,
   type CopiesApi,
   type FindService,
+  type MembersApi,
   type Registration,
   type ReturnsApi,
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
+  type ThroughputApi,
   type ToldReturn,
 } from '../directory.js';
 import type { Effect } from '../effect.js';
@@ -20,6 +27,7 @@
 import { ExchangeOutcome, ExchangeReason, type Exchange } from '../exchange.js';
 import { LocalStatus, localAnswer } from '../local-answers.js';
 import type { Denial } from '../request-check.js';
+import { PeerRole } from '../peer-message.js';
 import { DEFAULT_REMAINING_MS, retryAfterMsOf, spreadRetryAfterMs } from '../retry-after.js';
 import type { Runtime } from '../runtime.js';
 import { endStateOf, storeAgeMsOf } from './end-state.js';
@@ -27,6 +35,8 @@
 /** Options of the service; it uses the clock and the random numbers of `runtime`. */
 export interface RefusalsOptions {
   readonly runtime: Runtime;
+  /** Decides the delay of callers for which the fleet has no place; by default a fixed one. */
+  readonly queueDecisions?: Pick<QueueDecisions, 'decideFleetReturnMs'>;
 }
 
 /** Why a request is refused, and when its caller may come back. */
@@ -62,8 +72,12 @@
 
   readonly #returns: ReturnsApi;
 
+  readonly #members: MembersApi;
+
+  readonly #throughput: ThroughputApi;
+
   private constructor(
-    private readonly runtime: Runtime,
+    private readonly options: RefusalsOptions,
     find: FindService,
   ) {
     this.#store = find(ServiceName.Store);
@@ -72,10 +86,16 @@
     this.#admission = find(ServiceName.Admission);
     this.#copies = find(ServiceName.Copies);
     this.#returns = find(ServiceName.Returns);
+    this.#members = find(ServiceName.Members);
+    this.#throughput = find(ServiceName.Throughput);
+  }
+
+  static create(options: RefusalsOptions, find: FindService): RefusalsService {
+    return new RefusalsService(options, find);
   }
 
-  static create(runtime: Runtime, find: FindService): RefusalsService {
-    return new RefusalsService(runtime, find);
+  private get runtime(): Runtime {
+    return this.options.runtime;
   }
 
   readonly deny = (
@@ -122,14 +142,17 @@
   #sendBack(request: CallerRequest, remainingMs: number, cause: GatewayCause): ToldReturn {
     const { scope, random } = cause;
     const refusalCount = this.#returns.find(request)?.localCount ?? 0;
+    const fleetDelayMs = retryAfterMsOf(remainingMs);
+    const retryAfterMs = decideReturnMs({ scope, fleetDelayMs, refusalCount, random });
     if (scope === RefusalScope.Gateway) {
+      const nowMs = this.runtime.nowMs();
       this.#returns.record(request, {
         localCount: refusalCount + 1,
-        expiresAtMs: this.runtime.nowMs() + remainingMs,
+        dueAtMs: nowMs + retryAfterMs,
+        expiresAtMs: nowMs + remainingMs,
       });
     }
-    const fleetDelayMs = retryAfterMsOf(remainingMs);
-    return { scope, retryAfterMs: decideReturnMs({ scope, fleetDelayMs, refusalCount, random }) };
+    return { scope, retryAfterMs };
   }
 
   #refusalOf(
@@ -146,17 +169,50 @@
     if (barredForMs > 0) {
       return fleetWide(ExchangeReason.CrashSuspect, barredForMs);
     }
-    return admission === undefined
-      ? this.#withoutTarget(exchange, reason)
-      : fleetWide(reason, admission.retryAfterMs);
+    const blockedForMs =
+      admission === undefined ? this.#routing.blockedForMs(exchange.resolution.service) : 0;
+    if (blockedForMs > 0) {
+      const retryAfterMs = spreadRetryAfterMs(blockedForMs, this.runtime.random());
+      return fleetWide(ExchangeReason.TargetsBlocked, retryAfterMs);
+    }
+    return this.#isShort(reason)
+      ? fleetWide(reason, this.#untilPlaceMs(exchange, admission?.passMs))
+      : fleetWide(
+          reason,
+          admission?.retryAfterMs ?? retryAfterMsOf(deadlineAtMs - this.runtime.nowMs()),
+        );
+  }
+
+  /** Whether the delay follows from the rate at which places come free. */
+  #isShort(reason: ExchangeReason): boolean {
+    return (
+      this.options.queueDecisions !== undefined &&
+      (reason === ExchangeReason.TooManyStreams ||
+        reason === ExchangeReason.NoTarget ||
+        reason === ExchangeReason.NotRunByTarget)
+    );
   }
 
-  #withoutTarget({ resolution, deadlineAtMs }: Exchange, reason: ExchangeReason): Refusal {
-    const { nowMs, random } = this.runtime;
-    const blockedForMs = this.#routing.blockedForMs(resolution.service);
-    return blockedForMs > 0
-      ? fleetWide(ExchangeReason.TargetsBlocked, spreadRetryAfterMs(blockedForMs, random()))
-      : fleetWide(reason, retryAfterMsOf(deadlineAtMs - nowMs()));
+  /** Time until there is a place, for those who are due before and then for this caller. */
+  #untilPlaceMs(exchange: Exchange, passMs = this.#admission.passMsOf(exchange.pool)): number {
+    const { request, resolution, deadlineAtMs, wait } = exchange;
+    const { service } = resolution;
+    const nowMs = this.runtime.nowMs();
+    const remainingMs = deadlineAtMs - nowMs;
+    const retryAfterMs =
+      this.options.queueDecisions?.decideFleetReturnMs({
+        dueCount: this.#returns.dueCount(service),
+        waitingCount: wait?.waitingCount ?? 0,
+        gatewayCount: this.#members.others(PeerRole.Gateway).length + 1,
+        endsPerSecond: this.#throughput.serviceEndsPerSecond(service),
+        passMs,
+        remainingMs,
+        random: this.runtime.random(),
+      }) ?? retryAfterMsOf(remainingMs);
+    const localCount = this.#returns.find(request)?.localCount ?? 0;
+    const dueAtMs = nowMs + retryAfterMs;
+    this.#returns.record(request, { service, localCount, dueAtMs, expiresAtMs: deadlineAtMs });
+    return retryAfterMs;
   }
 }
 
@@ -166,9 +222,9 @@
  * @example
  * const services = [routingRegistration(options), refusalsRegistration({ runtime })];
  */
-export const refusalsRegistration = ({
-  runtime,
-}: RefusalsOptions): Registration<ServiceName.Refusals> => ({
+export const refusalsRegistration = (
+  options: RefusalsOptions,
+): Registration<ServiceName.Refusals> => ({
   name: ServiceName.Refusals,
   requires: [
     ServiceName.Store,
@@ -177,9 +233,11 @@
     ServiceName.Admission,
     ServiceName.Copies,
     ServiceName.Returns,
+    ServiceName.Members,
+    ServiceName.Throughput,
   ],
   create: (find) => {
-    const { deny, refuse } = RefusalsService.create(runtime, find);
+    const { deny, refuse } = RefusalsService.create(options, find);
     return createInstance({ deny, refuse }, {});
   },
 });
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -8,10 +8,12 @@
   type FindService,
   type MembersApi,
   type Registration,
+  type ReturnsApi,
+  type ThroughputApi,
 } from './directory.js';
 import type { Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
-import { PeerMessageKind, PeerRole } from './peer-message.js';
+import { PeerMessageKind, PeerRole, type LoadMessage } from './peer-message.js';
 import PeerTotals from './PeerTotals.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -51,6 +53,10 @@
 
   readonly #copies: CopiesApi;
 
+  readonly #throughput: ThroughputApi;
+
+  readonly #returns: ReturnsApi;
+
   private constructor(
     private readonly runtime: Runtime,
     find: FindService,
@@ -59,6 +65,8 @@
     this.#members = find(ServiceName.Members);
     this.#admission = find(ServiceName.Admission);
     this.#copies = find(ServiceName.Copies);
+    this.#throughput = find(ServiceName.Throughput);
+    this.#returns = find(ServiceName.Returns);
   }
 
   static create(runtime: Runtime, find: FindService): LoadsService {
@@ -115,21 +123,27 @@
   /** Sends less often while no request is in progress and the last broadcast already said so. */
   #broadcast(): readonly Effect[] {
     const counts = [...this.#ownCounts].map(([instanceId, count]) => ({ instanceId, count }));
-    const passes = this.#admission.ownEstimates();
-    const copyAgeMs = this.#copies.ownAgeMs();
+    const refusals = this.#returns.takeNews();
     const text = JSON.stringify(counts);
     const nowMs = this.runtime.nowMs();
     const isRecent = nowMs - this.#lastBroadcastAtMs < IDLE_INTERVAL_MS;
-    if (counts.length === 0 && text === this.#lastBroadcast && isRecent) {
+    const hasNews = counts.length > 0 || refusals.length > 0 || text !== this.#lastBroadcast;
+    if (!hasNews && isRecent) {
       return [];
     }
     this.#lastBroadcast = text;
     this.#lastBroadcastAtMs = nowMs;
+    const message: LoadMessage = {
+      kind: PeerMessageKind.Load,
+      counts,
+      passes: this.#admission.ownEstimates(),
+      copyAgeMs: this.#copies.ownAgeMs(),
+      rates: this.#throughput.ownRates(),
+      ...(refusals.length === 0 ? {} : { refusals }),
+    };
     return this.#members
       .others(PeerRole.Gateway)
-      .map(({ address }) =>
-        sendToPeer(address, { kind: PeerMessageKind.Load, counts, passes, copyAgeMs }),
-      );
+      .map(({ address }) => sendToPeer(address, message));
   }
 }
 
@@ -141,7 +155,13 @@
  */
 export const loadsRegistration = ({ runtime }: LoadsOptions): Registration<ServiceName.Loads> => ({
   name: ServiceName.Loads,
-  requires: [ServiceName.Members, ServiceName.Admission, ServiceName.Copies],
+  requires: [
+    ServiceName.Members,
+    ServiceName.Admission,
+    ServiceName.Copies,
+    ServiceName.Throughput,
+    ServiceName.Returns,
+  ],
   create: (find) => {
     const service = LoadsService.create(runtime, find);
     return createInstance(service, {
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -112,6 +112,28 @@
   readonly passMs: number;
 }
 
+/** Requests of one gateway that end in one pool of targets. */
+export interface PoolRate {
+  readonly pool: string;
+  readonly endsPerSecond: number;
+}
+
+/** Refusals that one message reports at most. */
+export const MAX_REPORTED_REFUSALS = 16;
+
+/** A request that was refused, and when its caller comes back. */
+export interface ReportedRefusal {
+  /** Digest of method, path, credential and body. */
+  readonly digest: number;
+  /** Service that had no place; absent when the cause lay with the gateway. */
+  readonly service?: string;
+  /** Refusals so far that concerned one gateway each. */
+  readonly localCount: number;
+  readonly dueInMs: number;
+  /** Time until the caller's deadline. */
+  readonly expiresInMs: number;
+}
+
 /** All requests that a gateway has in progress, by target, and the passes that it measures. */
 export interface LoadMessage {
   readonly kind: PeerMessageKind.Load;
@@ -119,6 +141,10 @@
   readonly passes: readonly PassEstimate[];
   /** Age of the sender's copy of the store; absent in messages of earlier versions. */
   readonly copyAgeMs?: number;
+  /** Absent like the age, or when none end. */
+  readonly rates?: readonly PoolRate[];
+  /** Requests that the sender refused since its last message; absent when there are none. */
+  readonly refusals?: readonly ReportedRefusal[];
 }
 
 /** New count of requests at one target, sent at once so that other gateways choose another one. */
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -4,6 +4,7 @@
   EventKind,
   PeerRole,
   type Effect,
+  type GatewayOptions,
   type SendToPeerEffect,
   type StartCallEffect,
   type StoreItem,
@@ -59,7 +60,12 @@
    * @example
    * const fleet = Fleet.create(10, [targetItem(targetOf('t-1'))]);
    */
-  static create(count: number, items: readonly StoreItem[], isLost: IsLost = () => false): Fleet {
+  static create(
+    count: number,
+    items: readonly StoreItem[],
+    isLost: IsLost = () => false,
+    options: Partial<GatewayOptions> = {},
+  ): Fleet {
     const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}:7000`);
     const fleet = new Fleet(
       addresses.map((address, index) => ({
@@ -72,6 +78,7 @@
             availabilityZone: 'zone-a',
           },
           seeds: addresses.filter((other) => other !== address),
+          ...options,
         }),
         doneCount: 0,
       })),
