fix: an answer ends when the caller's connection has taken its last byte

Callers saw: a planned stop cut off answers that were still written out to slow callers. Cause: Node counts a connection as idle once its answer was handed over, and the drain, the closing of idle connections and the end of the listener went by that. Change: CallerConnections counts a request as open until its response has closed, and a connection with half a head as in use. The entry process waits up to 5 s for its callers before it closes their connections. Looked at for the same mistake: connections to targets (one for each call, closed by its end), status and admin servers (closed only with the process), the sidecar (links flush by credit), streams and refusals during the drain (go through the same response). The test of closing idle connections did not end on the code before.

--- a/packages/binaries/src/running-process.ts
+++ b/packages/binaries/src/running-process.ts
@@ -112,6 +112,7 @@
     drain: async () => {
       process.drain();
       await drained;
+      await process.flushCallers();
       await stop();
     },
     stop,
--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -10,6 +10,7 @@
   type Event,
   type HeaderField,
 } from '@ebonysill/gateway';
+import CallerConnections from '@ebonysill/http/caller-connections';
 
 /** Request line, header fields and body of a request, before decoding. */
 export interface EncodedRequest {
@@ -88,6 +89,8 @@
 
   readonly #openExchanges = new Map<number, OpenExchange>();
 
+  readonly #connections = CallerConnections.create();
+
   #nextExchangeId = 1;
 
   #acceptedCount = 0;
@@ -106,9 +109,12 @@
       (request, response) => this.#receive(request, response),
     );
     this.#server.requestTimeout = 0;
-    this.#server.on('connection', () => {
+    this.#server.on('connection', (socket) => {
       this.#acceptedCount += 1;
+      this.#connections.add(socket);
     });
+    // Node closes idle connections by itself when the listener closes, and by its own notion of idle.
+    this.#server.closeIdleConnections = () => this.#connections.closeIdle();
   }
 
   /**
@@ -186,9 +192,9 @@
     this.#removeExchange(exchangeId)?.destroy();
   }
 
-  /** Closes connections on which no request is in progress. */
+  /** Closes connections on which no request is in progress and whose last answer was taken. */
   closeIdle(): void {
-    this.#server.closeIdleConnections();
+    this.#connections.closeIdle();
   }
 
   /**
@@ -242,6 +248,7 @@
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
+    this.#connections.recordRequest(request, response);
     request.on('error', () => response.destroy());
     response.on('error', this.options.onError);
     if (Number(request.headers['content-length'] ?? 0) > this.#maxBodyBytes) {
--- a/packages/gateway-io/tests/caller-server.test.ts
+++ b/packages/gateway-io/tests/caller-server.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
-import { EventKind, type Event } from '@ebonysill/gateway';
+import { EffectKind, EventKind, type Event } from '@ebonysill/gateway';
 import { CallerServer } from '../src/index.js';
 
 const HOST = '127.0.0.1';
@@ -17,6 +17,7 @@
 };
 
 interface Opened {
+  readonly server: CallerServer;
   readonly caller: Socket;
   readonly events: readonly Event[];
   /** Text that the caller has received so far. */
@@ -65,7 +66,14 @@
     caller.destroy();
     server.close();
   });
-  return { caller, events, received: () => text, isClosed: () => caller.readableEnded };
+  return { server, caller, events, received: () => text, isClosed: () => caller.readableEnded };
+};
+
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+  if (!condition()) {
+    await delay(10);
+    await waitUntil(condition);
+  }
 };
 
 const head = (fields: string): string => `POST /a/x HTTP/1.1\r\nHost: app.example\r\n${fields}\r\n`;
@@ -110,3 +118,65 @@
   await delay(200);
   expect(events.map(({ kind }) => kind)).toEqual([EventKind.RequestReceived]);
 });
+
+/** Larger than what the system takes over at once for a caller that does not read. */
+const LARGE_ANSWER_BYTES = 16_000_000;
+
+const answerFirst = ({ server, events }: Opened): void => {
+  const [event] = events;
+  if (event?.kind === EventKind.RequestReceived) {
+    server.sendAnswer({
+      kind: EffectKind.SendAnswer,
+      exchangeId: event.exchangeId,
+      status: 200,
+      headers: [],
+      body: [Buffer.alloc(LARGE_ANSWER_BYTES, 'x')],
+    });
+  }
+};
+
+/** A caller that has sent a request, whose answer it does not read yet. */
+const openWithAnswer = async (after: (fn: () => void) => void): Promise<Opened> => {
+  const opened = await open(after);
+  opened.caller.pause();
+  opened.caller.write(head('Content-Length: 0\r\n'));
+  await waitUntil(() => opened.events.length > 0);
+  answerFirst(opened);
+  return opened;
+};
+
+// Guards against a drain that cuts off answers which slow callers still receive.
+test('closing idle connections cuts off no answer', async (context) => {
+  const { server, caller, received } = await openWithAnswer((fn) => context.after(fn));
+  server.closeIdle();
+  caller.resume();
+  await waitUntil(() => received().length > LARGE_ANSWER_BYTES);
+  server.closeIdle();
+  await once(caller, 'close');
+});
+
+test('the end of the listener cuts off no answer', async (context) => {
+  const { server, caller, received } = await openWithAnswer((fn) => context.after(fn));
+  server.stopAccepting();
+  await delay(500);
+  caller.resume();
+  await waitUntil(() => received().length > LARGE_ANSWER_BYTES);
+});
+
+// Guards against the end of a connection on which the next request is arriving.
+test('a connection with half a head is not idle', async (context) => {
+  const { server, caller, isClosed, events } = await open((fn) => context.after(fn));
+  caller.write('POST /a/x HTTP/1.1\r\n');
+  await delay(100);
+  server.closeIdle();
+  caller.write('Host: app.example\r\nContent-Length: 0\r\n\r\n');
+  await waitUntil(() => events.length > 0);
+  expect(isClosed()).toEqual(false);
+});
+
+test('a connection without a request is idle', async (context) => {
+  const { server, caller } = await open((fn) => context.after(fn));
+  await delay(50);
+  server.closeIdle();
+  await once(caller, 'close');
+});
--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -1,6 +1,7 @@
 /** @module HTTP front end for callers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   EffectKind,
   EventKind,
@@ -15,6 +16,7 @@
   type Event,
   type Problem,
 } from '@ebonysill/core';
+import CallerConnections from '@ebonysill/http/caller-connections';
 import { decodeCallerRequest, isProblem } from './caller-request.js';
 import { statusOf } from './problem-status.js';
 
@@ -25,6 +27,9 @@
 /** Time in which a caller must send its whole request. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
+/** Time for which a stop waits for callers that still receive their answers. */
+const MAX_FLUSH_MS = 5_000;
+
 const PROBLEM_TYPE = 'application/problem+json';
 
 const EVENT_STREAM = 'text/event-stream';
@@ -63,6 +68,8 @@
 
   readonly #server: Server;
 
+  readonly #connections = CallerConnections.create();
+
   #exchangeCount = 0;
 
   private constructor(private readonly options: CallerPortOptions) {
@@ -70,6 +77,9 @@
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
       (request, response) => this.#onRequest(request, response),
     );
+    this.#server.on('connection', (socket) => this.#connections.add(socket));
+    // Node closes idle connections by itself when the listener closes, and by its own notion of idle.
+    this.#server.closeIdleConnections = () => this.#connections.closeIdle();
   }
 
   /**
@@ -96,7 +106,11 @@
   /** Stops accepting connections; requests in progress continue. */
   stopAccepting(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
+  }
+
+  /** Resolves once callers have taken their answers, or after a bounded time. */
+  async flush(): Promise<void> {
+    await Promise.race([this.#connections.flush(), delay(MAX_FLUSH_MS, undefined, { ref: false })]);
   }
 
   /** Closes all connections, including those with a request in progress. */
@@ -185,6 +199,7 @@
   }
 
   #onRequest(request: IncomingMessage, response: ServerResponse): void {
+    this.#connections.recordRequest(request, response);
     const page = request.method === 'GET' ? this.options.readPage(request.url ?? '') : undefined;
     if (page !== undefined) {
       response.writeHead(page.status, { 'content-type': page.contentType });
--- a/packages/transport/src/process-host.ts
+++ b/packages/transport/src/process-host.ts
@@ -107,6 +107,11 @@
     this.#kernel.drain();
   }
 
+  /** Resolves once callers have taken their answers, or after a bounded time. */
+  async flushCallers(): Promise<void> {
+    await this.callers?.flush();
+  }
+
   /** Stops the services at once and closes every port. */
   async shutdown(): Promise<void> {
     this.#kernel.kill();
--- a/packages/transport/tests/caller-port.test.ts
+++ b/packages/transport/tests/caller-port.test.ts
@@ -72,3 +72,30 @@
   expect(text.includes('event: error')).toEqual(false);
   expect(isComplete).toEqual(false);
 });
+
+/** Larger than what the system takes over at once for a caller that does not read. */
+const LARGE_ANSWER = 'x'.repeat(16_000_000);
+
+// Guards against a stop that cuts off answers which slow callers still receive.
+test('a stop waits for an answer that is not taken yet', async () => {
+  const callers: CallerPort = CallerPort.create({
+    readPage: () => ({ status: 200, contentType: 'text/plain', body: LARGE_ANSWER }),
+    post: () => undefined,
+  });
+  const port = await callers.listen(HOST, 0);
+  const incoming = await new Promise<IncomingMessage>((resolve, reject) => {
+    request({ host: HOST, port, path: '/page', agent: false }, resolve).on('error', reject).end();
+  });
+  callers.stopAccepting();
+  let sizeBytes = 0;
+  incoming.on('data', (data: Buffer) => {
+    sizeBytes += data.length;
+  });
+  await callers.flush();
+  callers.shutdown();
+  await new Promise((resolve) => {
+    incoming.on('close', resolve);
+  });
+  expect(incoming.complete).toEqual(true);
+  expect(sizeBytes).toEqual(LARGE_ANSWER.length);
+});
