fix: knowledge is as old as the moment at which it was requested

Callers saw: a gateway that woke from a freeze accepted a credential for up to 6 s after it was revoked. Cause: the age of the copy of the store counted from when an answer was handled, and the answer may have waited while the process stood still. Change: the copy is confirmed as of the request of the read, by both clocks; pages as of the first of them. A watch waits 1.2 s instead of 2, since the age in calm is now up to twice the wait, and a watch after a failure or a late answer does not wait. Routes and credentials are denied up to an age of 2.9 s counted so (2.5 s, counted from the answer, before). Sister mended: an answer to a call from before a target stated its limit ended that limit. Looked at, and conservative or bounded: pauses, leaving and cold starts of targets (last longer), counts and passes of peers (expire within 1.5 s), members (2.5 s), crashes (carry their age). The test that an answer after a suspension confirms the copy encoded the fault; it now asks for an answer to a later watch.

--- a/packages/gateway/src/TargetLimits.ts
+++ b/packages/gateway/src/TargetLimits.ts
@@ -1,4 +1,5 @@
 /** @module Limits that targets name for the requests of all gateways together. */
+import { ageMsOf, type Moment } from './moment.js';
 import type { ReportedLimit } from './peer-message.js';
 import RateBucket from './RateBucket.js';
 import RecentMap from './RecentMap.js';
@@ -23,7 +24,7 @@
   readonly bucket?: RateBucket;
   /** When the target named another limit, or none. */
   readonly changedAtMs: number;
-  /** When the target said so last. */
+  /** When the target said so last: the latest such moment of a limit, the earliest of none. */
   readonly statedAtMs: number;
   /** Tokens that the bucket must hold before this gateway's next request. */
   readonly neededTokens: number;
@@ -53,8 +54,24 @@
     return new TargetLimits(runtime);
   }
 
-  /** Records what a target said now; returns the change if it said something else before. */
-  record(instanceId: string, maxRequestsPerSecond: number | undefined): LimitChange | undefined {
+  /**
+   * Records what a target said in the answer to a call that began at `askedAt`; returns the change if
+   * it said something else before. An answer may have waited while this process stood still, so it
+   * ends or raises a limit only if it was asked for after that limit was stated.
+   */
+  record(
+    instanceId: string,
+    maxRequestsPerSecond: number | undefined,
+    askedAt: Moment,
+  ): LimitChange | undefined {
+    const askedAtMs = this.runtime.nowMs() - ageMsOf(this.runtime, askedAt);
+    const known = this.#known.get(instanceId);
+    const isLooser = (maxRequestsPerSecond ?? Infinity) > (known?.maxRequestsPerSecond ?? Infinity);
+    if (isLooser) {
+      return askedAtMs < (known?.statedAtMs ?? -Infinity)
+        ? undefined
+        : this.#record(instanceId, maxRequestsPerSecond, askedAtMs);
+    }
     return this.#record(instanceId, maxRequestsPerSecond, this.runtime.nowMs());
   }
 
@@ -116,7 +133,8 @@
     const known = this.#known.get(instanceId);
     if (known?.maxRequestsPerSecond === maxRequestsPerSecond) {
       if (known !== undefined) {
-        this.#known.set(instanceId, { ...known, statedAtMs });
+        const latestMs = Math.max(statedAtMs, known.statedAtMs);
+        this.#known.set(instanceId, { ...known, statedAtMs: latestMs });
       }
       return undefined;
     }
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -5,6 +5,7 @@
 import type { Event, TargetReachability } from './event.js';
 import type { Exchange, Resolution } from './exchange.js';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
+import type { Moment } from './moment.js';
 import type { Member, PassEstimate, PeerRole } from './peer-message.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
@@ -227,8 +228,12 @@
 
 /** What targets say of themselves in their answers. */
 export interface NoticesApi {
-  /** Records the head of an answer; the effects log what has changed. */
-  readonly recordHead: (target: PublishedTarget, head: TargetHead) => readonly Effect[];
+  /** Records the head of the answer to a call of that moment; the effects log what has changed. */
+  readonly recordHead: (
+    target: PublishedTarget,
+    head: TargetHead,
+    askedAt: Moment,
+  ) => readonly Effect[];
   /** Whether a target may be called, by what it said. */
   readonly decide: (target: PublishedTarget) => CallDecision;
   /** Counts a request that this gateway sends now. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,6 +1,7 @@
 /** @module State of one caller's request while this process handles it. */
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import { EventSplitter } from './event-splitter.js';
+import { NEVER, type Moment } from './moment.js';
 import { CallKind, type Organisation, type PublishedTarget, type Route } from './published.js';
 
 /** How an exchange ended. */
@@ -69,6 +70,9 @@
 
   target: PublishedTarget | undefined;
 
+  /** When the current call was sent. */
+  calledAt: Moment = NEVER;
+
   /** Pool of the current target; before the first call, the service. */
   pool: string;
 
@@ -163,6 +167,11 @@
     this.lastCallEventAtMs = undefined;
   }
 
+  /** Records when the current call was sent. */
+  recordCallMoment(moment: Moment): void {
+    this.calledAt = moment;
+  }
+
   /** Records that no call is in progress any more. */
   clearCall(): void {
     this.callId = undefined;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -49,6 +49,7 @@
 import { AnswerProgress, Exchange, ExchangeOutcome, ExchangeReason } from './exchange.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
+import { momentNow } from './moment.js';
 import type { PublishedTarget } from './published.js';
 import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
 import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf, spreadRetryAfterMs } from './retry-after.js';
@@ -247,6 +248,7 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     exchange.recordCall(callId, target, this.#routing.poolOf(target));
+    exchange.recordCallMoment(momentNow(this.options.runtime));
     this.#exchangeOfCall.set(callId, exchange);
     const announcements = this.#loads.recordStart(target.instanceId);
     this.#coldStarts.recordStart(target);
@@ -288,7 +290,8 @@
       return this.#interrupt(exchange, `the answer has status ${head.status}`);
     }
     exchange.recordHead(head);
-    return exchange.target === undefined ? [] : this.#notices.recordHead(exchange.target, head);
+    const { target, calledAt } = exchange;
+    return target === undefined ? [] : this.#notices.recordHead(target, head, calledAt);
   }
 
   #onData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
--- a/packages/gateway/src/notices-service.ts
+++ b/packages/gateway/src/notices-service.ts
@@ -12,6 +12,7 @@
 import { LogLevel, LogTopic, type Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
 import type { TargetHead } from './exchange-data.js';
+import type { Moment } from './moment.js';
 import {
   PeerMessageKind,
   PeerRole,
@@ -93,7 +94,11 @@
     return new NoticesService(options, find);
   }
 
-  readonly recordHead = (target: PublishedTarget, head: TargetHead): readonly Effect[] => {
+  readonly recordHead = (
+    target: PublishedTarget,
+    head: TargetHead,
+    askedAt: Moment,
+  ): readonly Effect[] => {
     const { invalidFields, maxRequestsPerSecond, isLeaving, pauseMs } = head.notice;
     if (isMisdirected(head.status)) {
       return [];
@@ -101,7 +106,7 @@
     const isReliable = head.isSigned || head.isNotRun;
     return [
       ...this.#logInvalid(target, invalidFields),
-      ...(isReliable ? this.#recordLimit(target.instanceId, maxRequestsPerSecond) : []),
+      ...(isReliable ? this.#recordLimit(target.instanceId, maxRequestsPerSecond, askedAt) : []),
       ...(isLeaving ? this.#recordLeaving(target) : []),
       ...(pauseMs === undefined ? [] : this.#recordPause(target, pauseMs)),
     ];
@@ -150,8 +155,13 @@
   }
 
   /** Returns lines about what is new, and messages that tell the other gateways. */
-  #recordLimit(instanceId: string, maxRequestsPerSecond: number | undefined): readonly Effect[] {
-    const lines = limitLines(instanceId, this.#limits.record(instanceId, maxRequestsPerSecond));
+  #recordLimit(
+    instanceId: string,
+    maxRequestsPerSecond: number | undefined,
+    askedAt: Moment,
+  ): readonly Effect[] {
+    const change = this.#limits.record(instanceId, maxRequestsPerSecond, askedAt);
+    const lines = limitLines(instanceId, change);
     return lines.length === 0
       ? []
       : [...lines, ...this.#send({ limits: [this.#limits.reportOf(instanceId)], leaving: [] })];
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -34,8 +34,11 @@
  */
 const MAX_CREDENTIAL_AGE_MS = 4_000;
 
-/** Maximum age of the store copy for answering that a route or credential does not exist. */
-const MAX_DENIAL_AGE_MS = 2_500;
+/**
+ * Maximum age of the store copy for answering that a route or credential does not exist. In calm the
+ * age stays below twice the wait of a watch and the time of its answer.
+ */
+const MAX_DENIAL_AGE_MS = 2_900;
 
 const deny = (status: LocalStatus, reason: ExchangeReason): CheckResult => ({
   verdict: CheckVerdict.Denied,
--- a/packages/gateway/src/store-service.ts
+++ b/packages/gateway/src/store-service.ts
@@ -2,7 +2,8 @@
  * @module Keeps this process's copy of the store current.
  *
  * All items are read page by page; then changes are watched from the revision of the first page.
- * Each answered watch, with or without changes, confirms that the copy is current. A store that was
+ * Each answered watch, with or without changes, confirms that the copy was current when it was
+ * requested. A store that was
  * restored gives out revisions again, so a watch from before may miss changes: all items are read
  * again.
  */
@@ -18,11 +19,22 @@
   type StoreFailedEvent,
   type StoreReadEvent,
 } from './event.js';
+import { NEVER, ageMsOf, momentNow } from './moment.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
 
-/** The store answers a watch within this time; if it does not, the connection has failed. */
-const WATCH_WAIT_MS = 2_000;
+/**
+ * The store answers a watch within this time; if it does not, the connection has failed. The copy is
+ * confirmed as of the request, so its age reaches twice this time in calm, which has to stay below
+ * what readiness and refusals allow.
+ */
+const WATCH_WAIT_MS = 1_200;
+
+/**
+ * An answer this old says little about the present: the process or the network stood still. A watch
+ * that does not wait follows it.
+ */
+const LATE_ANSWER_MS = WATCH_WAIT_MS + 500;
 
 /**
  * Minimum delay after a failure. With the jitter, 30 processes stay far below the request rate that
@@ -51,13 +63,13 @@
 
   #firstPageRevision: number | undefined;
 
-  #confirmedAtMs = Number.NEGATIVE_INFINITY;
-
-  #confirmedAtSuspendAwareMs = Number.NEGATIVE_INFINITY;
+  /** When the read was requested whose answer confirmed the copy last. */
+  #confirmedAt = NEVER;
 
   #isLost = false;
 
-  #requestedAtMs = 0;
+  /** When the read in progress was requested; for pages, the first of them. */
+  #requestedAt = NEVER;
 
   #era: number | undefined;
 
@@ -73,11 +85,7 @@
 
   readonly wasRestored = (): boolean => this.#wasRestored;
 
-  readonly ageMs = (): number =>
-    Math.max(
-      this.runtime.nowMs() - this.#confirmedAtMs,
-      this.runtime.suspendAwareMs() - this.#confirmedAtSuspendAwareMs,
-    );
+  readonly ageMs = (): number => ageMsOf(this.runtime, this.#confirmedAt);
 
   start(): readonly Effect[] {
     return this.#readPages(undefined);
@@ -101,7 +109,9 @@
   }
 
   #readPages(afterKey: string | undefined): readonly Effect[] {
-    this.#requestedAtMs = this.runtime.nowMs();
+    if (afterKey === undefined) {
+      this.#requestedAt = momentNow(this.runtime);
+    }
     return [
       {
         kind: EffectKind.ReadStore,
@@ -113,14 +123,14 @@
     ];
   }
 
-  #watch(): readonly Effect[] {
-    this.#requestedAtMs = this.runtime.nowMs();
+  #watch(waitMs = WATCH_WAIT_MS): readonly Effect[] {
+    this.#requestedAt = momentNow(this.runtime);
     return [
       {
         kind: EffectKind.ReadStore,
         read: StoreReadKind.Watch,
         afterRevision: this.#revision,
-        waitMs: WATCH_WAIT_MS,
+        waitMs,
       },
     ];
   }
@@ -157,16 +167,17 @@
 
   #onWatch({ revision }: StoreReadEvent): readonly Effect[] {
     this.#revision = Math.max(this.#revision, revision);
-    const elapsedMs = this.runtime.nowMs() - this.#requestedAtMs;
+    const elapsedMs = ageMsOf(this.runtime, this.#requestedAt);
     const regained = this.#confirm();
-    return elapsedMs < MIN_WATCH_GAP_MS
-      ? [...regained, setTimer(TimerKind.StoreRetry, TIMER_KEY, MIN_WATCH_GAP_MS - elapsedMs)]
-      : [...regained, ...this.#watch()];
+    if (elapsedMs < MIN_WATCH_GAP_MS) {
+      const delayMs = MIN_WATCH_GAP_MS - elapsedMs;
+      return [...regained, setTimer(TimerKind.StoreRetry, TIMER_KEY, delayMs)];
+    }
+    return [...regained, ...this.#watch(elapsedMs > LATE_ANSWER_MS ? 0 : WATCH_WAIT_MS)];
   }
 
   #confirm(): readonly Effect[] {
-    this.#confirmedAtMs = this.runtime.nowMs();
-    this.#confirmedAtSuspendAwareMs = this.runtime.suspendAwareMs();
+    this.#confirmedAt = this.#requestedAt;
     if (!this.#isLost) {
       return [];
     }
@@ -194,8 +205,12 @@
     return [log(LogLevel.Warn, LogTopic.StoreLost, { detail, knowledgeAgeMs })];
   }
 
+  /** After a failure, a watch that does not wait confirms the copy soonest. */
   #retry(): readonly Effect[] {
-    return this.#isLoaded ? this.#watch() : this.#readPages(undefined);
+    if (!this.#isLoaded) {
+      return this.#readPages(undefined);
+    }
+    return this.#isLost ? this.#watch(0) : this.#watch();
   }
 }
 
--- a/packages/gateway/tests/exchanges.test.ts
+++ b/packages/gateway/tests/exchanges.test.ts
@@ -227,6 +227,10 @@
   harness.suspendedMs = 5_000;
   harness.request();
   expect(harness.calledIds()).toEqual([]);
+  // The answer to the watch from before the suspension is as old as that watch.
+  harness.read(StoreReadKind.Watch, []);
+  harness.request();
+  expect(harness.calledIds()).toEqual([]);
   harness.read(StoreReadKind.Watch, []);
   harness.request();
   expect(harness.calledIds().length).toEqual(1);
--- a/packages/gateway/tests/store.test.ts
+++ b/packages/gateway/tests/store.test.ts
@@ -78,3 +78,47 @@
   expect(readsOf(effects)).toEqual([]);
   expect(readsOf(harness.advance(60, false)).length).toEqual(1);
 });
+
+// Guards against an answer that waited while the process was frozen and counts as new.
+test('the copy is as old as the watch that confirmed it', () => {
+  const harness = Harness.create([configurationItem(configurationOf(1, [routeOf()]))]);
+  harness.advance(3_000, false);
+  harness.read(StoreReadKind.Watch, []);
+  harness.request({ path: '/b/x' });
+  expect(harness.statuses()).toEqual([503]);
+});
+
+test('an answer that is late is followed by a watch that does not wait', () => {
+  const harness = Harness.create([]);
+  harness.advance(3_000, false);
+  const before = harness.effects.length;
+  harness.read(StoreReadKind.Watch, []);
+  const [next] = readsOf(harness.effects.slice(before));
+  expect(next?.waitMs).toEqual(0);
+});
+
+test('a failed watch is followed by one that does not wait', () => {
+  const harness = Harness.create([]);
+  const [retry] = readsOf(fail(harness, StoreReadKind.Watch, StoreFailure.Unreachable));
+  expect(retry?.waitMs).toEqual(0);
+});
+
+test('pages confirm the copy as of the first of them', () => {
+  const harness = Harness.create([configurationItem(configurationOf(1, [routeOf()]))]);
+  fail(harness, StoreReadKind.Watch, StoreFailure.HistoryExpired);
+  const page = { kind: EventKind.StoreRead, read: StoreReadKind.Page, items: [], revision: 9 };
+  harness.post({ ...page, kind: EventKind.StoreRead, nextAfterKey: 'k-50' });
+  harness.advance(3_000, false);
+  harness.post({ ...page, kind: EventKind.StoreRead });
+  harness.request({ path: '/b/x' });
+  expect(harness.statuses()).toEqual([503]);
+});
+
+test('the copy stays fresh enough for every answer while the store is up', () => {
+  const harness = Harness.create([configurationItem(configurationOf(1, [routeOf()]))]);
+  Array.from({ length: 100 }).forEach(() => {
+    harness.advance(100);
+    harness.request({ path: '/b/x' });
+  });
+  expect(new Set(harness.statuses())).toEqual(new Set([404]));
+});
--- a/packages/gateway/tests/target-limit.test.ts
+++ b/packages/gateway/tests/target-limit.test.ts
@@ -199,3 +199,20 @@
   harness?.request();
   expect(harness?.calledIds().length).toEqual(2);
 });
+
+// Guards against an answer that waited while this process was frozen and ends a limit stated since.
+test('an answer to an earlier call does not end a limit', () => {
+  const fleet = Fleet.create(1, items(['t-1']));
+  const [harness] = fleet.harnesses;
+  harness?.request();
+  harness?.request();
+  fleet.run(20);
+  const [early, late] = fleet.calls;
+  fleet.run(100);
+  if (early !== undefined && late !== undefined) {
+    answer(late, { ...NO_NOTICE, maxRequestsPerSecond: 0.5 });
+    answer(early, NO_NOTICE);
+  }
+  harness?.request();
+  expect(harness?.statuses().at(-1)).toEqual(503);
+});
