--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -48,6 +48,7 @@
 import { endStateOf } from './intake/end-state.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
+import { momentNow } from './moment.js';
 import type { PublishedTarget } from './published.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -210,6 +211,7 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     exchange.recordCall(callId, target, this.#routing.poolOf(target));
+    exchange.recordCallMoment(momentNow(this.options.runtime));
     this.#exchangeOfCall.set(callId, exchange);
     const announcements = this.#loads.recordStart(target.instanceId);
     this.#coldStarts.recordStart(target);
@@ -254,7 +256,8 @@
       return this.#interrupt(exchange, `the answer has status ${head.status}`);
     }
     exchange.recordHead(head);
-    return exchange.target === undefined ? [] : this.#notices.recordHead(exchange.target, head);
+    const { target, calledAt } = exchange;
+    return target === undefined ? [] : this.#notices.recordHead(target, head, calledAt);
   }
 
   #onData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
