fix: waiting goes by the ends of a full service, and starts fill the room

Gateways held streams although the group had room: the quota was the larger of the share of ends and of the room, so running streams could not grow by both. It is the sum now.

--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -262,7 +262,10 @@
 /** How fast places come free and answers arrive. */
 export interface ThroughputApi {
   readonly recordStart: (service: string, organisation: string) => void;
-  readonly recordEnd: (pool: string) => void;
+  /** Records the end of a call that held its place for `heldMs`. */
+  readonly recordEnd: (pool: string, heldMs: number) => void;
+  /** Mean time for which calls hold a place; undefined before the first end. */
+  readonly meanHeldMs: (pool: string) => number | undefined;
   /** Records the time from the start of a call to its answer, or to its first event. */
   readonly recordAnswer: (route: string, timeMs: number) => void;
   /** Time to an answer that most do not exceed; undefined before the first. */
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -48,7 +48,7 @@
 import { endStateOf } from './intake/end-state.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
-import { momentNow } from './moment.js';
+import { ageMsOf, momentNow } from './moment.js';
 import type { PublishedTarget } from './published.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -237,7 +237,7 @@
     this.#exchangeOfCall.delete(callId);
     this.#loads.recordEnd(target.instanceId);
     this.#admission.recordEnd(pool, exchange.id);
-    this.#throughput.recordEnd(pool);
+    this.#throughput.recordEnd(pool, ageMsOf(this.options.runtime, exchange.calledAt));
     exchange.clearCall();
   }
 
--- a/packages/gateway/src/intake/PlaceFinder.ts
+++ b/packages/gateway/src/intake/PlaceFinder.ts
@@ -45,6 +45,8 @@
   readonly placeCount: number;
 }
 
+const MS_PER_SECOND = 1_000;
+
 /** No target can be chosen. */
 export const NO_TARGET: Obstacle = { reason: ExchangeReason.NoTarget };
 
@@ -139,14 +141,41 @@
 
   /** State of a service as far as it concerns requests that wait. */
   stateOf(service: string, { decideShare }: QueueDecisions): ServiceState {
-    const { ownCount, runningCount } = this.#occupancyOf(this.#targets.usable(service));
-    const share = decideShare({ gatewayCount: this.#gatewayCount(), ownCount, runningCount });
+    const gatewayCount = this.#gatewayCount();
+    const rates = [...this.#poolsOf(service)].map(([pool, targets]) => {
+      const { ownCount, runningCount } = this.#occupancyOf(targets);
+      const share = decideShare({ gatewayCount, ownCount, runningCount });
+      return share * this.#endsPerSecond(pool, runningCount);
+    });
     return {
-      startsPerSecond: this.#throughput.serviceEndsPerSecond(service) * share,
+      startsPerSecond: rates.reduce((sum, rate) => sum + rate, 0),
       blockedForMs: this.#routing.blockedForMs(service),
     };
   }
 
+  /**
+   * Rate of ends by now: where passes do not slow down with the load, requests that run end after
+   * the usual time, also if fewer ended before.
+   */
+  #endsPerSecond(pool: string, runningCount: number): number {
+    const measured = this.#throughput.endsPerSecond(pool);
+    const heldMs = this.#throughput.meanHeldMs(pool) ?? 0;
+    return this.#admission.passMsOf(pool) > 0 || heldMs === 0
+      ? measured
+      : Math.max(measured, (runningCount * MS_PER_SECOND) / heldMs);
+  }
+
+  #poolsOf(service: string): ReadonlyMap<string, readonly PublishedTarget[]> {
+    const pools = new Map<string, PublishedTarget[]>();
+    this.#targets.usable(service).forEach((target) => {
+      const pool = this.#routing.poolOf(target);
+      const targets = pools.get(pool) ?? [];
+      targets.push(target);
+      pools.set(pool, targets);
+    });
+    return pools;
+  }
+
   #hasQuota(
     { isStream, resolution: { route, service } }: Exchange,
     target: PublishedTarget,
--- a/packages/gateway/src/intake/StartQuota.ts
+++ b/packages/gateway/src/intake/StartQuota.ts
@@ -3,7 +3,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** Time in which starts are collected that may then happen at once. */
-const BURST_SECONDS = 0.1;
+const BURST_SECONDS = 0.2;
 
 /** A token bucket whose rate may differ each time that it is asked. */
 export default class StartQuota {
--- a/packages/gateway/src/intake/UsualTime.ts
+++ b/packages/gateway/src/intake/UsualTime.ts
@@ -31,6 +31,11 @@
     this.#deviationMs += SMOOTHING * (Math.abs(timeMs - meanMs) - this.#deviationMs);
   }
 
+  /** Mean time; undefined before the first. */
+  meanMs(): number | undefined {
+    return this.#meanMs;
+  }
+
   /** Time that most answers do not exceed; undefined before the first. */
   usualMs(): number | undefined {
     return this.#meanMs === undefined ? undefined : this.#meanMs + DEVIATIONS * this.#deviationMs;
--- a/packages/gateway/src/intake/copies-service.ts
+++ b/packages/gateway/src/intake/copies-service.ts
@@ -10,6 +10,7 @@
   type StoreApi,
 } from '../directory.js';
 import { EventKind, type Event } from '../event.js';
+import { ageMsOf, momentNow, type Moment } from '../moment.js';
 import { PeerMessageKind, PeerRole } from '../peer-message.js';
 import { MAX_CREDENTIAL_AGE_MS } from '../request-check.js';
 import type { Runtime } from '../runtime.js';
@@ -24,8 +25,7 @@
 
 interface ReportedCopy {
   readonly ageMs: number;
-  readonly receivedAtMs: number;
-  readonly receivedAtSuspendAwareMs: number;
+  readonly receivedAt: Moment;
 }
 
 class CopiesService {
@@ -66,7 +66,9 @@
     this.#hasKnownOthers ||= this.#members.others(PeerRole.Gateway).length > 0;
     return {
       hasOthers: this.#hasKnownOthers,
-      agesMs: [...this.#reported.values()].map((copy) => copy.ageMs + this.#elapsedMs(copy)),
+      agesMs: [...this.#reported.values()].map(
+        ({ ageMs, receivedAt }) => ageMs + ageMsOf(this.runtime, receivedAt),
+      ),
       maxAgeMs: MAX_CREDENTIAL_AGE_MS,
     };
   };
@@ -83,26 +85,18 @@
     if (copyAgeMs !== undefined) {
       this.#reported.set(event.address, {
         ageMs: copyAgeMs,
-        receivedAtMs: this.runtime.nowMs(),
-        receivedAtSuspendAwareMs: this.runtime.suspendAwareMs(),
+        receivedAt: momentNow(this.runtime),
       });
     }
   }
 
   #expire(): void {
-    this.#reported.forEach((copy, address) => {
-      if (this.#elapsedMs(copy) >= REPORT_EXPIRY_MS) {
+    this.#reported.forEach(({ receivedAt }, address) => {
+      if (ageMsOf(this.runtime, receivedAt) >= REPORT_EXPIRY_MS) {
         this.#reported.delete(address);
       }
     });
   }
-
-  #elapsedMs({ receivedAtMs, receivedAtSuspendAwareMs }: ReportedCopy): number {
-    return Math.max(
-      this.runtime.nowMs() - receivedAtMs,
-      this.runtime.suspendAwareMs() - receivedAtSuspendAwareMs,
-    );
-  }
 }
 
 /**
--- a/packages/gateway/src/intake/throughput-service.ts
+++ b/packages/gateway/src/intake/throughput-service.ts
@@ -36,6 +36,9 @@
   /** By pool. */
   readonly #ends = new Map<string, SlidingCounter>();
 
+  /** By pool. */
+  readonly #heldTimes = new Map<string, UsualTime>();
+
   /** By route. */
   readonly #usualTimes = new Map<string, UsualTime>();
 
@@ -65,12 +68,17 @@
     this.#starts.add(service, organisation);
   };
 
-  readonly recordEnd = (pool: string): void => {
+  readonly recordEnd = (pool: string, heldMs: number): void => {
+    const held = this.#heldTimes.get(pool) ?? UsualTime.create();
+    this.#heldTimes.set(pool, held);
+    held.record(heldMs);
     const ends = this.#ends.get(pool) ?? SlidingCounter.create(RATE_WINDOW_MS, this.nowMs);
     this.#ends.set(pool, ends);
     ends.add();
   };
 
+  readonly meanHeldMs = (pool: string): number | undefined => this.#heldTimes.get(pool)?.meanMs();
+
   readonly recordAnswer = (route: string, timeMs: number): void => {
     const usual = this.#usualTimes.get(route) ?? UsualTime.create();
     this.#usualTimes.set(route, usual);
@@ -148,12 +156,13 @@
   requires: [ServiceName.Targets, ServiceName.Groups],
   create: (find) => {
     const service = ThroughputService.create(runtime.nowMs, find);
-    const { recordStart, recordEnd, recordAnswer, usualAnswerMs } = service;
+    const { recordStart, recordEnd, meanHeldMs, recordAnswer, usualAnswerMs } = service;
     const { startsOf, endsPerSecond, serviceEndsPerSecond, oldestReportMs, ownRates } = service;
     return createInstance(
       {
         recordStart,
         recordEnd,
+        meanHeldMs,
         recordAnswer,
         usualAnswerMs,
         startsOf,
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -19,6 +19,8 @@
   readonly gateway: Harness;
   readonly callId: number;
   readonly instanceId: string;
+  /** Body of the request, as text. */
+  readonly body: string;
   readonly atMs: number;
 }
 
@@ -133,8 +135,14 @@
     this.#inFlight = [...this.#inFlight, ...sent.map((effect) => ({ from: address, effect }))];
     effects
       .filter((effect): effect is StartCallEffect => effect.kind === EffectKind.StartCall)
-      .forEach(({ callId, call: { instanceId } }) =>
-        this.calls.push({ gateway: harness, callId, instanceId, atMs: harness.nowMs }),
+      .forEach(({ callId, call: { instanceId, body } }) =>
+        this.calls.push({
+          gateway: harness,
+          callId,
+          instanceId,
+          body: Buffer.from(body).toString(),
+          atMs: harness.nowMs,
+        }),
       );
   }
 }
--- a/packages/scheduling/src/decide-start-rate.ts
+++ b/packages/scheduling/src/decide-start-rate.ts
@@ -39,18 +39,18 @@
 /** Fraction of a long pass below which starts are not limited. */
 const NEAR_FRACTION = 0.6;
 
-/** Time after which the passes show the requests that started. */
-const REACTION_SECONDS = 0.1;
+/** Time in which the room is filled: about three long passes, by which the estimate has followed. */
+const FILL_SECONDS = 0.25;
 
 /** Starts at any time, so that a gateway whose group has no ends still finds out its passes. */
 const MIN_STARTS_PER_SECOND = 2;
 
 /**
- * The gateway's share of the ends, or of the requests by which the passes stay short, if more.
+ * The gateway's share of the ends, and of the requests that may be added until passes are long.
  *
  * @example
  * decideStartRate({ longPassMs: 84, passMs: 80, runningCount: 60, placeCount: 168, endsPerSecond: 50, share: 0.2 });
- * // 10
+ * // 12.4
  */
 export const decideStartRate: DecideStartRate = ({
   longPassMs,
@@ -65,7 +65,7 @@
   }
   const untilLong = runningCount * (longPassMs / passMs - 1);
   const room = Math.max(0, Math.min(placeCount - runningCount, untilLong));
-  return Math.max(MIN_STARTS_PER_SECOND, share * endsPerSecond, (share * room) / REACTION_SECONDS);
+  return Math.max(MIN_STARTS_PER_SECOND, share * (endsPerSecond + room / FILL_SECONDS));
 };
 
 /**
