fix: a target whose removal the store reports leaves at once

Callers saw: requests reached a target over 2 s after its entry was removed, and what it worked on as it exited was lost. Cause: any failed read of the store gave removed entries a grace of 2.5 s, also a watch that was cut. Change: only two failed reads in a row, or a restore, are an outage. Entries whose removal is read within a second of its end keep a grace that ends with the drain timeout, counted from the store's return. A lost history is an answer and no outage. The drain timeout comes from the settings. Outages and excluded zones are modules of their own; lapses have a timer of their own instead of a check each 250 ms. Looked at for the same mistake: avoided targets (1 s after a failed call, only while there are others), suspects (their own evidence), grey targets (none yet), zones taken out (the same outage rule), the stale copy of the store (by age), the drain of groups (by report).

--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -34,6 +34,8 @@
   readonly retryBudget: RetryBudgetBound;
   /** Time between the signal to stop and the forced end of the process. */
   readonly graceMs: number;
+  /** Time within which a target that has left gets no further requests. */
+  readonly drainTimeoutMs: number;
   /** Chooses among several targets; by default the least loaded one. */
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
@@ -55,7 +57,7 @@
  * Kernel.create({ services: createGatewayServices(options), nowMs, perform, onDrained, onFatalError });
  */
 export const createGatewayServices = (options: GatewayOptions): readonly AnyRegistration[] => {
-  const { runtime, self, seeds, retryBudget, graceMs } = options;
+  const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
   const { decideCall = decideByNotices, decidePriority } = options;
@@ -63,7 +65,7 @@
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
-    targetsRegistration({ runtime }),
+    targetsRegistration({ runtime, drainTimeoutMs }),
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime }),
     groupsRegistration({ runtime }),
--- a/packages/gateway/src/targets-service.ts
+++ b/packages/gateway/src/targets-service.ts
@@ -7,33 +7,26 @@
   EventKind,
   ItemKind,
   ItemScope,
+  StoreFailure,
   StoreReadKind,
   type Event,
+  type StoreFailedEvent,
   type StoreItem,
   type StoreReadEvent,
 } from './event.js';
+import ExcludedZones from './ExcludedZones.js';
 import { TargetPhase, type PublishedTarget } from './published.js';
 import RecentMap from './RecentMap.js';
 import type { Runtime } from './runtime.js';
+import StoreOutage from './StoreOutage.js';
 import TimerKind from './TimerKind.js';
 
-/**
- * An entry removed this soon after a failure of the store may have lapsed only because the target
- * could not renew it, or be missing in the copy from which the store was restored. Such a target is
- * kept for the same time: targets publish their entries again within about two seconds of the
- * store's recovery. The same holds for zones that operators took out.
- */
-const LAPSE_GRACE_MS = 2_500;
-
 /** Entries that a full read contains this soon after a restore may be old. */
 const RESTORED_ENTRIES_MS = 5_000;
 
 /** Maximum number of targets that are remembered after they are gone. */
 const MAX_GONE_TARGETS = 1_024;
 
-/** Interval of the check for lapsed targets to drop. */
-const LAPSE_CHECK_INTERVAL_MS = 250;
-
 interface KnownTarget {
   readonly target: PublishedTarget;
   readonly coldUntilMs: number;
@@ -44,20 +37,21 @@
 /** Options of the service; it uses the clock of `runtime`. */
 export interface TargetsOptions {
   readonly runtime: Runtime;
+  /** Time within which a target that has left gets no further requests. */
+  readonly drainTimeoutMs: number;
 }
 
 /** Tracks the published targets and the zones that operators took out. */
 class TargetsService {
   readonly #known = new Map<string, KnownTarget>();
 
-  /** By zone: when it is back in use; undefined while the store holds its entry. */
-  readonly #excludedZones = new Map<string, number | undefined>();
+  readonly #excludedZones = ExcludedZones.create();
+
+  readonly #outage: StoreOutage;
 
   /** Keys of the items in the pages of a full read so far; undefined between full reads. */
   #readKeys: Set<string> | undefined;
 
-  #storeFailedAtMs = Number.NEGATIVE_INFINITY;
-
   #storeRestoredAtMs = Number.NEGATIVE_INFINITY;
 
   /** By instance identifier of targets that are gone: their start. */
@@ -65,15 +59,16 @@
 
   readonly #store: StoreApi;
 
-  private constructor(
-    private readonly runtime: Runtime,
-    find: FindService,
-  ) {
+  private readonly runtime: Runtime;
+
+  private constructor({ runtime, drainTimeoutMs }: TargetsOptions, find: FindService) {
+    this.runtime = runtime;
+    this.#outage = StoreOutage.create({ nowMs: runtime.nowMs, drainTimeoutMs });
     this.#store = find(ServiceName.Store);
   }
 
-  static create(runtime: Runtime, find: FindService): TargetsService {
-    return new TargetsService(runtime, find);
+  static create(options: TargetsOptions, find: FindService): TargetsService {
+    return new TargetsService(options, find);
   }
 
   readonly usable = (service: string): readonly PublishedTarget[] =>
@@ -94,7 +89,7 @@
       case EventKind.StoreRead:
         return this.#onRead(event);
       case EventKind.StoreFailed:
-        this.#recordFailure();
+        this.#onFailed(event);
         return [];
       case EventKind.TimerFired:
         return event.timer === TimerKind.LapseCheck ? this.#dropLapsed() : [];
@@ -105,9 +100,10 @@
 
   #onRead({ read, items, nextAfterKey }: StoreReadEvent): readonly Effect[] {
     if (this.#store.wasRestored()) {
-      this.#recordFailure();
+      this.#recordRestore();
       return [];
     }
+    this.#outage.recordAnswer();
     if (read === StoreReadKind.Watch) {
       return items.flatMap((item) => this.#onItem(item));
     }
@@ -120,14 +116,21 @@
     return nextAfterKey === undefined ? [...effects, ...this.#reconcile(readKeys)] : effects;
   }
 
-  #recordFailure(): void {
+  #onFailed({ failure }: StoreFailedEvent): void {
     this.#readKeys = undefined;
-    this.#storeFailedAtMs = this.runtime.nowMs();
     if (this.#store.wasRestored()) {
-      this.#storeRestoredAtMs = this.#storeFailedAtMs;
+      this.#recordRestore();
+    } else if (failure !== StoreFailure.HistoryExpired) {
+      this.#outage.recordFailure();
     }
   }
 
+  #recordRestore(): void {
+    this.#readKeys = undefined;
+    this.#storeRestoredAtMs = this.runtime.nowMs();
+    this.#outage.recordRestore();
+  }
+
   /** Whether an item is the entry of a target that was gone before the store was restored. */
   #isOutdated(item: StoreItem): boolean {
     const isRestored = this.runtime.nowMs() - this.#storeRestoredAtMs < RESTORED_ENTRIES_MS;
@@ -142,9 +145,9 @@
   /** Removes what a full read of the store did not contain. */
   #reconcile(readKeys: ReadonlySet<string>): readonly Effect[] {
     this.#readKeys = undefined;
-    const zones = [...this.#excludedZones.keys()].filter(
-      (zone) => !readKeys.has(`${ItemScope.Zone}/${zone}`),
-    );
+    const zones = this.#excludedZones
+      .names()
+      .filter((zone) => !readKeys.has(`${ItemScope.Zone}/${zone}`));
     const targets = [...this.#known.keys()].filter(
       (id) => !readKeys.has(`${ItemScope.Target}/${id}`),
     );
@@ -175,7 +178,7 @@
       case ItemKind.Target:
         return this.#onTargetPublished(item.target);
       case ItemKind.ZoneOut:
-        return this.#onZoneOut(item.zone);
+        return this.#excludedZones.add(item.zone);
       case ItemKind.Removed:
         return this.#onItemRemoved(item.scope, item.id);
       case ItemKind.Unreadable:
@@ -188,7 +191,7 @@
   #onItemRemoved(scope: ItemScope, id: string): readonly Effect[] {
     switch (scope) {
       case ItemScope.Zone:
-        return this.#onZoneRestored(id);
+        return this.#excludedZones.remove(id);
       case ItemScope.Target:
         return this.#onTargetRemoved(id);
       default:
@@ -243,24 +246,22 @@
     if (known === undefined) {
       return [];
     }
-    if (!this.#hasFailedLately() || known.target.phase !== TargetPhase.Available) {
+    const lapsesAtMs = this.#outage.graceEndsAtMs();
+    if (lapsesAtMs === undefined || known.target.phase !== TargetPhase.Available) {
       return this.#drop(id, 'entry removed');
     }
-    this.#known.set(id, { ...known, lapsesAtMs: this.runtime.nowMs() + LAPSE_GRACE_MS });
-    return [setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)];
-  }
-
-  #hasFailedLately(): boolean {
-    return this.runtime.nowMs() - this.#storeFailedAtMs < LAPSE_GRACE_MS;
+    this.#known.set(id, { ...known, lapsesAtMs });
+    return this.#scheduleLapse();
   }
 
   /** A full read did not contain the zone. */
   #onZoneMissing(zone: string): readonly Effect[] {
-    if (!this.#hasFailedLately()) {
-      return this.#onZoneRestored(zone);
+    const lapsesAtMs = this.#outage.graceEndsAtMs();
+    if (lapsesAtMs === undefined) {
+      return this.#excludedZones.remove(zone);
     }
-    this.#excludedZones.set(zone, this.runtime.nowMs() + LAPSE_GRACE_MS);
-    return [setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)];
+    this.#excludedZones.lapse(zone, lapsesAtMs);
+    return this.#scheduleLapse();
   }
 
   #drop(instanceId: string, detail: string): readonly Effect[] {
@@ -270,35 +271,22 @@
     return [log(LogLevel.Info, LogTopic.TargetRemoved, { instanceId, detail, knowledgeAgeMs })];
   }
 
-  #dropLapsed(): readonly Effect[] {
-    const lapsingTargets = [...this.#known].flatMap(([id, { lapsesAtMs }]) =>
-      lapsesAtMs === undefined ? [] : [{ lapsesAtMs, end: () => this.#dropUnrenewed(id) }],
-    );
-    const lapsingZones = [...this.#excludedZones].flatMap(([zone, lapsesAtMs]) =>
-      lapsesAtMs === undefined ? [] : [{ lapsesAtMs, end: () => this.#onZoneRestored(zone) }],
-    );
-    const lapsing = [...lapsingTargets, ...lapsingZones];
-    const due = lapsing.filter(({ lapsesAtMs }) => lapsesAtMs <= this.runtime.nowMs());
-    const lines = due.flatMap(({ end }) => end());
-    return lapsing.length > due.length
-      ? [...lines, setTimer(TimerKind.LapseCheck, 0, LAPSE_CHECK_INTERVAL_MS)]
-      : lines;
-  }
-
-  #dropUnrenewed(id: string): readonly Effect[] {
-    return this.#drop(id, 'entry was not published again');
-  }
-
-  #onZoneOut(zone: string): readonly Effect[] {
-    const isKnown = this.#excludedZones.has(zone);
-    this.#excludedZones.set(zone, undefined);
-    return isKnown ? [] : [log(LogLevel.Info, LogTopic.ZoneOut, { zone })];
+  #scheduleLapse(): readonly Effect[] {
+    const targetLapses = [...this.#known.values()].map(({ lapsesAtMs = Infinity }) => lapsesAtMs);
+    const nextAtMs = Math.min(this.#excludedZones.nextLapseAtMs(), ...targetLapses);
+    return nextAtMs === Infinity
+      ? []
+      : [setTimer(TimerKind.LapseCheck, 0, Math.max(0, nextAtMs - this.runtime.nowMs()))];
   }
 
-  #onZoneRestored(zone: string): readonly Effect[] {
-    return this.#excludedZones.delete(zone)
-      ? [log(LogLevel.Info, LogTopic.ZoneBack, { zone })]
-      : [];
+  #dropLapsed(): readonly Effect[] {
+    const nowMs = this.runtime.nowMs();
+    const lapsed = [...this.#known].filter(([, { lapsesAtMs = Infinity }]) => lapsesAtMs <= nowMs);
+    return [
+      ...lapsed.flatMap(([id]) => this.#drop(id, 'entry was not published again')),
+      ...this.#excludedZones.removeLapsed(nowMs),
+      ...this.#scheduleLapse(),
+    ];
   }
 }
 
@@ -306,15 +294,15 @@
  * Registers the service that tracks targets.
  *
  * @example
- * const services = [storeRegistration({ runtime }), targetsRegistration({ runtime })];
+ * const services = [storeRegistration({ runtime }), targetsRegistration({ runtime, drainTimeoutMs })];
  */
-export const targetsRegistration = ({
-  runtime,
-}: TargetsOptions): Registration<ServiceName.Targets> => ({
+export const targetsRegistration = (
+  options: TargetsOptions,
+): Registration<ServiceName.Targets> => ({
   name: ServiceName.Targets,
   requires: [ServiceName.Store],
   create: (find) => {
-    const service = TargetsService.create(runtime, find);
+    const service = TargetsService.create(options, find);
     return createInstance(
       { usable: service.usable, coldMsLeft: service.coldMsLeft },
       { handle: (event) => service.handle(event) },
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -165,6 +165,7 @@
         seeds: [],
         retryBudget: { ratio: 0.2, windowMs: 10_000, extraCount: 120 },
         graceMs: 8_000,
+        drainTimeoutMs: 2_000,
         ...options,
       }),
       nowMs: () => this.nowMs,
--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -16,6 +16,8 @@
   seedAddresses: z.array(addressField),
 };
 
+const DEFAULT_DRAIN_TIMEOUT_MS = 2_000;
+
 /** Settings of a gateway. */
 export const gatewaySettingsSchema = z.strictObject({
   ...peerFields,
@@ -25,6 +27,8 @@
   storeAddress: addressField,
   /** Time between the signal to stop and the signal that kills the process. */
   graceSeconds: z.number().positive(),
+  /** Time within which a target that has left gets no further requests. */
+  drainTimeoutMs: z.number().positive().default(DEFAULT_DRAIN_TIMEOUT_MS),
   retryBudget: z.strictObject({
     ratio: z.number().min(0),
     windowSeconds: z.number().positive(),
