--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -25,6 +25,7 @@
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
+  type ThroughputApi,
 } from './directory.js';
 import { EffectKind, type Effect } from './effect.js';
 import {
@@ -97,6 +98,8 @@
 
   readonly #notices: NoticesApi;
 
+  readonly #throughput: ThroughputApi;
+
   readonly #lifecycle: LifecycleApi;
 
   private constructor(
@@ -112,6 +115,7 @@
     this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
+    this.#throughput = find(ServiceName.Throughput);
     this.#lifecycle = find(ServiceName.Lifecycle);
   }
 
@@ -213,6 +217,8 @@
     this.#coldStarts.recordStart(target);
     this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
+    const { service, organisation } = exchange.resolution;
+    this.#throughput.recordStart(service, organisation?.name ?? '');
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
@@ -231,6 +237,7 @@
     this.#exchangeOfCall.delete(callId);
     this.#loads.recordEnd(target.instanceId);
     this.#admission.recordEnd(pool, exchange.id);
+    this.#throughput.recordEnd(pool);
     exchange.clearCall();
   }
 
@@ -311,11 +318,22 @@
   }
 
   #recordProgress(exchange: Exchange, event: StreamEvent): void {
+    if (exchange.firstEventMs === undefined) {
+      this.#recordAnswerTime(exchange);
+    }
     const pauseMs = exchange.recordEvent(this.options.runtime.nowMs(), event.id);
     this.#admission.recordEvent(exchange.pool, exchange.id, pauseMs);
     exchange.recordGroupEvents(this.#admission.eventCountOf(exchange.pool));
   }
 
+  /** Times of requests that were called more than once are not usual. */
+  #recordAnswerTime({ resolution, receivedAtMs, wait, triedIds }: Exchange): void {
+    if (triedIds.size === 1) {
+      const timeMs = this.options.runtime.nowMs() - receivedAtMs - (wait?.waitedMs ?? 0);
+      this.#throughput.recordAnswer(resolution.route.name, timeMs);
+    }
+  }
+
   /** A stream that is resumed at another target keeps the head sent for the first one. */
   static #beginAnswer(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
     return exchange.markAnswerBegun()
@@ -377,6 +395,7 @@
     if (promisesNotRun(status)) {
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
+    this.#recordAnswerTime(exchange);
     return [
       ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
@@ -623,6 +642,7 @@
     ServiceName.Retries,
     ServiceName.ColdStarts,
     ServiceName.Notices,
+    ServiceName.Throughput,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
