feat: answer lengths of requests and sizes of engines are decoded

Gateways knew only the prompt tokens of a request, and of an engine neither its usual request nor its chunk and memory. Decodes the announced maximum, the hint, and the published sizes. Values that cannot be read count as not published, so that no configuration becomes unreadable by them.

--- a/packages/gateway/src/exchange-data.ts
+++ b/packages/gateway/src/exchange-data.ts
@@ -23,6 +23,10 @@
   readonly resumeAfter?: string;
   /** Tokens to read for the request; 0 when the caller did not send the number. */
   readonly promptTokens: number;
+  /** Tokens of the answer at most; absent when the caller did not send the number. */
+  readonly maxAnswerTokens?: number;
+  /** Tokens of the answer as the caller expects them; often wrong. */
+  readonly answerTokensHint?: number;
   /** Segments of the prompt that other requests may share, in order; without the request's own. */
   readonly promptSegments: readonly string[];
   readonly headers: readonly HeaderField[];
--- a/packages/gateway/src/published.ts
+++ b/packages/gateway/src/published.ts
@@ -38,6 +38,12 @@
   readonly isResumable: boolean;
 }
 
+/** Mean sizes of the requests to a service. */
+export interface UsualRequest {
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+}
+
 /** Sizes and speeds of an engine, as published with its service. */
 export interface EngineProfile {
   readonly slots: number;
@@ -45,6 +51,16 @@
   readonly stepMs: number;
   readonly perSequenceMs: number;
   readonly readTokensPerSecond: number;
+  /** Tokens of prompts that a rank reads in one step at most; 0 when not published. */
+  readonly chunkTokens: number;
+  /** Absent when not published, or not as positive numbers. */
+  readonly usual?: UsualRequest;
+  /** Effect of a thousand tokens of context on a step, as published; 0 when not published. */
+  readonly contextPerThousand: number;
+  /** Effect of a million pairs of tokens on a step, as published; 0 when not published. */
+  readonly pairsPerMillion: number;
+  /** Tokens that a rank keeps in memory at most; 0 when not published. */
+  readonly kvCacheTokens: number;
   readonly expertFraction: number;
   /** Number of layer sets; the layers of a set share one choice of experts. */
   readonly layerSetCount: number;
