feat: gateways report the outstanding work with the count of each target

Requests of a gateway counted as one each at the others, whatever their length. Load messages carry the outstanding work and the long prompts that have not been read. Both are optional: messages of older versions count by the usual size, and a gateway that does not measure work sends what it sent before.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -41,7 +41,13 @@
   z.object({ instanceId: z.string(), ageMs: z.number(), fingerprint: z.string(), segments }),
 );
 
-const targetCount = { instanceId: z.string(), count: z.number() };
+const targetCount = {
+  instanceId: z.string(),
+  count: z.number(),
+  // Gateways of earlier versions report no work.
+  workTokens: z.int().nonnegative().optional(),
+  longCount: z.int().nonnegative().optional(),
+};
 
 const schema = z.discriminatedUnion('kind', [
   z.object({
--- a/packages/gateway-io/tests/peer-messages.test.ts
+++ b/packages/gateway-io/tests/peer-messages.test.ts
@@ -1,4 +1,4 @@
-/** @module Messages about crashes, as other versions of a gateway send them. */
+/** @module Messages about crashes and loads, as other versions of a gateway send them. */
 import { test } from 'node:test';
 import { PeerMessageKind } from '@ebonysill/gateway';
 import { expect } from 'earl';
@@ -29,3 +29,27 @@
   const message = { kind: PeerMessageKind.Suspects, crashes, answers: [] };
   expect(parsePeerMessage(message)).toEqual(undefined);
 });
+
+// Guards against a fleet that counts nothing of its older gateways while it is updated.
+test('a load of an earlier version has no work', () => {
+  const message = { kind: PeerMessageKind.LoadChange as const, instanceId: 'i-1', count: 2 };
+  expect(parsePeerMessage(message)).toEqual(message);
+});
+
+// Guards against work that is dropped on receipt.
+test('a load keeps its work', () => {
+  const message = {
+    kind: PeerMessageKind.Load as const,
+    counts: [{ instanceId: 'i-1', count: 2, workTokens: 1_900, longCount: 1 }],
+    passes: [],
+  };
+  expect(parsePeerMessage(message)).toEqual(message);
+});
+
+// Guards against sums that no later message repairs.
+test('a load whose work is no whole number is dropped', () => {
+  [-1, 0.5, NaN, Infinity, '3'].forEach((workTokens) => {
+    const message = { kind: PeerMessageKind.LoadChange, instanceId: 'i-1', count: 2, workTokens };
+    expect(parsePeerMessage(message)).toEqual(undefined);
+  });
+});
--- a/packages/gateway/src/PeerTotals.ts
+++ b/packages/gateway/src/PeerTotals.ts
@@ -1,9 +1,10 @@
 /** @module Sums of the counts that other gateways report, by target. */
+import LoadSum, { type ReportedLoad } from './LoadSum.js';
 import type { TargetCount } from './peer-message.js';
 
 interface PeerCounts {
   /** By instance identifier. */
-  readonly counts: Map<string, number>;
+  readonly loads: Map<string, ReportedLoad>;
   lastReceivedAtMs: number;
 }
 
@@ -15,7 +16,7 @@
   readonly #peers = new Map<string, PeerCounts>();
 
   /** By instance identifier. */
-  readonly #totals = new Map<string, number>();
+  readonly #totals = new Map<string, LoadSum>();
 
   /** When the first of the peers expires that are counted. */
   #nextExpiryMs = Infinity;
@@ -37,17 +38,41 @@
 
   /** Requests of all peers at a target. */
   countAt(instanceId: string): number {
+    return this.#totalAt(instanceId)?.count ?? 0;
+  }
+
+  /** Outstanding work of all peers at a target; requests of unknown work count `usualTokens`. */
+  workTokensAt(instanceId: string, usualTokens: number): number {
+    return this.#totalAt(instanceId)?.workTokens(usualTokens) ?? 0;
+  }
+
+  /** Requests of all peers at a target whose long prompts have not been read. */
+  longCountAt(instanceId: string): number {
+    return this.#totalAt(instanceId)?.longCount ?? 0;
+  }
+
+  /** Mean time since the last report of each peer; 0 without peers. */
+  meanAgeMs(): number {
+    const nowMs = this.nowMs();
+    let sumMs = 0;
+    this.#peers.forEach(({ lastReceivedAtMs }) => {
+      sumMs += nowMs - lastReceivedAtMs;
+    });
+    return this.#peers.size === 0 ? 0 : sumMs / this.#peers.size;
+  }
+
+  #totalAt(instanceId: string): LoadSum | undefined {
     if (this.nowMs() >= this.#nextExpiryMs) {
       this.#expire();
     }
-    return this.#totals.get(instanceId) ?? 0;
+    return this.#totals.get(instanceId);
   }
 
   /** Replaces all counts of a peer. */
   replace(address: string, counts: readonly TargetCount[]): void {
     const peer = this.#touch(address);
     this.#remove(peer);
-    peer.counts.clear();
+    peer.loads.clear();
     counts.forEach((count) => this.#set(peer, count));
   }
 
@@ -57,25 +82,31 @@
   }
 
   #touch(address: string): PeerCounts {
-    const peer = this.#peers.get(address) ?? { counts: new Map(), lastReceivedAtMs: 0 };
+    const peer = this.#peers.get(address) ?? { loads: new Map(), lastReceivedAtMs: 0 };
     peer.lastReceivedAtMs = this.nowMs();
     this.#peers.set(address, peer);
     this.#nextExpiryMs = Math.min(this.#nextExpiryMs, peer.lastReceivedAtMs + this.expiryMs);
     return peer;
   }
 
-  #set({ counts }: PeerCounts, { instanceId, count }: TargetCount): void {
-    this.#add(instanceId, count - (counts.get(instanceId) ?? 0));
-    counts.set(instanceId, count);
+  #set({ loads }: PeerCounts, load: TargetCount): void {
+    const { instanceId } = load;
+    const known = loads.get(instanceId);
+    if (known !== undefined) {
+      this.#add(instanceId, known, -1);
+    }
+    this.#add(instanceId, load, 1);
+    loads.set(instanceId, load);
   }
 
-  #remove({ counts }: PeerCounts): void {
-    counts.forEach((count, instanceId) => this.#add(instanceId, -count));
+  #remove({ loads }: PeerCounts): void {
+    loads.forEach((load, instanceId) => this.#add(instanceId, load, -1));
   }
 
-  #add(instanceId: string, difference: number): void {
-    const total = (this.#totals.get(instanceId) ?? 0) + difference;
-    if (total === 0) {
+  #add(instanceId: string, load: ReportedLoad, sign: 1 | -1): void {
+    const total = this.#totals.get(instanceId) ?? LoadSum.create();
+    total.addReported(load, sign);
+    if (total.isEmpty) {
       this.#totals.delete(instanceId);
     } else {
       this.#totals.set(instanceId, total);
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,5 +1,6 @@
 /** @module Names and APIs of the services. */
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
+import type { RequestWork } from '@ebonysill/scheduling';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
@@ -83,12 +84,23 @@
 /** Requests in progress by target, over all gateways. */
 export interface LoadsApi {
   /** Counts a request that is sent now; the effects announce it to the other gateways. */
-  readonly recordStart: (instanceId: string) => readonly Effect[];
-  readonly recordEnd: (instanceId: string) => void;
+  readonly recordStart: (instanceId: string, work?: RequestWork) => readonly Effect[];
+  /** Removes the part of the work that is done when a prompt has been read. */
+  readonly recordPromptRead: (instanceId: string, work: RequestWork) => void;
+  /** Removes a request with the work that was outstanding. */
+  readonly recordEnd: (instanceId: string, work?: RequestWork) => void;
   /** Requests of all gateways at a target, as last reported. */
   readonly countAt: (instanceId: string) => number;
   /** Requests of this gateway at a target. */
   readonly ownCountAt: (instanceId: string) => number;
+  /** Outstanding work at a target; a request of unknown work counts as `usualTokens`. */
+  readonly workTokensAt: (instanceId: string, usualTokens: number) => number;
+  /** Requests at a target whose long prompts have not been read. */
+  readonly longCountAt: (instanceId: string) => number;
+  /** Mean time since the other gateways last reported their load; 0 without others. */
+  readonly reportAgeMs: () => number;
+  /** Changes whenever a request of this gateway starts, ends, or has its prompt read. */
+  readonly changeCount: () => number;
 }
 
 /** Which targets execute their passes together. */
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -1,5 +1,6 @@
 /** @module Requests in progress by target: this gateway's own and those that others report. */
 import { createInstance } from '@ebonysill/kernel';
+import type { RequestWork } from '@ebonysill/scheduling';
 import { sendToPeer, setTimer } from './build-effects.js';
 import {
   ServiceName,
@@ -10,6 +11,7 @@
 } from './directory.js';
 import type { Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
+import LoadSum from './LoadSum.js';
 import { PeerMessageKind, PeerRole } from './peer-message.js';
 import PeerTotals from './PeerTotals.js';
 import type { Runtime } from './runtime.js';
@@ -30,12 +32,15 @@
 
 /** Sums the load of each target over all gateways. */
 class LoadsService {
-  readonly #ownCounts = new Map<string, number>();
+  /** By instance identifier. */
+  readonly #ownLoads = new Map<string, LoadSum>();
 
   readonly #peerTotals: PeerTotals;
 
   #lastBroadcast = '';
 
+  #changeCount = 0;
+
   readonly #members: MembersApi;
 
   readonly #admission: AdmissionApi;
@@ -50,26 +55,43 @@
     return new LoadsService(runtime, find);
   }
 
-  readonly recordStart = (instanceId: string): readonly Effect[] => {
-    const count = this.ownCountAt(instanceId) + 1;
-    this.#ownCounts.set(instanceId, count);
+  readonly recordStart = (instanceId: string, work?: RequestWork): readonly Effect[] => {
+    const load = this.#ownLoads.get(instanceId) ?? LoadSum.create();
+    load.addRequest(work);
+    this.#ownLoads.set(instanceId, load);
+    this.#changeCount += 1;
+    const message = { kind: PeerMessageKind.LoadChange as const, instanceId, ...load.toReport() };
     return this.#members
       .others(PeerRole.Gateway)
-      .map(({ address }) =>
-        sendToPeer(address, { kind: PeerMessageKind.LoadChange, instanceId, count }),
-      );
+      .map(({ address }) => sendToPeer(address, message));
+  };
+
+  readonly recordPromptRead = (instanceId: string, work: RequestWork): void => {
+    this.#ownLoads.get(instanceId)?.removePrompt(work);
+    this.#changeCount += 1;
   };
 
-  readonly recordEnd = (instanceId: string): void => {
-    const left = this.ownCountAt(instanceId) - 1;
-    if (left > 0) {
-      this.#ownCounts.set(instanceId, left);
-    } else {
-      this.#ownCounts.delete(instanceId);
+  readonly recordEnd = (instanceId: string, work?: RequestWork): void => {
+    const load = this.#ownLoads.get(instanceId);
+    load?.removeRequest(work);
+    this.#changeCount += 1;
+    if (load?.count === 0) {
+      this.#ownLoads.delete(instanceId);
     }
   };
 
-  readonly ownCountAt = (instanceId: string): number => this.#ownCounts.get(instanceId) ?? 0;
+  readonly changeCount = (): number => this.#changeCount;
+
+  readonly ownCountAt = (instanceId: string): number => this.#ownLoads.get(instanceId)?.count ?? 0;
+
+  readonly workTokensAt = (instanceId: string, usualTokens: number): number =>
+    (this.#ownLoads.get(instanceId)?.workTokens(usualTokens) ?? 0) +
+    this.#peerTotals.workTokensAt(instanceId, usualTokens);
+
+  readonly longCountAt = (instanceId: string): number =>
+    (this.#ownLoads.get(instanceId)?.longCount ?? 0) + this.#peerTotals.longCountAt(instanceId);
+
+  readonly reportAgeMs = (): number => this.#peerTotals.meanAgeMs();
 
   readonly countAt = (instanceId: string): number =>
     this.ownCountAt(instanceId) + this.#peerTotals.countAt(instanceId);
@@ -99,7 +121,10 @@
 
   /** Sends nothing when no request is in progress and the last broadcast already said so. */
   #broadcast(): readonly Effect[] {
-    const counts = [...this.#ownCounts].map(([instanceId, count]) => ({ instanceId, count }));
+    const counts = [...this.#ownLoads].map(([instanceId, load]) => ({
+      instanceId,
+      ...load.toReport(),
+    }));
     const passes = this.#admission.ownEstimates();
     const text = JSON.stringify(counts);
     if (counts.length === 0 && text === this.#lastBroadcast) {
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -104,6 +104,10 @@
 export interface TargetCount {
   readonly instanceId: string;
   readonly count: number;
+  /** Their outstanding work, in tokens read; absent when the gateway does not know it. */
+  readonly workTokens?: number;
+  /** Those with a long prompt that has not been read; absent for none. */
+  readonly longCount?: number;
 }
 
 /** Duration of a pass of one pool of targets, as one gateway measures it. */
--- /dev/null
+++ b/packages/gateway/tests/loads.test.ts
@@ -0,0 +1,90 @@
+/** @module Outstanding work by target, of this gateway and as others report it. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { RequestWork } from '@ebonysill/scheduling';
+import {
+  EffectKind,
+  EventKind,
+  PeerMessageKind,
+  PeerRole,
+  ServiceName,
+  type LoadsApi,
+  type PeerMessage,
+} from '../src/index.js';
+import { Harness } from './harness.js';
+
+const PEER_ADDRESS = '10.0.0.2:7000';
+
+const LONG: RequestWork = { readTokens: 2_000, writeTokens: 300, isLong: true };
+
+const SHORT: RequestWork = { readTokens: 400, writeTokens: 300, isLong: false };
+
+const receive = (harness: Harness, message: PeerMessage): void => {
+  harness.post({ kind: EventKind.PeerMessageReceived, address: PEER_ADDRESS, message });
+};
+
+const workAt = (loads: LoadsApi): readonly [number, number] => [
+  loads.workTokensAt('t-1', 1_000),
+  loads.longCountAt('t-1'),
+];
+
+// Guards against prompts that count as blocking a target after it has read them.
+test('work is removed as the prompt is read and the answer ends', () => {
+  const harness = Harness.create([]);
+  const loads = harness.kernel.find(ServiceName.Loads);
+  loads.recordStart('t-1', LONG);
+  loads.recordStart('t-1', SHORT);
+  expect(workAt(loads)).toEqual([3_000, 1]);
+  loads.recordPromptRead('t-1', LONG);
+  expect(workAt(loads)).toEqual([1_000, 0]);
+  loads.recordEnd('t-1', { ...LONG, readTokens: 0, isLong: false });
+  loads.recordEnd('t-1', SHORT);
+  expect(workAt(loads)).toEqual([0, 0]);
+  expect(loads.countAt('t-1')).toEqual(0);
+});
+
+// Guards against other gateways that learn of a long prompt only from the periodic message.
+test('a start is announced with the work at its target', () => {
+  const harness = Harness.create([]);
+  receive(harness, {
+    kind: PeerMessageKind.Hello,
+    member: {
+      name: 'gateway-2',
+      role: PeerRole.Gateway,
+      address: PEER_ADDRESS,
+      availabilityZone: 'zone-b',
+    },
+  });
+  const [effect] = harness.kernel.find(ServiceName.Loads).recordStart('t-1', LONG);
+  expect(effect?.kind === EffectKind.SendToPeer && effect.message).toEqual({
+    kind: PeerMessageKind.LoadChange,
+    instanceId: 't-1',
+    count: 1,
+    workTokens: 2_300,
+    longCount: 1,
+  });
+});
+
+// Guards against targets that look idle because the gateway that loads them is of an older version.
+test('requests of a gateway that reports no work count by the usual size', () => {
+  const harness = Harness.create([]);
+  const loads = harness.kernel.find(ServiceName.Loads);
+  loads.recordStart('t-1', SHORT);
+  const counts = [{ instanceId: 't-1', count: 3 }];
+  receive(harness, { kind: PeerMessageKind.Load, passes: [], counts });
+  expect(workAt(loads)).toEqual([3_700, 0]);
+  harness.advance(1_600);
+  expect(workAt(loads)).toEqual([700, 0]);
+});
+
+// Guards against age that grows without bound when a gateway is gone.
+test('the age of reports is the mean over gateways that still count', () => {
+  const harness = Harness.create([]);
+  const loads = harness.kernel.find(ServiceName.Loads);
+  receive(harness, { kind: PeerMessageKind.LoadChange, instanceId: 't-1', count: 1 });
+  harness.advance(100);
+  expect(loads.reportAgeMs()).toEqual(100);
+  harness.advance(1_500);
+  loads.countAt('t-1');
+  expect(loads.reportAgeMs()).toEqual(0);
+});
--- a/packages/gateway/tests/peer-totals.test.ts
+++ b/packages/gateway/tests/peer-totals.test.ts
@@ -1,7 +1,8 @@
-/** @module Sums of reported counts, against sums over all reports. */
+/** @module Sums of reported counts and work, against sums over all reports. */
 import { test } from 'node:test';
 import * as fc from 'fast-check';
 import { expect } from 'earl';
+import type { TargetCount } from '../src/index.js';
 import PeerTotals from '../src/PeerTotals.js';
 
 const EXPIRY_MS = 1_500;
@@ -10,10 +11,21 @@
 
 const PEERS = ['10.0.0.1:7000', '10.0.0.2:7000'];
 
-const countOf = fc.record({
-  instanceId: fc.constantFrom(...TARGETS),
-  count: fc.integer({ min: 0, max: 9 }),
-});
+const USUAL_TOKENS = 1_000;
+
+const countOf = fc
+  .record({
+    instanceId: fc.constantFrom(...TARGETS),
+    count: fc.integer({ min: 0, max: 9 }),
+    workTokens: fc.option(fc.integer({ min: 0, max: 30_000 }), { nil: undefined }),
+    longCount: fc.option(fc.integer({ min: 0, max: 3 }), { nil: undefined }),
+  })
+  .map(({ instanceId, count, workTokens, longCount }): TargetCount => ({
+    instanceId,
+    count,
+    ...(workTokens === undefined ? {} : { workTokens }),
+    ...(longCount === undefined ? {} : { longCount }),
+  }));
 
 const reportOf = fc.record({
   address: fc.constantFrom(...PEERS),
@@ -23,7 +35,7 @@
 });
 
 interface Peer {
-  counts: Map<string, number>;
+  counts: Map<string, TargetCount>;
   atMs: number;
 }
 
@@ -35,10 +47,10 @@
       const peers = new Map<string, Peer>();
       reports.forEach(({ address, isWhole, counts, delayMs }) => {
         nowMs += delayMs;
-        const known = peers.get(address)?.counts ?? new Map<string, number>();
+        const known = peers.get(address)?.counts ?? new Map<string, TargetCount>();
         const applied = isWhole ? counts : counts.slice(0, 1);
         const next = new Map(isWhole ? [] : known);
-        applied.forEach(({ instanceId, count }) => next.set(instanceId, count));
+        applied.forEach((count) => next.set(count.instanceId, count));
         peers.set(address, { counts: next, atMs: nowMs });
         if (isWhole) {
           totals.replace(address, counts);
@@ -51,10 +63,20 @@
             peers.delete(key);
           }
         });
-        const expected = TARGETS.map((instanceId) =>
-          live.reduce((sum, peer) => sum + (peer.counts.get(instanceId) ?? 0), 0),
-        );
-        expect(TARGETS.map((instanceId) => totals.countAt(instanceId))).toEqual(expected);
+        const sumOf = (instanceId: string, partOf: (load: TargetCount) => number): number =>
+          live.reduce((sum, { counts: loads }) => {
+            const load = loads.get(instanceId);
+            return sum + (load === undefined ? 0 : partOf(load));
+          }, 0);
+        TARGETS.forEach((instanceId) => {
+          expect(totals.countAt(instanceId)).toEqual(sumOf(instanceId, ({ count }) => count));
+          expect(totals.longCountAt(instanceId)).toEqual(
+            sumOf(instanceId, ({ longCount = 0 }) => longCount),
+          );
+          expect(totals.workTokensAt(instanceId, USUAL_TOKENS)).toEqual(
+            sumOf(instanceId, ({ count, workTokens = count * USUAL_TOKENS }) => workTokens),
+          );
+        });
       });
     }),
   );
