fix: the targets of a request are evaluated once

Each request evaluated all targets of its service twice, to admit it and to place it. Both use one survey now, which is discarded at the next event and whenever a request of this gateway starts, ends or has its prompt read. Decisions stay the same. Test: one evaluation per pool and request, two before.

--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -16,6 +16,7 @@
   type RoutedRequest,
   type TargetsApi,
 } from './directory.js';
+import type { Effect } from './effect.js';
 import type { PublishedTarget } from './published.js';
 import type { Runtime } from './runtime.js';
 
@@ -29,10 +30,23 @@
 /** A target is avoided for this long after a failed call, unless there is no other. */
 const AVOID_MS = 1_000;
 
+/** Targets of a service and the pools that admit a request, as evaluated for that request. */
+interface Survey {
+  readonly request: RoutedRequest;
+  /** Changes of this gateway's load at the time; a later one makes the survey obsolete. */
+  readonly changeCount: number;
+  /** Usable targets without those that said that they leave. */
+  readonly targets: readonly PublishedTarget[];
+  readonly results: ReadonlyMap<string, AdmissionResult>;
+}
+
 class RoutingService {
   /** By instance identifier: until when a target is avoided. */
   readonly #avoidUntilMs = new Map<string, number>();
 
+  /** Last survey; undefined when an event may have changed what it was based on. */
+  #survey: Survey | undefined;
+
   readonly #targets: TargetsApi;
 
   readonly #loads: LoadsApi;
@@ -62,19 +76,17 @@
   }
 
   readonly refusalOf = (request: RoutedRequest): AdmissionResult | undefined => {
-    const targets = this.#staying(request.resolution.service);
-    const results = [...this.#evaluatePools(request, targets).values()];
+    const results = [...this.#surveyFor(request).results.values()];
     return results.every(({ verdict }) => verdict === AdmissionVerdict.Refused)
       ? results[0]
       : undefined;
   };
 
   readonly choose = (request: RoutedRequest): PublishedTarget | undefined => {
-    const { service } = request.resolution;
     const { triedIds } = request;
     const { runtime, availabilityZone, chooseTarget } = this.options;
-    const usable = this.#staying(service);
-    const untried = usable.filter(
+    const { targets, results } = this.#surveyFor(request);
+    const untried = targets.filter(
       (target) =>
         !triedIds.has(target.instanceId) &&
         this.#coldStarts.mayStart(target) &&
@@ -84,10 +96,7 @@
       ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
     );
     return chooseTarget({
-      candidates: this.#filterAdmitted(
-        this.#evaluatePools(request, usable),
-        notAvoided.length > 0 ? notAvoided : untried,
-      ),
+      candidates: this.#filterAdmitted(results, notAvoided.length > 0 ? notAvoided : untried),
       loads: this.#loads,
       availabilityZone,
       random: runtime.random,
@@ -111,6 +120,26 @@
 
   readonly poolOf = (target: PublishedTarget): string => this.#groups.poolOf(target);
 
+  /** Discards the survey: any event may change targets, loads, passes or notices. */
+  handle(): readonly Effect[] {
+    this.#survey = undefined;
+    return [];
+  }
+
+  /** A request that is admitted and then placed within one event is surveyed once. */
+  #surveyFor(request: RoutedRequest): Survey {
+    const known = this.#survey;
+    const changeCount = this.#loads.changeCount();
+    if (known?.request === request && known.changeCount === changeCount) {
+      return known;
+    }
+    const targets = this.#staying(request.resolution.service);
+    const results = this.#evaluatePools(request, targets);
+    const survey = { request, changeCount, targets, results };
+    this.#survey = survey;
+    return survey;
+  }
+
   /** Usable targets without those that said that they leave. */
   #staying(service: string): readonly PublishedTarget[] {
     return this.#targets
@@ -173,6 +202,9 @@
   create: (find) => {
     const service = RoutingService.create(options, find);
     const { refusalOf, choose, blockedForMs, avoid, poolOf } = service;
-    return createInstance({ refusalOf, choose, blockedForMs, avoid, poolOf }, {});
+    return createInstance(
+      { refusalOf, choose, blockedForMs, avoid, poolOf },
+      { handle: () => service.handle() },
+    );
   },
 });
--- a/packages/gateway/tests/loads.test.ts
+++ b/packages/gateway/tests/loads.test.ts
@@ -3,6 +3,8 @@
 import { expect } from 'earl';
 import type { RequestWork } from '@ebonysill/scheduling';
 import {
+  AdmissionVerdict,
+  CallKind,
   EffectKind,
   EventKind,
   PeerMessageKind,
@@ -11,7 +13,14 @@
   type LoadsApi,
   type PeerMessage,
 } from '../src/index.js';
-import { Harness } from './harness.js';
+import {
+  Harness,
+  configurationItem,
+  configurationOf,
+  routeOf,
+  targetItem,
+  targetOf,
+} from './harness.js';
 
 const PEER_ADDRESS = '10.0.0.2:7000';
 
@@ -88,3 +97,25 @@
   loads.countAt('t-1');
   expect(loads.reportAgeMs()).toEqual(0);
 });
+
+// Guards against a second pass over all targets for each request; 192 of them at a third of a core.
+test('the pools of a request are evaluated once', () => {
+  let evaluationCount = 0;
+  const harness = Harness.create(
+    [
+      configurationItem(configurationOf(1, [routeOf({ kind: CallKind.Streaming })])),
+      targetItem(targetOf('t-1')),
+    ],
+    {
+      decideAdmission: () => {
+        evaluationCount += 1;
+        return AdmissionVerdict.Admitted;
+      },
+    },
+  );
+  harness.request();
+  expect(harness.calledIds()).toEqual(['t-1']);
+  expect(evaluationCount).toEqual(1);
+  harness.request();
+  expect(evaluationCount).toEqual(2);
+});
