--- a/packages/scheduling/src/request-work.ts
+++ b/packages/scheduling/src/request-work.ts
@@ -115,3 +115,15 @@
     isLong: size.promptTokens >= LONG_PROMPT * engine.usual.promptTokens,
   };
 };
+
+/** Determines the work of a request by what its caller announced. */
+export type MeasureRequest = (announced: AnnouncedTokens, engine: EngineCosts) => RequestWork;
+
+/**
+ * Work of a request of the announced size.
+ *
+ * @example
+ * measureRequest({ promptTokens: 2_800 }, engine).isLong; // true
+ */
+export const measureRequest: MeasureRequest = (announced, engine) =>
+  workOf(sizeRequest(announced, engine), engine);
