feat: requests are placed by work where the deployment asks for it

Callers with short prompts waited behind long ones, because targets were compared by the number of requests, and targets rejected a tenth of the requests that reached them. Without the feature, decisions and messages stay as they were.

--- a/packages/gateway/src/answer-status.ts
+++ b/packages/gateway/src/answer-status.ts
@@ -67,3 +67,15 @@
  * isMisdirected(421); // true
  */
 export const isMisdirected = (status: number): boolean => status === MISDIRECTED;
+
+/**
+ * Whether a target rejected a request because it runs as many as it can.
+ *
+ * @example
+ * isFull(head); // true with a load of 7 running, 3 waiting and 7 slots
+ */
+export const isFull = ({ isNotRun, status, load, notice }: TargetHead): boolean =>
+  isNotRun &&
+  !isMisdirected(status) &&
+  !notice.isLeaving &&
+  (load === undefined || load.runningCount >= load.slots);
--- a/packages/gateway/src/choose-target.ts
+++ b/packages/gateway/src/choose-target.ts
@@ -1,17 +1,17 @@
 /** @module Chooses the target of a request. */
-import type { LoadsApi } from './directory.js';
+import type { Candidate, PlacementChoice } from '@ebonysill/scheduling';
 import type { PublishedTarget } from './published.js';
 
-/** Input of a {@link ChooseTarget} function. */
-export interface TargetChoice {
-  readonly candidates: readonly PublishedTarget[];
-  readonly loads: LoadsApi;
-  readonly availabilityZone: string;
-  readonly random: () => number;
+/** A published target with its load. */
+export interface TargetCandidate extends Candidate {
+  readonly target: PublishedTarget;
 }
 
+/** Input of a {@link ChooseTarget} function. */
+export type TargetChoice = PlacementChoice<TargetCandidate>;
+
 /** Chooses one of the candidates; undefined when all are full. */
-export type ChooseTarget = (choice: TargetChoice) => PublishedTarget | undefined;
+export type ChooseTarget = (choice: TargetChoice) => TargetCandidate | undefined;
 
 /** Cost of another availability zone, in requests; decides only between equally loaded targets. */
 const OTHER_ZONE_COST = 0.05;
@@ -23,26 +23,20 @@
  * Chooses the target with the fewest requests in progress that still has a free slot.
  *
  * @example
- * chooseLeastLoaded({ candidates, loads, availabilityZone: 'zone-a', random });
+ * chooseLeastLoaded(choice)?.target.instanceId; // 'i-7'
  */
-export const chooseLeastLoaded: ChooseTarget = ({
-  candidates,
-  loads,
-  availabilityZone,
-  random,
-}) => {
+export const chooseLeastLoaded: ChooseTarget = ({ candidates, random }) => {
   const costedCandidates = candidates
-    .map((target) => ({ target, count: loads.countAt(target.instanceId) }))
-    .filter(({ target, count }) => count < target.slots)
-    .map(({ target, count }) => ({
-      target,
+    .filter(({ runningCount, slots }) => runningCount < slots)
+    .map((candidate) => ({
+      candidate,
       cost:
-        count +
+        candidate.runningCount +
         random() * JITTER_COST +
-        (target.availabilityZone === availabilityZone ? 0 : OTHER_ZONE_COST),
+        (candidate.isSameZone ? 0 : OTHER_ZONE_COST),
     }));
   return costedCandidates.reduce<(typeof costedCandidates)[number] | undefined>(
-    (best, candidate) => (best === undefined || candidate.cost < best.cost ? candidate : best),
+    (best, costed) => (best === undefined || costed.cost < best.cost ? costed : best),
     undefined,
-  )?.target;
+  )?.candidate;
 };
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,5 +1,5 @@
 /** @module The services that make up a gateway. */
-import type { DecidePriority } from '@ebonysill/scheduling';
+import { weighTarget, type DecidePriority, type MeasureRequest } from '@ebonysill/scheduling';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import { catalogueRegistration } from './catalogue-service.js';
@@ -17,6 +17,7 @@
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
 import type { Member } from './peer-message.js';
+import { resultsRegistration } from './results-service.js';
 import { retriesRegistration } from './retries-service.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
 import type { Runtime } from './runtime.js';
@@ -44,6 +45,8 @@
   readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
   readonly isStalled?: IsStalled;
+  /** Determines the work of requests at engines; by default they are counted. */
+  readonly measureRequest?: MeasureRequest;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
 }
@@ -58,7 +61,7 @@
   const { runtime, self, seeds, retryBudget, graceMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideCall = decideByNotices, decidePriority } = options;
+  const { decideCall = decideByNotices, decidePriority, measureRequest } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -73,7 +76,13 @@
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
     noticesRegistration({ runtime, decideCall }),
-    routingRegistration({ runtime, availabilityZone, chooseTarget }),
+    resultsRegistration({ runtime, weighTarget }),
+    routingRegistration({
+      runtime,
+      availabilityZone,
+      chooseTarget,
+      ...(measureRequest === undefined ? {} : { measureRequest }),
+    }),
     retriesRegistration({ runtime }),
     exchangesRegistration({
       runtime,
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,6 +1,6 @@
 /** @module Names and APIs of the services. */
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
-import type { RequestWork } from '@ebonysill/scheduling';
+import type { AnnouncedTokens, RequestWork } from '@ebonysill/scheduling';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
@@ -15,6 +15,7 @@
   PublishedTarget,
   Route,
 } from './published.js';
+import type { TargetCondition, TargetResult } from './target-result.js';
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -30,6 +31,7 @@
   Retries = 'retries',
   ColdStarts = 'cold-starts',
   Notices = 'notices',
+  Results = 'results',
   Routing = 'routing',
   Exchanges = 'exchanges',
   Lifecycle = 'lifecycle',
@@ -157,6 +159,8 @@
 /** A request for which a target is wanted. */
 export interface RoutedRequest {
   readonly resolution: Resolution;
+  /** What its caller announced. */
+  readonly request: AnnouncedTokens;
   /** Instances that were called for the request before. */
   readonly triedIds: ReadonlySet<string>;
 }
@@ -167,6 +171,8 @@
   readonly refusalOf: (request: RoutedRequest) => AdmissionResult | undefined;
   /** Chooses a target that has not been tried; undefined when there is none. */
   readonly choose: (request: RoutedRequest) => PublishedTarget | undefined;
+  /** Work of a request; undefined while the sizes of its service's requests are not published. */
+  readonly workOf: (request: RoutedRequest) => RequestWork | undefined;
   /** Time until some target of a service wants a request; 0 when one does now, or none will. */
   readonly blockedForMs: (service: string) => number;
   /** Excludes a target for a short time, unless there is no other. */
@@ -247,6 +253,13 @@
   readonly recordStart: (target: PublishedTarget) => void;
 }
 
+/** Results of this gateway's calls, by target. */
+export interface ResultsApi {
+  readonly recordResult: (target: PublishedTarget, result: TargetResult) => void;
+  /** What the results say about a target. */
+  readonly conditionOf: (target: PublishedTarget) => TargetCondition;
+}
+
 /** Readiness of the process and its drain. */
 export interface LifecycleApi {
   readonly isReady: () => boolean;
@@ -296,6 +309,7 @@
   readonly [ServiceName.Retries]: RetriesApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
+  readonly [ServiceName.Results]: ResultsApi;
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Exchanges]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,4 +1,5 @@
 /** @module State of one caller's request while this process handles it. */
+import type { RequestWork } from '@ebonysill/scheduling';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import { EventSplitter } from './event-splitter.js';
 import { CallKind, type Organisation, type PublishedTarget, type Route } from './published.js';
@@ -69,6 +70,11 @@
 
   target: PublishedTarget | undefined;
 
+  callStartedAtMs = 0;
+
+  /** Work of the current call that is outstanding; undefined when it is not known. */
+  outstandingWork: RequestWork | undefined;
+
   /** Pool of the current target; before the first call, the service. */
   pool: string;
 
@@ -163,6 +169,21 @@
     this.lastCallEventAtMs = undefined;
   }
 
+  /** Records when a call starts and the work that it causes. */
+  recordStart(nowMs: number, work: RequestWork | undefined): void {
+    this.callStartedAtMs = nowMs;
+    this.outstandingWork = work;
+  }
+
+  /** Records that the target has read the prompt; returns the work that was outstanding before. */
+  recordPromptRead(): RequestWork | undefined {
+    const work = this.outstandingWork;
+    if (work !== undefined) {
+      this.outstandingWork = { ...work, readTokens: 0, isLong: false };
+    }
+    return work;
+  }
+
   /** Records that no call is in progress any more. */
   clearCall(): void {
     this.callId = undefined;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -5,6 +5,7 @@
 import {
   isFailure,
   isFinalStatus,
+  isFull,
   isLiveStream,
   isSuccess,
   promisesNotRun,
@@ -21,6 +22,7 @@
   type LoadsApi,
   type NoticesApi,
   type Registration,
+  type ResultsApi,
   type RetriesApi,
   type RetryBudgetApi,
   type RoutingApi,
@@ -53,6 +55,7 @@
 import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
 import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf, spreadRetryAfterMs } from './retry-after.js';
 import type { Runtime } from './runtime.js';
+import { TargetResultKind } from './target-result.js';
 import TimerKind from './TimerKind.js';
 
 /** Options of the service; it uses the clock and the random numbers of `runtime`. */
@@ -102,6 +105,8 @@
 
   readonly #notices: NoticesApi;
 
+  readonly #results: ResultsApi;
+
   readonly #lifecycle: LifecycleApi;
 
   private constructor(
@@ -117,6 +122,7 @@
     this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
+    this.#results = find(ServiceName.Results);
     this.#lifecycle = find(ServiceName.Lifecycle);
     this.#check = {
       catalogue: find(ServiceName.Catalogue),
@@ -248,15 +254,18 @@
     this.#nextCallId += 1;
     exchange.recordCall(callId, target, this.#routing.poolOf(target));
     this.#exchangeOfCall.set(callId, exchange);
-    const announcements = this.#loads.recordStart(target.instanceId);
+    const nowMs = this.options.runtime.nowMs();
+    const work = this.#routing.workOf(exchange);
+    exchange.recordStart(nowMs, work);
+    const announcements = this.#loads.recordStart(target.instanceId, work);
     this.#coldStarts.recordStart(target);
     this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
-    const { runtime, decidePriority } = this.options;
-    const call = buildTargetCall({ exchange, target, nowMs: runtime.nowMs(), decidePriority });
+    const { decidePriority } = this.options;
+    const call = buildTargetCall({ exchange, target, nowMs, decidePriority });
     return [{ kind: EffectKind.StartCall, callId, call }, ...announcements];
   }
 
@@ -268,7 +277,7 @@
       return;
     }
     this.#exchangeOfCall.delete(callId);
-    this.#loads.recordEnd(target.instanceId);
+    this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
     this.#admission.recordEnd(pool, exchange.id);
     exchange.clearCall();
   }
@@ -350,10 +359,33 @@
 
   #recordProgress(exchange: Exchange, event: StreamEvent): void {
     const pauseMs = exchange.recordEvent(this.options.runtime.nowMs(), event.id);
+    if (pauseMs === undefined) {
+      this.#recordAnswered(exchange);
+    }
     this.#admission.recordEvent(exchange.pool, exchange.id, pauseMs);
     exchange.recordGroupEvents(this.#admission.eventCountOf(exchange.pool));
   }
 
+  /** Records that the answer of the current call has begun, or has arrived if it is no stream. */
+  #recordAnswered(exchange: Exchange): void {
+    const { target, callStartedAtMs } = exchange;
+    if (target === undefined) {
+      return;
+    }
+    const latencyMs = this.options.runtime.nowMs() - callStartedAtMs;
+    this.#results.recordResult(target, { kind: TargetResultKind.Answered, latencyMs });
+    const work = exchange.callId === undefined ? undefined : exchange.recordPromptRead();
+    if (work !== undefined) {
+      this.#loads.recordPromptRead(target.instanceId, work);
+    }
+  }
+
+  #recordResult({ target }: Exchange, kind: TargetResultKind.Failed | TargetResultKind.Full): void {
+    if (target !== undefined) {
+      this.#results.recordResult(target, { kind });
+    }
+  }
+
   /** A stream that is resumed at another target keeps the head sent for the first one. */
   static #beginAnswer(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
     return exchange.markAnswerBegun()
@@ -405,6 +437,11 @@
       );
     }
     exchange.recordAttempt();
+    if (isFailure(status)) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    } else {
+      this.#recordAnswered(exchange);
+    }
     const retried = isFailure(status) ? this.#retry(exchange) : undefined;
     if (retried !== undefined) {
       return [
@@ -431,6 +468,9 @@
   /** The target proved that it did not run the request, so any kind of call may be retried. */
   #onNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
     exchange.recordRejection();
+    if (isFull(head)) {
+      this.#recordResult(exchange, TargetResultKind.Full);
+    }
     const target = this.#retries.takeAfterRejection(exchange);
     return [
       callFailedLine(
@@ -451,6 +491,7 @@
       return this.#onConnectionLost(exchange, detail);
     }
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     exchange.recordUnreachable();
     const lines = [
       callFailedLine(exchange, ExchangeReason.TargetUnreachable, detail),
@@ -525,6 +566,7 @@
   ): readonly Effect[] {
     exchange.recordAttempt();
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [callFailedLine(exchange, reason, detail)];
   }
 
@@ -565,6 +607,7 @@
     }
     const line = callFailedLine(exchange, ExchangeReason.Stalled, 'others of its group go on');
     exchange.recordAttempt();
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [line, ...this.#cancelCall(exchange), ...this.#call(exchange, target)];
   }
 
@@ -578,6 +621,9 @@
       return [];
     }
     exchange.markAbandoned();
+    if (exchange.callId !== undefined && exchange.progress === AnswerProgress.None) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    }
     return [
       ...this.#cancelCall(exchange),
       ...this.#fail(exchange, ExchangeReason.DeadlinePassed, LocalStatus.Timeout),
@@ -696,6 +742,7 @@
     ServiceName.Retries,
     ServiceName.ColdStarts,
     ServiceName.Notices,
+    ServiceName.Results,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
--- a/packages/gateway/src/feature.ts
+++ b/packages/gateway/src/feature.ts
@@ -1,5 +1,5 @@
 /** @module Features that a deployment asks for, and the decisions that each of them uses. */
-import { priorityOf } from '@ebonysill/scheduling';
+import { chooseByWork, measureRequest, priorityOf } from '@ebonysill/scheduling';
 import type { GatewayOptions } from './create-gateway-services.js';
 
 /** Something that a gateway does only where its deployment asks for it. */
@@ -9,7 +9,10 @@
 }
 
 /** Decisions of a gateway that a feature replaces. */
-export type FeatureDecisions = Pick<GatewayOptions, 'decidePriority'>;
+export type FeatureDecisions = Pick<
+  GatewayOptions,
+  'decidePriority' | 'chooseTarget' | 'measureRequest'
+>;
 
 /** Returns the decisions of these features. */
 type DecisionsOf = (features: readonly Feature[]) => FeatureDecisions;
@@ -21,4 +24,6 @@
  * createGatewayServices({ ...options, ...decisionsOf([Feature.Scheduling]) });
  */
 export const decisionsOf: DecisionsOf = (features) =>
-  features.includes(Feature.Scheduling) ? { decidePriority: priorityOf } : {};
+  features.includes(Feature.Scheduling)
+    ? { decidePriority: priorityOf, chooseTarget: chooseByWork, measureRequest }
+    : {};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,4 +21,5 @@
 export * from './rank-data.js';
 export * from './runtime.js';
 export * from './target-notice.js';
+export * from './target-result.js';
 export { default as TimerKind } from './TimerKind.js';
--- a/packages/gateway/src/published.ts
+++ b/packages/gateway/src/published.ts
@@ -74,6 +74,18 @@
   readonly expertCopyMs: number;
 }
 
+/** An engine whose usual request is published. */
+export type SizedEngine = EngineProfile & { readonly usual: UsualRequest };
+
+/**
+ * Whether the work of requests can be measured by the usual request.
+ *
+ * @example
+ * isSized(service.engine); // false for a service without an engine
+ */
+export const isSized = (engine: EngineProfile | undefined): engine is SizedEngine =>
+  engine?.usual !== undefined;
+
 /** A service and the properties that its targets share. */
 export interface PublishedService {
   readonly name: string;
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -1,23 +1,28 @@
 /** @module Chooses the target of a request among those that may accept it. */
 import { createInstance } from '@ebonysill/kernel';
-import type { ChooseTarget } from './choose-target.js';
+import { usualWorkTokens, type MeasureRequest, type RequestWork } from '@ebonysill/scheduling';
+import type { ChooseTarget, TargetCandidate } from './choose-target.js';
 import { CallPermission } from './decide-call.js';
 import {
   AdmissionVerdict,
   ServiceName,
   type AdmissionApi,
   type AdmissionResult,
+  type CatalogueApi,
   type ColdStartsApi,
   type FindService,
   type GroupsApi,
   type LoadsApi,
+  type MembersApi,
   type NoticesApi,
   type Registration,
+  type ResultsApi,
   type RoutedRequest,
   type TargetsApi,
 } from './directory.js';
 import type { Effect } from './effect.js';
-import type { PublishedTarget } from './published.js';
+import { PeerRole } from './peer-message.js';
+import { isSized, type PublishedTarget, type SizedEngine } from './published.js';
 import type { Runtime } from './runtime.js';
 
 /** Options of the service; it uses the clock and the random numbers of `runtime`. */
@@ -25,6 +30,8 @@
   readonly runtime: Runtime;
   readonly availabilityZone: string;
   readonly chooseTarget: ChooseTarget;
+  /** Determines the work of requests; absent when they are counted. */
+  readonly measureRequest?: MeasureRequest;
 }
 
 /** A target is avoided for this long after a failed call, unless there is no other. */
@@ -59,6 +66,12 @@
 
   readonly #notices: NoticesApi;
 
+  readonly #results: ResultsApi;
+
+  readonly #catalogue: CatalogueApi;
+
+  readonly #members: MembersApi;
+
   private constructor(
     private readonly options: RoutingOptions,
     find: FindService,
@@ -69,6 +82,9 @@
     this.#admission = find(ServiceName.Admission);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
+    this.#results = find(ServiceName.Results);
+    this.#catalogue = find(ServiceName.Catalogue);
+    this.#members = find(ServiceName.Members);
   }
 
   static create(options: RoutingOptions, find: FindService): RoutingService {
@@ -84,7 +100,9 @@
 
   readonly choose = (request: RoutedRequest): PublishedTarget | undefined => {
     const { triedIds } = request;
-    const { runtime, availabilityZone, chooseTarget } = this.options;
+    const { runtime, chooseTarget } = this.options;
+    const engine = this.#engineOf(request.resolution.service);
+    const usualTokens = engine === undefined ? 1 : usualWorkTokens(engine);
     const { targets, results } = this.#surveyFor(request);
     const untried = targets.filter(
       (target) =>
@@ -95,12 +113,20 @@
     const notAvoided = untried.filter(
       ({ instanceId }) => (this.#avoidUntilMs.get(instanceId) ?? 0) <= runtime.nowMs(),
     );
+    const admitted = this.#filterAdmitted(results, notAvoided.length > 0 ? notAvoided : untried);
     return chooseTarget({
-      candidates: this.#filterAdmitted(results, notAvoided.length > 0 ? notAvoided : untried),
-      loads: this.#loads,
-      availabilityZone,
+      candidates: admitted.map((target) => this.#toCandidate(target, usualTokens)),
+      work: this.workOf(request),
+      usualTokens,
+      otherGatewayCount: this.#members.others(PeerRole.Gateway).length,
+      reportAgeMs: this.#loads.reportAgeMs(),
       random: runtime.random,
-    });
+    })?.target;
+  };
+
+  readonly workOf = ({ resolution, request }: RoutedRequest): RequestWork | undefined => {
+    const engine = this.#engineOf(resolution.service);
+    return engine === undefined ? undefined : this.options.measureRequest?.(request, engine);
   };
 
   readonly blockedForMs = (service: string): number => {
@@ -140,6 +166,25 @@
     return survey;
   }
 
+  /** Engine of a service by whose published sizes requests are measured. */
+  #engineOf(service: string): SizedEngine | undefined {
+    const engine = this.#catalogue.serviceOf(service)?.engine;
+    return this.options.measureRequest !== undefined && isSized(engine) ? engine : undefined;
+  }
+
+  #toCandidate(target: PublishedTarget, usualTokens: number): TargetCandidate {
+    const { instanceId, slots, availabilityZone } = target;
+    return {
+      target,
+      slots,
+      runningCount: this.#loads.countAt(instanceId),
+      workTokens: this.#loads.workTokensAt(instanceId, usualTokens),
+      longCount: this.#loads.longCountAt(instanceId),
+      ...this.#results.conditionOf(target),
+      isSameZone: availabilityZone === this.options.availabilityZone,
+    };
+  }
+
   /** Usable targets without those that said that they leave. */
   #staying(service: string): readonly PublishedTarget[] {
     return this.#targets
@@ -198,12 +243,15 @@
     ServiceName.Admission,
     ServiceName.ColdStarts,
     ServiceName.Notices,
+    ServiceName.Results,
+    ServiceName.Catalogue,
+    ServiceName.Members,
   ],
   create: (find) => {
     const service = RoutingService.create(options, find);
-    const { refusalOf, choose, blockedForMs, avoid, poolOf } = service;
+    const { refusalOf, choose, workOf, blockedForMs, avoid, poolOf } = service;
     return createInstance(
-      { refusalOf, choose, blockedForMs, avoid, poolOf },
+      { refusalOf, choose, workOf, blockedForMs, avoid, poolOf },
       { handle: () => service.handle() },
     );
   },
