fix: the end of a request is reported when it began after the last broadcast

Other gateways counted a request that began and ended between two broadcasts of an otherwise idle gateway for up to 1.5 s: the empty broadcast that would have told them was taken for a repetition of the one before the start. A start makes the next broadcast due. Test failed before.

--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -37,6 +37,7 @@
 
   readonly #peerTotals: PeerTotals;
 
+  /** Empty when requests have been announced since. */
   #lastBroadcast = '';
 
   #changeCount = 0;
@@ -60,6 +61,7 @@
     load.addRequest(work);
     this.#ownLoads.set(instanceId, load);
     this.#changeCount += 1;
+    this.#lastBroadcast = '';
     const message = { kind: PeerMessageKind.LoadChange as const, instanceId, ...load.toReport() };
     return this.#members
       .others(PeerRole.Gateway)
--- a/packages/gateway/tests/loads.test.ts
+++ b/packages/gateway/tests/loads.test.ts
@@ -24,6 +24,16 @@
 
 const PEER_ADDRESS = '10.0.0.2:7000';
 
+const PEER_HELLO: PeerMessage = {
+  kind: PeerMessageKind.Hello,
+  member: {
+    name: 'gateway-2',
+    role: PeerRole.Gateway,
+    address: PEER_ADDRESS,
+    availabilityZone: 'zone-b',
+  },
+};
+
 const LONG: RequestWork = { readTokens: 2_000, writeTokens: 300, isLong: true };
 
 const SHORT: RequestWork = { readTokens: 400, writeTokens: 300, isLong: false };
@@ -55,15 +65,7 @@
 // Guards against other gateways that learn of a long prompt only from the periodic message.
 test('a start is announced with the work at its target', () => {
   const harness = Harness.create([]);
-  receive(harness, {
-    kind: PeerMessageKind.Hello,
-    member: {
-      name: 'gateway-2',
-      role: PeerRole.Gateway,
-      address: PEER_ADDRESS,
-      availabilityZone: 'zone-b',
-    },
-  });
+  receive(harness, PEER_HELLO);
   const [effect] = harness.kernel.find(ServiceName.Loads).recordStart('t-1', LONG);
   expect(effect?.kind === EffectKind.SendToPeer && effect.message).toEqual({
     kind: PeerMessageKind.LoadChange,
@@ -86,6 +88,27 @@
   expect(workAt(loads)).toEqual([700, 0]);
 });
 
+// Guards against targets that look loaded for 1.5 s after a call that ended within 250 ms.
+test('the end of a request that began after the last broadcast is reported', () => {
+  const harness = Harness.create([]);
+  receive(harness, PEER_HELLO);
+  const loads = harness.kernel.find(ServiceName.Loads);
+  loads.recordStart('t-1');
+  loads.recordEnd('t-1');
+  const reportsIn = (spanMs: number): number =>
+    harness
+      .advance(spanMs)
+      .filter(
+        (effect) =>
+          effect.kind === EffectKind.SendToPeer && effect.message.kind === PeerMessageKind.Load,
+      ).length;
+  expect(reportsIn(250)).toEqual(1);
+  expect(reportsIn(250)).toEqual(0);
+  loads.recordStart('t-1');
+  loads.recordEnd('t-1');
+  expect(reportsIn(250)).toEqual(1);
+});
+
 // Guards against age that grows without bound when a gateway is gone.
 test('the age of reports is the mean over gateways that still count', () => {
   const harness = Harness.create([]);
