--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -54,7 +54,13 @@
   expiresInMs: z.number(),
 });
 
-const targetCount = { instanceId: z.string(), count: z.number() };
+const targetCount = {
+  instanceId: z.string(),
+  count: z.number(),
+  // Gateways of earlier versions report no work.
+  workTokens: z.int().nonnegative().optional(),
+  longCount: z.int().nonnegative().optional(),
+};
 
 const schema = z.discriminatedUnion('kind', [
   z.object({
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,4 +1,5 @@
 /** @module State of one caller's request while this process handles it. */
+import type { RequestWork } from '@ebonysill/scheduling';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import { EventSplitter } from './event-splitter.js';
 import type { WaitTrace } from './intake/wait-trace.js';
@@ -74,6 +75,9 @@
   /** When the current call was sent. */
   calledAt: Moment = NEVER;
 
+  /** Work of the current call that is outstanding; undefined when it is not known. */
+  outstandingWork: RequestWork | undefined;
+
   /** Pool of the current target; before the first call, the service. */
   pool: string;
 
@@ -176,9 +180,19 @@
     this.lastCallEventAtMs = undefined;
   }
 
-  /** Records when the current call was sent. */
-  recordCallMoment(moment: Moment): void {
+  /** Records when the current call was sent and the work that it causes. */
+  recordStart(moment: Moment, work: RequestWork | undefined): void {
     this.calledAt = moment;
+    this.outstandingWork = work;
+  }
+
+  /** Records that the target has read the prompt; returns the work that was outstanding before. */
+  recordPromptRead(): RequestWork | undefined {
+    const work = this.outstandingWork;
+    if (work !== undefined) {
+      this.outstandingWork = { ...work, readTokens: 0, isLong: false };
+    }
+    return work;
   }
 
   /** Records that no call is in progress any more. */
