--- a/packages/gateway-io/tests/peer-messages.test.ts
+++ b/packages/gateway-io/tests/peer-messages.test.ts
@@ -35,3 +35,27 @@
   const kind = PeerMessageKind.Load;
   expect(parsePeerMessage({ kind, counts: [] })).toEqual({ kind, counts: [], passes: [] });
 });
+
+// Guards against a fleet that counts nothing of its older gateways while it is updated.
+test('a load of an earlier version has no work', () => {
+  const message = { kind: PeerMessageKind.LoadChange as const, instanceId: 'i-1', count: 2 };
+  expect(parsePeerMessage(message)).toEqual(message);
+});
+
+// Guards against work that is dropped on receipt.
+test('a load keeps its work', () => {
+  const message = {
+    kind: PeerMessageKind.Load as const,
+    counts: [{ instanceId: 'i-1', count: 2, workTokens: 1_900, longCount: 1 }],
+    passes: [],
+  };
+  expect(parsePeerMessage(message)).toEqual(message);
+});
+
+// Guards against sums that no later message repairs.
+test('a load whose work is no whole number is dropped', () => {
+  [-1, 0.5, NaN, Infinity, '3'].forEach((workTokens) => {
+    const message = { kind: PeerMessageKind.LoadChange, instanceId: 'i-1', count: 2, workTokens };
+    expect(parsePeerMessage(message)).toEqual(undefined);
+  });
+});
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,5 +1,10 @@
 /** @module The services that make up a gateway. */
-import type { DecidePriority } from '@ebonysill/scheduling';
+import {
+  weighTarget,
+  type DecidePriority,
+  type MeasureRequest,
+  type QueueDecisions,
+} from '@ebonysill/scheduling';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import { catalogueRegistration } from './catalogue-service.js';
@@ -15,12 +20,15 @@
 import { intakeRegistration } from './intake/intake-service.js';
 import { returnsRegistration } from './intake/returns-service.js';
 import { refusalsRegistration } from './intake/refusals-service.js';
+import { throughputRegistration } from './intake/throughput-service.js';
+import { waitingRegistration } from './intake/waiting-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
 import type { Member } from './peer-message.js';
+import { resultsRegistration } from './results-service.js';
 import { retriesRegistration } from './retries-service.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
 import type { Runtime } from './runtime.js';
@@ -50,8 +58,12 @@
   readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
   readonly isStalled?: IsStalled;
+  /** Determines the work of requests at engines; by default they are counted. */
+  readonly measureRequest?: MeasureRequest;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
+  /** Decisions on requests that wait; by default none does. */
+  readonly queueDecisions?: QueueDecisions;
 }
 
 /**
@@ -64,7 +76,9 @@
   const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideCall = decideByNotices, decidePriority } = options;
+  const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
+  const { measureRequest } = options;
+  const queueing = queueDecisions === undefined ? {} : { queueDecisions };
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -79,11 +93,19 @@
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
     noticesRegistration({ runtime, decideCall }),
-    routingRegistration({ runtime, availabilityZone, chooseTarget }),
+    resultsRegistration({ runtime, weighTarget }),
+    routingRegistration({
+      runtime,
+      availabilityZone,
+      chooseTarget,
+      ...(measureRequest === undefined ? {} : { measureRequest }),
+    }),
     retriesRegistration({ runtime }),
     copiesRegistration({ runtime }),
     returnsRegistration({ runtime }),
-    refusalsRegistration({ runtime }),
+    throughputRegistration({ runtime }),
+    refusalsRegistration({ runtime, ...queueing }),
+    waitingRegistration({ runtime, ...queueing }),
     intakeRegistration({ runtime }),
     exchangesRegistration({
       runtime,
