--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,6 +1,7 @@
 /** @module Names and APIs of the services. */
 import type { OtherCopies, RefusalScope, ReturnKind } from '@ebonysill/scheduling';
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
+import type { AnnouncedTokens, RequestWork } from '@ebonysill/scheduling';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
@@ -17,6 +18,7 @@
   PublishedTarget,
   Route,
 } from './published.js';
+import type { TargetCondition, TargetResult } from './target-result.js';
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -32,6 +34,7 @@
   Retries = 'retries',
   ColdStarts = 'cold-starts',
   Notices = 'notices',
+  Results = 'results',
   Routing = 'routing',
   Copies = 'copies',
   Returns = 'returns',
@@ -92,12 +95,23 @@
 /** Requests in progress by target, over all gateways. */
 export interface LoadsApi {
   /** Counts a request that is sent now; the effects announce it to the other gateways. */
-  readonly recordStart: (instanceId: string) => readonly Effect[];
-  readonly recordEnd: (instanceId: string) => void;
+  readonly recordStart: (instanceId: string, work?: RequestWork) => readonly Effect[];
+  /** Removes the part of the work that is done when a prompt has been read. */
+  readonly recordPromptRead: (instanceId: string, work: RequestWork) => void;
+  /** Removes a request with the work that was outstanding. */
+  readonly recordEnd: (instanceId: string, work?: RequestWork) => void;
   /** Requests of all gateways at a target, as last reported. */
   readonly countAt: (instanceId: string) => number;
   /** Requests of this gateway at a target. */
   readonly ownCountAt: (instanceId: string) => number;
+  /** Outstanding work at a target; a request of unknown work counts as `usualTokens`. */
+  readonly workTokensAt: (instanceId: string, usualTokens: number) => number;
+  /** Requests at a target whose long prompts have not been read. */
+  readonly longCountAt: (instanceId: string) => number;
+  /** Mean time since the other gateways last reported their load; 0 without others. */
+  readonly reportAgeMs: () => number;
+  /** Changes whenever a request of this gateway starts, ends, or has its prompt read. */
+  readonly changeCount: () => number;
 }
 
 /** Which targets execute their passes together. */
@@ -154,6 +168,8 @@
 /** A request for which a target is wanted. */
 export interface RoutedRequest {
   readonly resolution: Resolution;
+  /** What its caller announced. */
+  readonly request: AnnouncedTokens;
   /** Instances that were called for the request before. */
   readonly triedIds: ReadonlySet<string>;
 }
@@ -164,6 +180,8 @@
   readonly refusalOf: (request: RoutedRequest) => AdmissionResult | undefined;
   /** Chooses a target that has not been tried; undefined when there is none. */
   readonly choose: (request: RoutedRequest) => PublishedTarget | undefined;
+  /** Work of a request; undefined while the sizes of its service's requests are not published. */
+  readonly workOf: (request: RoutedRequest) => RequestWork | undefined;
   /** Time until some target of a service wants a request; 0 when one does now, or none will. */
   readonly blockedForMs: (service: string) => number;
   /** Excludes a target for a short time, unless there is no other. */
@@ -332,6 +350,13 @@
   readonly recordStart: (target: PublishedTarget) => void;
 }
 
+/** Results of this gateway's calls, by target. */
+export interface ResultsApi {
+  readonly recordResult: (target: PublishedTarget, result: TargetResult) => void;
+  /** What the results say about a target. */
+  readonly conditionOf: (target: PublishedTarget) => TargetCondition;
+}
+
 /** Readiness of the process and its drain. */
 export interface LifecycleApi {
   readonly isReady: () => boolean;
@@ -381,6 +406,7 @@
   readonly [ServiceName.Retries]: RetriesApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
+  readonly [ServiceName.Results]: ResultsApi;
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Copies]: CopiesApi;
   readonly [ServiceName.Returns]: ReturnsApi;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -5,6 +5,7 @@
 import {
   isFailure,
   isFinalStatus,
+  isFull,
   isLiveStream,
   isSuccess,
   promisesNotRun,
@@ -21,6 +22,7 @@
   type NoticesApi,
   type RefusalsApi,
   type Registration,
+  type ResultsApi,
   type RetriesApi,
   type RoutingApi,
   type StoreApi,
@@ -51,6 +53,7 @@
 import { ageMsOf, momentNow } from './moment.js';
 import type { PublishedTarget } from './published.js';
 import type { Runtime } from './runtime.js';
+import { TargetResultKind } from './target-result.js';
 import TimerKind from './TimerKind.js';
 
 /** Options of the service; it uses the clock and the random numbers of `runtime`. */
@@ -100,6 +103,8 @@
 
   readonly #throughput: ThroughputApi;
 
+  readonly #results: ResultsApi;
+
   readonly #lifecycle: LifecycleApi;
 
   private constructor(
@@ -116,6 +121,7 @@
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
     this.#throughput = find(ServiceName.Throughput);
+    this.#results = find(ServiceName.Results);
     this.#lifecycle = find(ServiceName.Lifecycle);
   }
 
@@ -211,9 +217,10 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     exchange.recordCall(callId, target, this.#routing.poolOf(target));
-    exchange.recordCallMoment(momentNow(this.options.runtime));
     this.#exchangeOfCall.set(callId, exchange);
-    const announcements = this.#loads.recordStart(target.instanceId);
+    const work = this.#routing.workOf(exchange);
+    exchange.recordStart(momentNow(this.options.runtime), work);
+    const announcements = this.#loads.recordStart(target.instanceId, work);
     this.#coldStarts.recordStart(target);
     this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
@@ -222,8 +229,13 @@
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
-    const { runtime, decidePriority } = this.options;
-    const call = buildTargetCall({ exchange, target, nowMs: runtime.nowMs(), decidePriority });
+    const { decidePriority } = this.options;
+    const call = buildTargetCall({
+      exchange,
+      target,
+      nowMs: this.options.runtime.nowMs(),
+      decidePriority,
+    });
     return [{ kind: EffectKind.StartCall, callId, call }, ...announcements];
   }
 
@@ -235,7 +247,7 @@
       return;
     }
     this.#exchangeOfCall.delete(callId);
-    this.#loads.recordEnd(target.instanceId);
+    this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
     this.#admission.recordEnd(pool, exchange.id);
     this.#throughput.recordEnd(pool, ageMsOf(this.options.runtime, exchange.calledAt));
     exchange.clearCall();
@@ -322,6 +334,9 @@
       this.#recordAnswerTime(exchange);
     }
     const pauseMs = exchange.recordEvent(this.options.runtime.nowMs(), event.id);
+    if (pauseMs === undefined) {
+      this.#recordAnswered(exchange);
+    }
     this.#admission.recordEvent(exchange.pool, exchange.id, pauseMs);
     exchange.recordGroupEvents(this.#admission.eventCountOf(exchange.pool));
   }
@@ -334,6 +349,26 @@
     }
   }
 
+  /** Records that the answer of the current call has begun, or has arrived if it is no stream. */
+  #recordAnswered(exchange: Exchange): void {
+    const { target, calledAt } = exchange;
+    if (target === undefined) {
+      return;
+    }
+    const latencyMs = ageMsOf(this.options.runtime, calledAt);
+    this.#results.recordResult(target, { kind: TargetResultKind.Answered, latencyMs });
+    const work = exchange.callId === undefined ? undefined : exchange.recordPromptRead();
+    if (work !== undefined) {
+      this.#loads.recordPromptRead(target.instanceId, work);
+    }
+  }
+
+  #recordResult({ target }: Exchange, kind: TargetResultKind.Failed | TargetResultKind.Full): void {
+    if (target !== undefined) {
+      this.#results.recordResult(target, { kind });
+    }
+  }
+
   /** A stream that is resumed at another target keeps the head sent for the first one. */
   static #beginAnswer(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
     return exchange.markAnswerBegun()
@@ -385,6 +420,11 @@
       );
     }
     exchange.recordAttempt();
+    if (isFailure(status)) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    } else {
+      this.#recordAnswered(exchange);
+    }
     const retried = isFailure(status) ? this.#retry(exchange) : undefined;
     if (retried !== undefined) {
       return [
@@ -412,6 +452,9 @@
   /** The target proved that it did not run the request, so any kind of call may be retried. */
   #onNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
     exchange.recordRejection();
+    if (isFull(head)) {
+      this.#recordResult(exchange, TargetResultKind.Full);
+    }
     const target = this.#retries.takeAfterRejection(exchange);
     return [
       callFailedLine(
@@ -432,6 +475,7 @@
       return this.#onConnectionLost(exchange, detail);
     }
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     exchange.recordUnreachable();
     const lines = [
       callFailedLine(exchange, ExchangeReason.TargetUnreachable, detail),
@@ -506,6 +550,7 @@
   ): readonly Effect[] {
     exchange.recordAttempt();
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [callFailedLine(exchange, reason, detail)];
   }
 
@@ -546,6 +591,7 @@
     }
     const line = callFailedLine(exchange, ExchangeReason.Stalled, 'others of its group go on');
     exchange.recordAttempt();
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [line, ...this.#cancelCall(exchange), ...this.#call(exchange, target)];
   }
 
@@ -555,6 +601,9 @@
       return [];
     }
     exchange.markAbandoned();
+    if (exchange.callId !== undefined && exchange.progress === AnswerProgress.None) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    }
     return [
       ...this.#cancelCall(exchange),
       ...this.#fail(exchange, ExchangeReason.DeadlinePassed, LocalStatus.Timeout),
@@ -643,6 +692,7 @@
     ServiceName.ColdStarts,
     ServiceName.Notices,
     ServiceName.Throughput,
+    ServiceName.Results,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
