--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -83,7 +83,11 @@
     // Gateways of earlier versions report no passes.
     passes: z.array(z.object({ pool: z.string(), passMs: z.number() })).default([]),
   }),
-  z.object({ kind: z.literal(PeerMessageKind.LoadChange), ...targetCount }),
+  z.object({
+    kind: z.literal(PeerMessageKind.LoadChange),
+    ...targetCount,
+    ended: z.array(z.object(targetCount)).optional(),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.CrashReport),
     fingerprint: z.string(),
--- a/packages/gateway-io/tests/peer-messages.test.ts
+++ b/packages/gateway-io/tests/peer-messages.test.ts
@@ -53,3 +53,14 @@
     expect(parsePeerMessage(message)).toEqual(undefined);
   });
 });
+
+// Guards against announced ends that are dropped on receipt.
+test('a changed load keeps the ends announced with it', () => {
+  const message = {
+    kind: PeerMessageKind.LoadChange as const,
+    instanceId: 'i-1',
+    count: 2,
+    ended: [{ instanceId: 'i-2', count: 0, workTokens: 0 }],
+  };
+  expect(parsePeerMessage(message)).toEqual(message);
+});
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -13,7 +13,7 @@
 import { groupsRegistration } from './groups-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
-import { loadsRegistration } from './loads-service.js';
+import { StartAnnouncement, loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
 import type { Member } from './peer-message.js';
@@ -47,6 +47,8 @@
   readonly isStalled?: IsStalled;
   /** Determines the work of requests at engines; by default they are counted. */
   readonly measureRequest?: MeasureRequest;
+  /** What other gateways are told when a request starts; by default the load of its target. */
+  readonly startAnnouncement?: StartAnnouncement;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
 }
@@ -62,13 +64,14 @@
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
   const { decideCall = decideByNotices, decidePriority, measureRequest } = options;
+  const { startAnnouncement = StartAnnouncement.Target } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
     targetsRegistration({ runtime }),
     membersRegistration({ runtime, self, seeds }),
-    loadsRegistration({ runtime }),
+    loadsRegistration({ runtime, startAnnouncement }),
     groupsRegistration({ runtime }),
     suspectsRegistration({ runtime, barUntilMs }),
     engineLimitsRegistration(),
--- a/packages/gateway/src/feature.ts
+++ b/packages/gateway/src/feature.ts
@@ -1,6 +1,7 @@
 /** @module Features that a deployment asks for, and the decisions that each of them uses. */
 import { chooseByWork, measureRequest, priorityOf } from '@ebonysill/scheduling';
 import type { GatewayOptions } from './create-gateway-services.js';
+import { StartAnnouncement } from './loads-service.js';
 
 /** Something that a gateway does only where its deployment asks for it. */
 export enum Feature {
@@ -11,7 +12,7 @@
 /** Decisions of a gateway that a feature replaces. */
 export type FeatureDecisions = Pick<
   GatewayOptions,
-  'decidePriority' | 'chooseTarget' | 'measureRequest'
+  'decidePriority' | 'chooseTarget' | 'measureRequest' | 'startAnnouncement'
 >;
 
 /** Returns the decisions of these features. */
@@ -25,5 +26,10 @@
  */
 export const decisionsOf: DecisionsOf = (features) =>
   features.includes(Feature.Scheduling)
-    ? { decidePriority: priorityOf, chooseTarget: chooseByWork, measureRequest }
+    ? {
+        decidePriority: priorityOf,
+        chooseTarget: chooseByWork,
+        measureRequest,
+        startAnnouncement: StartAnnouncement.TargetAndEnds,
+      }
     : {};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from './event-splitter.js';
 export * from './is-stalled.js';
 export * from './exchange-data.js';
+export { StartAnnouncement } from './loads-service.js';
 export * from './members-service.js';
 export * from './peer-message.js';
 export * from './published.js';
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -12,7 +12,12 @@
 import type { Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
 import LoadSum from './LoadSum.js';
-import { PeerMessageKind, PeerRole } from './peer-message.js';
+import {
+  PeerMessageKind,
+  PeerRole,
+  type LoadChangeMessage,
+  type TargetCount,
+} from './peer-message.js';
 import PeerTotals from './PeerTotals.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -25,9 +30,21 @@
 
 const TIMER_KEY = 0;
 
+/** What is announced with a request that starts. */
+export enum StartAnnouncement {
+  /** The load of its target. */
+  Target = 'target',
+  /** The loads that have become less since the last message too. */
+  TargetAndEnds = 'target-and-ends',
+}
+
+/** Loads in one announcement, so that it fits a datagram; the next broadcast reports the others. */
+const MAX_ENDED = 16;
+
 /** Options of the service; it uses the clock of `runtime`. */
 export interface LoadsOptions {
   readonly runtime: Runtime;
+  readonly startAnnouncement: StartAnnouncement;
 }
 
 /** Sums the load of each target over all gateways. */
@@ -35,6 +52,9 @@
   /** By instance identifier. */
   readonly #ownLoads = new Map<string, LoadSum>();
 
+  /** Instance identifiers of targets whose load has become less since the last message. */
+  readonly #endedIds = new Set<string>();
+
   readonly #peerTotals: PeerTotals;
 
   /** Empty when requests have been announced since. */
@@ -46,14 +66,17 @@
 
   readonly #admission: AdmissionApi;
 
-  private constructor(runtime: Runtime, find: FindService) {
-    this.#peerTotals = PeerTotals.create(runtime.nowMs, COUNT_EXPIRY_MS);
+  private constructor(
+    private readonly options: LoadsOptions,
+    find: FindService,
+  ) {
+    this.#peerTotals = PeerTotals.create(options.runtime.nowMs, COUNT_EXPIRY_MS);
     this.#members = find(ServiceName.Members);
     this.#admission = find(ServiceName.Admission);
   }
 
-  static create(runtime: Runtime, find: FindService): LoadsService {
-    return new LoadsService(runtime, find);
+  static create(options: LoadsOptions, find: FindService): LoadsService {
+    return new LoadsService(options, find);
   }
 
   readonly recordStart = (instanceId: string, work?: RequestWork): readonly Effect[] => {
@@ -62,7 +85,12 @@
     this.#ownLoads.set(instanceId, load);
     this.#changeCount += 1;
     this.#lastBroadcast = '';
-    const message = { kind: PeerMessageKind.LoadChange as const, instanceId, ...load.toReport() };
+    const message = {
+      kind: PeerMessageKind.LoadChange as const,
+      instanceId,
+      ...load.toReport(),
+      ...this.#takeEnded(instanceId),
+    };
     return this.#members
       .others(PeerRole.Gateway)
       .map(({ address }) => sendToPeer(address, message));
@@ -70,12 +98,14 @@
 
   readonly recordPromptRead = (instanceId: string, work: RequestWork): void => {
     this.#ownLoads.get(instanceId)?.removePrompt(work);
+    this.#endedIds.add(instanceId);
     this.#changeCount += 1;
   };
 
   readonly recordEnd = (instanceId: string, work?: RequestWork): void => {
     const load = this.#ownLoads.get(instanceId);
     load?.removeRequest(work);
+    this.#endedIds.add(instanceId);
     this.#changeCount += 1;
     if (load?.count === 0) {
       this.#ownLoads.delete(instanceId);
@@ -114,6 +144,7 @@
     }
     if (message.kind === PeerMessageKind.LoadChange) {
       this.#peerTotals.change(address, message);
+      message.ended?.forEach((load) => this.#peerTotals.change(address, load));
     }
   }
 
@@ -121,12 +152,27 @@
     return setTimer(TimerKind.LoadBroadcast, TIMER_KEY, BROADCAST_INTERVAL_MS);
   }
 
+  /** Loads to announce with a start at `startedId`. */
+  #takeEnded(startedId: string): Pick<LoadChangeMessage, 'ended'> {
+    if (this.options.startAnnouncement === StartAnnouncement.Target) {
+      return {};
+    }
+    this.#endedIds.delete(startedId);
+    const taken = [...this.#endedIds].slice(0, MAX_ENDED);
+    taken.forEach((instanceId) => this.#endedIds.delete(instanceId));
+    return taken.length === 0
+      ? {}
+      : { ended: taken.map((instanceId) => this.#reportOf(instanceId)) };
+  }
+
+  #reportOf(instanceId: string): TargetCount {
+    return { instanceId, ...(this.#ownLoads.get(instanceId) ?? LoadSum.create()).toReport() };
+  }
+
   /** Sends nothing when no request is in progress and the last broadcast already said so. */
   #broadcast(): readonly Effect[] {
-    const counts = [...this.#ownLoads].map(([instanceId, load]) => ({
-      instanceId,
-      ...load.toReport(),
-    }));
+    this.#endedIds.clear();
+    const counts = [...this.#ownLoads.keys()].map((instanceId) => this.#reportOf(instanceId));
     const passes = this.#admission.ownEstimates();
     const text = JSON.stringify(counts);
     if (counts.length === 0 && text === this.#lastBroadcast) {
@@ -143,13 +189,13 @@
  * Registers the service that sums loads.
  *
  * @example
- * const services = [membersRegistration(options), loadsRegistration({ runtime })];
+ * const services = [membersRegistration(options), loadsRegistration({ runtime, startAnnouncement })];
  */
-export const loadsRegistration = ({ runtime }: LoadsOptions): Registration<ServiceName.Loads> => ({
+export const loadsRegistration = (options: LoadsOptions): Registration<ServiceName.Loads> => ({
   name: ServiceName.Loads,
   requires: [ServiceName.Members, ServiceName.Admission],
   create: (find) => {
-    const service = LoadsService.create(runtime, find);
+    const service = LoadsService.create(options, find);
     return createInstance(service, {
       start: () => [LoadsService.scheduleBroadcast()],
       handle: (event) => service.handle(event),
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -126,6 +126,8 @@
 /** New count of requests at one target, sent at once so that other gateways choose another one. */
 export interface LoadChangeMessage extends TargetCount {
   readonly kind: PeerMessageKind.LoadChange;
+  /** Other targets whose load has become less since the last message. */
+  readonly ended?: readonly TargetCount[];
 }
 
 /** A crash of a target, with its age because the processes share no clock. */
--- a/packages/gateway/tests/loads.test.ts
+++ b/packages/gateway/tests/loads.test.ts
@@ -10,6 +10,7 @@
   PeerMessageKind,
   PeerRole,
   ServiceName,
+  StartAnnouncement,
   type LoadsApi,
   type PeerMessage,
 } from '../src/index.js';
@@ -109,6 +110,45 @@
   expect(reportsIn(250)).toEqual(1);
 });
 
+// Guards against slots that stay empty up to 250 ms because the others still count what has ended.
+test('ends and prompts that were read are announced with the next start', () => {
+  const announcedBy = (startAnnouncement: StartAnnouncement): PeerMessage | undefined => {
+    const harness = Harness.create([], { startAnnouncement });
+    receive(harness, PEER_HELLO);
+    const loads = harness.kernel.find(ServiceName.Loads);
+    loads.recordStart('t-1', SHORT);
+    loads.recordStart('t-2', LONG);
+    loads.recordEnd('t-1', SHORT);
+    loads.recordPromptRead('t-2', LONG);
+    const [effect] = loads.recordStart('t-3', SHORT);
+    return effect?.kind === EffectKind.SendToPeer ? effect.message : undefined;
+  };
+  const started = {
+    kind: PeerMessageKind.LoadChange as const,
+    instanceId: 't-3',
+    count: 1,
+    workTokens: 700,
+  };
+  const ended = [
+    { instanceId: 't-1', count: 0, workTokens: 0 },
+    { instanceId: 't-2', count: 1, workTokens: 300 },
+  ];
+  expect(announcedBy(StartAnnouncement.Target)).toEqual(started);
+  expect(announcedBy(StartAnnouncement.TargetAndEnds)).toEqual({ ...started, ended });
+});
+
+// Guards against an announcement whose ends are ignored.
+test('ends that another gateway announces count at once', () => {
+  const harness = Harness.create([]);
+  const loads = harness.kernel.find(ServiceName.Loads);
+  const counts = [{ instanceId: 't-1', count: 3, workTokens: 900 }];
+  receive(harness, { kind: PeerMessageKind.Load, passes: [], counts });
+  const ended = [{ instanceId: 't-1', count: 2, workTokens: 500 }];
+  receive(harness, { kind: PeerMessageKind.LoadChange, instanceId: 't-2', count: 1, ended });
+  expect(workAt(loads)).toEqual([500, 0]);
+  expect(loads.countAt('t-1')).toEqual(2);
+});
+
 // Guards against age that grows without bound when a gateway is gone.
 test('the age of reports is the mean over gateways that still count', () => {
   const harness = Harness.create([]);
