--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -101,7 +101,11 @@
       .optional(),
     refusals: z.array(refusal).max(MAX_REPORTED_REFUSALS).optional(),
   }),
-  z.object({ kind: z.literal(PeerMessageKind.LoadChange), ...targetCount }),
+  z.object({
+    kind: z.literal(PeerMessageKind.LoadChange),
+    ...targetCount,
+    ended: z.array(z.object(targetCount)).optional(),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.CrashReport),
     fingerprint: z.string(),
--- a/packages/gateway/src/feature.ts
+++ b/packages/gateway/src/feature.ts
@@ -1,6 +1,7 @@
 /** @module Features that a deployment asks for, and the decisions that each of them uses. */
 import { QUEUE_BY_RATE, chooseByWork, measureRequest, priorityOf } from '@ebonysill/scheduling';
 import type { GatewayOptions } from './create-gateway-services.js';
+import { StartAnnouncement } from './loads-service.js';
 
 /** Something that a gateway does only where its deployment asks for it. */
 export enum Feature {
@@ -11,7 +12,7 @@
 /** Decisions of a gateway that a feature replaces. */
 export type FeatureDecisions = Pick<
   GatewayOptions,
-  'decidePriority' | 'queueDecisions' | 'chooseTarget' | 'measureRequest'
+  'decidePriority' | 'queueDecisions' | 'chooseTarget' | 'measureRequest' | 'startAnnouncement'
 >;
 
 /** Returns the decisions of these features. */
@@ -30,5 +31,6 @@
         queueDecisions: QUEUE_BY_RATE,
         chooseTarget: chooseByWork,
         measureRequest,
+        startAnnouncement: StartAnnouncement.TargetAndEnds,
       }
     : {};
