--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -24,7 +24,7 @@
 import { waitingRegistration } from './intake/waiting-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
-import { loadsRegistration } from './loads-service.js';
+import { StartAnnouncement, loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
 import type { Member } from './peer-message.js';
@@ -60,6 +60,8 @@
   readonly isStalled?: IsStalled;
   /** Determines the work of requests at engines; by default they are counted. */
   readonly measureRequest?: MeasureRequest;
+  /** What other gateways are told when a request starts; by default the load of its target. */
+  readonly startAnnouncement?: StartAnnouncement;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
   /** Decisions on requests that wait; by default none does. */
@@ -79,13 +81,14 @@
   const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
   const { measureRequest } = options;
   const queueing = queueDecisions === undefined ? {} : { queueDecisions };
+  const { startAnnouncement = StartAnnouncement.Target } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
     targetsRegistration({ runtime, drainTimeoutMs }),
     membersRegistration({ runtime, self, seeds }),
-    loadsRegistration({ runtime }),
+    loadsRegistration({ runtime, startAnnouncement }),
     groupsRegistration({ runtime }),
     suspectsRegistration({ runtime, barUntilMs }),
     engineLimitsRegistration(),
