fix: a gateway that starts asks its peers for the configuration in force

Callers with a credential that had been taken away over 5 s before were served by a gateway that started between a restore of the store and the operators' next write: it took the older configuration of the copy, while the other gateways kept the newer one. Each start also gave the process a new share of the retry budget and of the requests to cold targets.

The peer-knowledge service asks the seeds and all gateways that become known, at once and again every 200 ms. Until one that is not itself starting has answered (the others get 100 ms more, since the first may lack what another knows), or 1 s has passed since the first answer of the store, the gateway is not ready and refuses with a Retry-After of 20 to 40 ms. Afterwards version-floor.ts decides: as long as a live peer names a higher version, or a later era of the store, the configuration is not served. A peer is live while it leaves at most 12 questions unanswered; questions are counted instead of time because of suspended processes. After a restore of the store a running gateway asks again, without waiting.

Retries that a peer took from its share of the additional ones count against the share here for one window. Requests to cold targets, which gateways count from the load changes of all others, count for a second; without an answer none is sent to a cold target in the first second.

Gateways that start all at once become ready 1 s later than before.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -99,6 +99,15 @@
     ),
     leaving: z.array(z.object({ instanceId: z.string(), startedAtMs: z.number().optional() })),
   }),
+  z.object({ kind: z.literal(PeerMessageKind.QueryStartState) }),
+  z.object({
+    kind: z.literal(PeerMessageKind.StartState),
+    isStarting: z.boolean(),
+    version: z.int().nonnegative(),
+    era: z.number().optional(),
+    spentRetries: z.array(z.object({ serviceName: z.string(), count: z.number().nonnegative() })),
+    coldStarts: z.array(z.object({ instanceId: z.string(), count: z.number().nonnegative() })),
+  }),
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
     report,
--- a/packages/gateway/src/RecentMap.ts
+++ b/packages/gateway/src/RecentMap.ts
@@ -43,6 +43,11 @@
     return this.#entries.delete(key);
   }
 
+  /** Keys, the most recent one last. */
+  keys(): IterableIterator<string> {
+    return this.#entries.keys();
+  }
+
   /** Keys and values, the most recent one last. */
   entries(): IterableIterator<[string, TValue]> {
     return this.#entries.entries();
--- a/packages/gateway/src/SlidingCounter.ts
+++ b/packages/gateway/src/SlidingCounter.ts
@@ -27,14 +27,14 @@
     return new SlidingCounter(windowMs, nowMs);
   }
 
-  /** Counts one event that happens now. */
-  add(): void {
+  /** Counts events that happen now. */
+  add(count = 1): void {
     const index = this.#currentIndex();
     const last = this.#buckets.at(-1);
     if (last?.index === index) {
-      last.count += 1;
+      last.count += count;
     } else {
-      this.#buckets.push({ index, count: 1 });
+      this.#buckets.push({ index, count });
     }
   }
 
--- a/packages/gateway/src/TimerKind.ts
+++ b/packages/gateway/src/TimerKind.ts
@@ -10,6 +10,7 @@
   LoadBroadcast = 'load-spread',
   SuspectReport = 'suspect-report',
   NoticeReport = 'notice-report',
+  PeerQuery = 'peer-query',
   DrainEnd = 'drain-end',
   RankReport = 'rank-report',
   ExpertCount = 'expert-count',
--- a/packages/gateway/src/cold-starts-service.ts
+++ b/packages/gateway/src/cold-starts-service.ts
@@ -1,7 +1,9 @@
 /**
  * @module Limits the requests that a cold target gets.
  *
- * The limit applies to all gateways together, so each uses only its share of it.
+ * The limit applies to all gateways together, so each uses only its share of it. A gateway that starts
+ * sends nothing to cold targets in its first second before a peer has answered; then what all
+ * gateways sent, the process that ran here before among them, counts against its share.
  */
 import { createInstance } from '@ebonysill/kernel';
 import {
@@ -11,8 +13,11 @@
   type Registration,
   type TargetsApi,
 } from './directory.js';
+import { EventKind, type Event } from './event.js';
 import GatewayShare from './GatewayShare.js';
+import { PeerMessageKind, type PeerMessage, type TargetCount } from './peer-message.js';
 import type { PublishedTarget } from './published.js';
+import RecentMap from './RecentMap.js';
 import type { Runtime } from './runtime.js';
 import SlidingCounter from './SlidingCounter.js';
 
@@ -23,12 +28,23 @@
 
 const WINDOW_MS = 1_000;
 
-/** Maximum number of counters; the oldest is evicted, since targets are replaced over time. */
+/** Maximum number of counters of one kind; targets are replaced over time. */
 const MAX_COUNTERS = 1_024;
 
 /** Counts the requests sent to each target in the last second. */
 class ColdStartsService {
-  readonly #counters = new Map<string, SlidingCounter>();
+  /** By instance identifier: requests of this gateway. */
+  readonly #sent = RecentMap.create<SlidingCounter>(MAX_COUNTERS);
+
+  /** By instance identifier: requests that other gateways announced. */
+  readonly #announced = RecentMap.create<SlidingCounter>(MAX_COUNTERS);
+
+  /** By instance identifier: requests before the start of this process, as peers reported them. */
+  readonly #reported = RecentMap.create<SlidingCounter>(MAX_COUNTERS);
+
+  readonly #startedAtMs: number;
+
+  #hasAnswer = false;
 
   readonly #share: GatewayShare;
 
@@ -43,6 +59,7 @@
     this.#share = GatewayShare.create(find(ServiceName.Members));
     this.#catalogue = find(ServiceName.Catalogue);
     this.#targets = find(ServiceName.Targets);
+    this.#startedAtMs = runtime.nowMs();
   }
 
   static create(runtime: Runtime, find: FindService): ColdStartsService {
@@ -51,24 +68,80 @@
 
   readonly mayStart = ({ instanceId, service }: PublishedTarget): boolean => {
     const perSecond = this.#catalogue.serviceOf(service)?.coldPerSecond ?? 0;
-    if (perSecond === 0 || this.#targets.coldMsLeft(instanceId) === 0) {
+    if (perSecond === 0 || !this.#isCold(instanceId)) {
       return true;
     }
-    const sent = this.#counters.get(instanceId)?.count() ?? 0;
-    return sent + 1 <= Math.max(1, this.#share.of(perSecond));
+    if (this.#isStarting() && !this.#hasAnswer) {
+      return false;
+    }
+    const count = ColdStartsService.#countOf(this.#sent, instanceId);
+    const reportedCount = ColdStartsService.#countOf(this.#reported, instanceId);
+    return count + reportedCount + 1 <= Math.max(1, this.#share.of(perSecond));
   };
 
-  readonly recordStart = ({ instanceId }: PublishedTarget): void => {
-    const counter =
-      this.#counters.get(instanceId) ?? SlidingCounter.create(WINDOW_MS, this.runtime.nowMs);
-    this.#counters.delete(instanceId);
-    this.#counters.set(instanceId, counter);
-    counter.add();
-    const [oldest] = this.#counters.keys();
-    if (this.#counters.size > MAX_COUNTERS && oldest !== undefined) {
-      this.#counters.delete(oldest);
+  readonly recordStart = ({ instanceId }: PublishedTarget): void =>
+    this.#add(this.#sent, instanceId, 1);
+
+  readonly recentStarts = (): readonly TargetCount[] =>
+    [...new Set([...this.#sent.keys(), ...this.#announced.keys()])]
+      .filter((instanceId) => this.#isCold(instanceId))
+      .map((instanceId) => ({
+        instanceId,
+        count:
+          ColdStartsService.#countOf(this.#sent, instanceId) +
+          ColdStartsService.#countOf(this.#announced, instanceId),
+      }))
+      .filter(({ count }) => count > 0);
+
+  handle(event: Event): void {
+    if (event.kind === EventKind.PeerMessageReceived) {
+      this.#onMessage(event.message);
     }
-  };
+  }
+
+  #onMessage(message: PeerMessage): void {
+    switch (message.kind) {
+      case PeerMessageKind.LoadChange:
+        if (this.#isCold(message.instanceId)) {
+          this.#add(this.#announced, message.instanceId, 1);
+        }
+        break;
+      case PeerMessageKind.StartState:
+        if (this.#isStarting()) {
+          this.#hasAnswer ||= !message.isStarting;
+          message.coldStarts.forEach((starts) => this.#recordReported(starts));
+        }
+        break;
+      default:
+    }
+  }
+
+  /** Counts up to the highest report, since each peer reports the requests of all gateways. */
+  #recordReported({ instanceId, count }: TargetCount): void {
+    const missing = count - ColdStartsService.#countOf(this.#reported, instanceId);
+    if (missing > 0) {
+      this.#add(this.#reported, instanceId, missing);
+    }
+  }
+
+  #add(counters: RecentMap<SlidingCounter>, instanceId: string, count: number): void {
+    const counter =
+      counters.get(instanceId) ?? SlidingCounter.create(WINDOW_MS, this.runtime.nowMs);
+    counter.add(count);
+    counters.set(instanceId, counter);
+  }
+
+  static #countOf(counters: RecentMap<SlidingCounter>, instanceId: string): number {
+    return counters.get(instanceId)?.count() ?? 0;
+  }
+
+  #isCold(instanceId: string): boolean {
+    return this.#targets.coldMsLeft(instanceId) > 0;
+  }
+
+  #isStarting(): boolean {
+    return this.runtime.nowMs() - this.#startedAtMs < WINDOW_MS;
+  }
 }
 
 /**
@@ -84,6 +157,15 @@
   requires: [ServiceName.Members, ServiceName.Catalogue, ServiceName.Targets],
   create: (find) => {
     const service = ColdStartsService.create(runtime, find);
-    return createInstance({ mayStart: service.mayStart, recordStart: service.recordStart }, {});
+    const { mayStart, recordStart, recentStarts } = service;
+    return createInstance(
+      { mayStart, recordStart, recentStarts },
+      {
+        handle: (event) => {
+          service.handle(event);
+          return [];
+        },
+      },
+    );
   },
 });
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -16,6 +16,7 @@
 import { loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
+import { peerKnowledgeRegistration } from './peer-knowledge-service.js';
 import type { Member } from './peer-message.js';
 import { retriesRegistration } from './retries-service.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
@@ -24,6 +25,7 @@
 import { storeRegistration } from './store-service.js';
 import { suspectsRegistration } from './suspects-service.js';
 import { targetsRegistration } from './targets-service.js';
+import { floorOfLivePeers, type DecideFloor } from './version-floor.js';
 
 /** Settings and dependencies of a gateway. */
 export interface GatewayOptions {
@@ -44,6 +46,8 @@
   readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
   readonly isStalled?: IsStalled;
+  /** Decides which configuration is too old to serve; by default one below those of live peers. */
+  readonly decideFloor?: DecideFloor;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
 }
@@ -59,6 +63,7 @@
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
   const { decideCall = decideByNotices, decidePriority } = options;
+  const { decideFloor = floorOfLivePeers } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -73,6 +78,7 @@
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
     noticesRegistration({ runtime, decideCall }),
+    peerKnowledgeRegistration({ runtime, seeds, decideFloor }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
     retriesRegistration({ runtime }),
     exchangesRegistration({
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -5,7 +5,7 @@
 import type { Event, TargetReachability } from './event.js';
 import type { Exchange, Resolution } from './exchange.js';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
-import type { Member, PassEstimate, PeerRole } from './peer-message.js';
+import type { Member, PassEstimate, PeerRole, ServiceCount, TargetCount } from './peer-message.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
   CallerLimits,
@@ -29,6 +29,7 @@
   Retries = 'retries',
   ColdStarts = 'cold-starts',
   Notices = 'notices',
+  PeerKnowledge = 'peer-knowledge',
   Routing = 'routing',
   Exchanges = 'exchanges',
   Lifecycle = 'lifecycle',
@@ -202,6 +203,8 @@
   readonly recordRequest: (service: string) => void;
   /** Takes one retry out of the budget; false when the budget is spent. */
   readonly tryConsume: (service: string) => boolean;
+  /** Retries that this gateway took from its share of the additional ones, by service. */
+  readonly spentByService: () => readonly ServiceCount[];
 }
 
 /** Decides on further targets for a request; each `take` function uses the retry budget. */
@@ -223,6 +226,17 @@
   /** Whether this gateway may send a target one more request now. */
   readonly mayStart: (target: PublishedTarget) => boolean;
   readonly recordStart: (target: PublishedTarget) => void;
+  /** Requests that all gateways sent to cold targets in the last second, as far as known here. */
+  readonly recentStarts: () => readonly TargetCount[];
+}
+
+/** What this gateway learned from its peers after its start. */
+export interface PeerKnowledgeApi {
+  /**
+   * Whether the configuration may be served: the peers were asked, and no live one names a later
+   * configuration.
+   */
+  readonly isConfigurationCurrent: () => boolean;
 }
 
 /** What targets say of themselves in their answers. */
@@ -284,6 +298,7 @@
   readonly [ServiceName.Retries]: RetriesApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
+  readonly [ServiceName.PeerKnowledge]: PeerKnowledgeApi;
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Exchanges]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -121,6 +121,7 @@
     this.#check = {
       catalogue: find(ServiceName.Catalogue),
       store: this.#store,
+      peerKnowledge: find(ServiceName.PeerKnowledge),
       random: options.runtime.random,
     };
   }
@@ -202,7 +203,9 @@
     if (result.verdict === CheckVerdict.Denied) {
       const { status, reason } = result;
       const retryAfterMs =
-        status === LocalStatus.NotRun ? retryAfterMsOf(request.remainingMs) : undefined;
+        status === LocalStatus.NotRun
+          ? (result.retryAfterMs ?? retryAfterMsOf(request.remainingMs))
+          : undefined;
       return [
         localAnswer(exchangeId, status, reason, retryAfterMs),
         deniedLine(request.attemptId, status, reason, this.#storeAgeMs()),
@@ -697,6 +700,7 @@
     ServiceName.ColdStarts,
     ServiceName.Notices,
     ServiceName.Lifecycle,
+    ServiceName.PeerKnowledge,
   ],
   create: (find) => {
     const service = ExchangesService.create(options, find);
--- a/packages/gateway/src/lifecycle-service.ts
+++ b/packages/gateway/src/lifecycle-service.ts
@@ -5,6 +5,7 @@
   ServiceName,
   type CatalogueApi,
   type FindService,
+  type PeerKnowledgeApi,
   type Registration,
   type StoreApi,
 } from './directory.js';
@@ -63,12 +64,15 @@
 
   readonly #store: StoreApi;
 
+  readonly #peerKnowledge: PeerKnowledgeApi;
+
   private constructor(
     private readonly options: LifecycleOptions,
     find: FindService,
   ) {
     this.#catalogue = find(ServiceName.Catalogue);
     this.#store = find(ServiceName.Store);
+    this.#peerKnowledge = find(ServiceName.PeerKnowledge);
   }
 
   static create(options: LifecycleOptions, find: FindService): LifecycleService {
@@ -80,6 +84,7 @@
   readonly isReady = (): boolean =>
     !this.isDraining() &&
     this.#catalogue.version() > 0 &&
+    this.#peerKnowledge.isConfigurationCurrent() &&
     (this.#store.ageMs() < MAX_READY_AGE_MS || !this.#catalogue.needsCredentials());
 
   readonly mayBegin = (isStream: boolean, longestMs: number): boolean => {
@@ -178,7 +183,7 @@
   options: LifecycleOptions,
 ): Registration<ServiceName.Lifecycle> => ({
   name: ServiceName.Lifecycle,
-  requires: [ServiceName.Catalogue, ServiceName.Store],
+  requires: [ServiceName.Catalogue, ServiceName.Store, ServiceName.PeerKnowledge],
   create: (find) => {
     const service = LifecycleService.create(options, find);
     return createInstance(
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -22,6 +22,8 @@
   Suspects = 'suspects',
   QuerySuspects = 'query-suspects',
   TargetNotices = 'target-notices',
+  QueryStartState = 'query-start-state',
+  StartState = 'start-state',
   RankState = 'rank-state',
   RankCountDelta = 'rank-increase',
   QueryState = 'tell-state',
@@ -183,6 +185,34 @@
   readonly leaving: readonly ReportedLeaving[];
 }
 
+/**
+ * Asks a gateway for what a process that starts can learn from its peers only.
+ */
+export interface QueryStartStateMessage {
+  readonly kind: PeerMessageKind.QueryStartState;
+}
+
+/** Retries for a service that a gateway took from its share of the additional retries. */
+export interface ServiceCount {
+  readonly serviceName: string;
+  readonly count: number;
+}
+
+/** What a gateway knows; counts that do not fit one datagram follow in further ones. */
+export interface StartStateMessage {
+  readonly kind: PeerMessageKind.StartState;
+  /** Whether the sender is itself still asking, so that it may know less than others. */
+  readonly isStarting: boolean;
+  /** Version of the configuration that the sender has in force; 0 before the first. */
+  readonly version: number;
+  /** How often the store had been restored when the sender last heard of it. */
+  readonly era?: number;
+  /** Retries in the window of the retry budget. */
+  readonly spentRetries: readonly ServiceCount[];
+  /** Requests that all gateways sent to cold targets in the last second. */
+  readonly coldStarts: readonly TargetCount[];
+}
+
 /**
  * State of a rank, reported by the agent beside it. `HoldConfirmed` also means that the agent will
  * retain the hold in the report.
@@ -261,6 +291,8 @@
   | SuspectsMessage
   | QuerySuspectsMessage
   | TargetNoticesMessage
+  | QueryStartStateMessage
+  | StartStateMessage
   | RankStateMessage
   | QueryStateMessage
   | RankCountDeltaMessage
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -1,9 +1,10 @@
 /** @module Checks callers' requests and resolves each to a route, a service and an organisation. */
-import type { CatalogueApi, StoreApi } from './directory.js';
+import type { CatalogueApi, PeerKnowledgeApi, StoreApi } from './directory.js';
 import type { CallerRequest } from './exchange-data.js';
 import { ExchangeReason, type Resolution } from './exchange.js';
 import { LocalStatus } from './local-answers.js';
 import type { Organisation, Route } from './published.js';
+import { spreadRetryAfterMs } from './retry-after.js';
 
 /** Whether a request may be sent to a target. */
 export enum CheckVerdict {
@@ -18,12 +19,15 @@
       readonly verdict: CheckVerdict.Denied;
       readonly status: LocalStatus;
       readonly reason: ExchangeReason;
+      /** When another gateway probably answers; absent when nothing is known of that. */
+      readonly retryAfterMs?: number;
     };
 
 /** State against which requests are checked. */
 export interface RequestCheck {
   readonly catalogue: CatalogueApi;
   readonly store: StoreApi;
+  readonly peerKnowledge: PeerKnowledgeApi;
   /** Uniform in [0, 1); chooses among the services of a route. */
   readonly random: () => number;
 }
@@ -37,10 +41,14 @@
 /** Maximum age of the store copy for answering that a route or credential does not exist. */
 const MAX_DENIAL_AGE_MS = 2_500;
 
-const deny = (status: LocalStatus, reason: ExchangeReason): CheckResult => ({
+/** Retry delay of a caller that another gateway can serve: one that knows the configuration. */
+const ELSEWHERE_RETRY_AFTER_MS = 20;
+
+const deny = (status: LocalStatus, reason: ExchangeReason, retryAfterMs?: number): CheckResult => ({
   verdict: CheckVerdict.Denied,
   status,
   reason,
+  ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
 });
 
 const STALE = deny(LocalStatus.NotRun, ExchangeReason.StoreCopyStale);
@@ -100,10 +108,14 @@
  * checkRequest({ catalogue, store, random }, request).verdict;
  */
 export const checkRequest = (check: RequestCheck, request: CallerRequest): CheckResult => {
-  const { catalogue } = check;
+  const { catalogue, peerKnowledge, random } = check;
   if (catalogue.version() === 0) {
     return deny(LocalStatus.NotRun, ExchangeReason.NotConfigured);
   }
+  if (!peerKnowledge.isConfigurationCurrent()) {
+    const retryAfterMs = spreadRetryAfterMs(ELSEWHERE_RETRY_AFTER_MS, random());
+    return deny(LocalStatus.NotRun, ExchangeReason.NotConfigured, retryAfterMs);
+  }
   const route = catalogue.routeOf(request.host, request.path);
   if (route === undefined) {
     return ageMsOf(check) > MAX_DENIAL_AGE_MS ? STALE : NO_ROUTE;
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -3,7 +3,10 @@
   EffectKind,
   EventKind,
   PeerRole,
+  StoreReadKind,
   type Effect,
+  type GatewayOptions,
+  type PeerMessage,
   type SendToPeerEffect,
   type StartCallEffect,
   type StoreItem,
@@ -28,13 +31,26 @@
   doneCount: number;
 }
 
+/** Options of one of the gateways at these addresses, each of which has the others as seeds. */
+const memberOptions = (
+  addresses: readonly string[],
+  index: number,
+): Pick<GatewayOptions, 'self' | 'seeds'> => {
+  const address = addresses[index] ?? '';
+  const name = `gateway-${index + 1}`;
+  return {
+    self: { name, role: PeerRole.Gateway, address, availabilityZone: 'zone-a' },
+    seeds: addresses.filter((other) => other !== address),
+  };
+};
+
 interface SentMessage {
   readonly from: string;
   readonly effect: SendToPeerEffect;
 }
 
 /** Whether a message is lost on its way between two addresses. */
-export type IsLost = (from: string, to: string) => boolean;
+export type IsLost = (from: string, to: string, message: PeerMessage) => boolean;
 
 /** Gateways that know each other. */
 export class Fleet {
@@ -62,15 +78,7 @@
     const fleet = new Fleet(
       addresses.map((address, index) => ({
         address,
-        harness: Harness.create(items, {
-          self: {
-            name: `gateway-${index + 1}`,
-            role: PeerRole.Gateway,
-            address,
-            availabilityZone: 'zone-a',
-          },
-          seeds: addresses.filter((other) => other !== address),
-        }),
+        harness: Harness.create(items, memberOptions(addresses, index)),
         doneCount: 0,
       })),
       isLost,
@@ -79,6 +87,15 @@
     return fleet;
   }
 
+  /** Ends a gateway and starts another one in its place, which reads these items. */
+  restart(index: number, items: readonly StoreItem[]): Harness {
+    const addresses = this.#gateways.map(({ address }) => address);
+    const harness = Harness.start(memberOptions(addresses, index), this.nowMs);
+    Object.assign(this.#gateways[index] ?? {}, { harness, doneCount: 0 });
+    harness.read(StoreReadKind.Page, items);
+    return harness;
+  }
+
   get harnesses(): readonly Harness[] {
     return this.#gateways.map(({ harness }) => harness);
   }
@@ -103,7 +120,7 @@
 
   #deliver({ from, effect: { address, message } }: SentMessage): void {
     const receiver = this.#gateways.find((gateway) => gateway.address === address);
-    if (receiver !== undefined && !this.isLost(from, address)) {
+    if (receiver !== undefined && !this.isLost(from, address, message)) {
       receiver.harness.post({ kind: EventKind.PeerMessageReceived, address: from, message });
     }
   }
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -7,6 +7,7 @@
   ItemKind,
   ItemScope,
   NO_NOTICE,
+  PeerMessageKind,
   PeerRole,
   ServiceName,
   StoreReadKind,
@@ -21,6 +22,7 @@
   type PublishedTarget,
   type Route,
   type SetTimerEffect,
+  type StartStateMessage,
   type StoreItem,
   type TargetHead,
 } from '../src/index.js';
@@ -124,7 +126,7 @@
 
 /** Runs one gateway; tests post its events and advance its clock. */
 export class Harness {
-  nowMs = 0;
+  nowMs: number;
 
   /** Lead of the clock that counts suspended time over `nowMs`. */
   suspendedMs = 0;
@@ -139,7 +141,8 @@
 
   #exchangeId = 0;
 
-  private constructor(options: Partial<GatewayOptions>) {
+  private constructor(options: Partial<GatewayOptions>, nowMs: number) {
+    this.nowMs = nowMs;
     this.kernel = Kernel.create<Directory, Event, Effect>({
       services: createGatewayServices({
         runtime: {
@@ -169,17 +172,45 @@
   }
 
   /**
-   * Creates a gateway whose store held these items; `options` replace the defaults.
+   * Starts a gateway that has received nothing yet; `options` replace the defaults.
+   *
+   * @example
+   * const harness = Harness.start({ seeds: ['10.0.0.2:7000'] });
+   */
+  static start(options: Partial<GatewayOptions> = {}, nowMs = 0): Harness {
+    return new Harness(options, nowMs);
+  }
+
+  /**
+   * Creates a gateway that a peer has answered and whose store held these items; `options` replace
+   * the defaults.
    *
    * @example
    * const harness = Harness.create([targetItem(targetOf('t-1'))]);
    */
   static create(items: readonly StoreItem[], options: Partial<GatewayOptions> = {}): Harness {
-    const harness = new Harness(options);
+    const harness = Harness.start(options);
+    harness.answerStart();
     harness.read(StoreReadKind.Page, items);
     return harness;
   }
 
+  /** Posts the answer of a peer to the question of a gateway that starts. */
+  answerStart(changes: Partial<StartStateMessage> = {}, address = '10.0.0.7:7000'): void {
+    this.kernel.post({
+      kind: EventKind.PeerMessageReceived,
+      address,
+      message: {
+        kind: PeerMessageKind.StartState,
+        isStarting: false,
+        version: 0,
+        spentRetries: [],
+        coldStarts: [],
+        ...changes,
+      },
+    });
+  }
+
   /** Posts an answer of the store with the next revision. */
   read(read: StoreReadKind, items: readonly StoreItem[]): void {
     this.#revision += 1;
