feat: gateways that start are told crashes, limits, leavings and pauses

A gateway that was restarted sent requests to targets that had asked the process before for a pause, up to the end of the pause, and learned of leaving targets, limits and crashes from periodic reports only: one question about crashes, which could be lost, and of the rest a random part every 500 ms.

The question of a starting gateway, which is repeated, is now answered with all known crashes (up to 64), limits and leavings (up to 256 each), in as many datagrams as that takes. A pause concerns the gateway that was turned away only, so gateways tell others pauses that last at least 1 s more, in the reports that exist already, and get their own back after a start.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -98,6 +98,16 @@
       }),
     ),
     leaving: z.array(z.object({ instanceId: z.string(), startedAtMs: z.number().optional() })),
+    // Gateways of earlier versions report no pauses.
+    pauses: z
+      .array(
+        z.object({
+          gatewayAddress: z.string(),
+          instanceId: z.string(),
+          remainingMs: z.number().nonnegative(),
+        }),
+      )
+      .default([]),
   }),
   z.object({ kind: z.literal(PeerMessageKind.QueryStartState) }),
   z.object({
--- a/packages/gateway/src/TargetLimits.ts
+++ b/packages/gateway/src/TargetLimits.ts
@@ -13,9 +13,6 @@
 /** The end of a limit is reported for this long. */
 const REPORT_END_MS = 5_000;
 
-/** Limits in one report, so that it fits a datagram. */
-const MAX_REPORTED_LIMITS = 16;
-
 /** What a target said last of its limit. */
 interface KnownLimit {
   /** Absent when the target names no limit any more. */
@@ -104,7 +101,6 @@
         ([, { maxRequestsPerSecond, changedAtMs }]) =>
           maxRequestsPerSecond !== undefined || nowMs - changedAtMs < REPORT_END_MS,
       )
-      .slice(-MAX_REPORTED_LIMITS)
       .map(([instanceId]) => this.reportOf(instanceId));
   }
 
--- a/packages/gateway/src/notices-service.ts
+++ b/packages/gateway/src/notices-service.ts
@@ -2,11 +2,13 @@
  * @module Keeps what targets say of themselves in the heads of their answers.
  *
  * A limit on requests and the leaving of a target concern all gateways, which tell each other of
- * them: at once, and then repeatedly. A pause concerns only the gateway that was turned away.
+ * them: at once, and then repeatedly. A pause concerns only the gateway that was turned away; others
+ * keep it for the case that this gateway starts again. A gateway that starts asks for all of them.
  */
 import { createInstance } from '@ebonysill/kernel';
 import { isMisdirected } from './answer-status.js';
 import { log, sendToPeer, setTimer } from './build-effects.js';
+import { datagramCountOf, partOf } from './datagram-parts.js';
 import type { CallDecision, DecideCall } from './decide-call.js';
 import { ServiceName, type FindService, type MembersApi, type Registration } from './directory.js';
 import { LogLevel, LogTopic, type Effect } from './effect.js';
@@ -22,14 +24,12 @@
 import RecentMap from './RecentMap.js';
 import type { Runtime } from './runtime.js';
 import TargetLimits, { type LimitChange } from './TargetLimits.js';
+import TargetPauses from './TargetPauses.js';
 import TimerKind from './TimerKind.js';
 
 /** Maximum number of targets that are remembered, for each kind of notice. */
 const MAX_TARGETS = 1_024;
 
-/** Longest pause that a target can ask for. */
-const MAX_PAUSE_MS = 300_000;
-
 /** Interval at which notices are reported to gateways that may not know them. */
 const REPORT_INTERVAL_MS = 500;
 
@@ -39,8 +39,8 @@
 /** The leaving of a target is reported for this long; by then its entry has changed. */
 const REPORT_LEAVING_MS = 30_000;
 
-/** Leaving targets in one report, so that it fits a datagram. */
-const MAX_REPORTED_LEAVING = 16;
+/** Entries of one kind in a periodic report, so that it fits a datagram. */
+const MAX_REPORTED = 16;
 
 const TIMER_KEY = 0;
 
@@ -55,7 +55,7 @@
   readonly sinceMs: number;
 }
 
-type Notices = Pick<TargetNoticesMessage, 'limits' | 'leaving'>;
+type Notices = Omit<TargetNoticesMessage, 'kind'>;
 
 const toReport = ({ instanceId, startedAtMs }: ReportedLeaving): ReportedLeaving => ({
   instanceId,
@@ -73,8 +73,7 @@
   /** By instance identifier. */
   readonly #leaving = RecentMap.create<Leaving>(MAX_TARGETS);
 
-  /** By instance identifier: until when the target wants no request from this gateway. */
-  readonly #pausedUntilMs = RecentMap.create<number>(MAX_TARGETS);
+  readonly #pauses: TargetPauses;
 
   /** Instance identifiers of targets with a field that could not be decoded. */
   readonly #invalidIds = RecentMap.create<true>(MAX_TARGETS);
@@ -87,6 +86,7 @@
   ) {
     this.#limits = TargetLimits.create(options.runtime);
     this.#members = find(ServiceName.Members);
+    this.#pauses = TargetPauses.create(options.runtime.nowMs, this.#members.self().address);
   }
 
   static create(options: NoticesOptions, find: FindService): NoticesService {
@@ -109,10 +109,9 @@
 
   readonly decide = (target: PublishedTarget): CallDecision => {
     const { instanceId } = target;
-    const pausedUntilMs = this.#pausedUntilMs.get(instanceId) ?? -Infinity;
     return this.options.decideCall({
       isLeaving: this.#isLeaving(target),
-      pauseMs: Math.max(0, pausedUntilMs - this.#nowMs()),
+      pauseMs: this.#pauses.msLeft(instanceId),
       limitMs: this.#limits.msUntilNext(instanceId),
     });
   };
@@ -132,12 +131,15 @@
     return setTimer(TimerKind.NoticeReport, TIMER_KEY, REPORT_INTERVAL_MS);
   }
 
-  #onMessage({ message }: PeerMessageEvent): readonly Effect[] {
+  #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
     switch (message.kind) {
       case PeerMessageKind.LoadChange:
         this.#limits.take(message.instanceId);
         return [];
+      case PeerMessageKind.QueryStartState:
+        return this.#buildAnswers(address).map((answer) => sendToPeer(address, answer));
       case PeerMessageKind.TargetNotices:
+        message.pauses.forEach((pause) => this.#pauses.merge(pause));
         return [
           ...message.limits.flatMap((limit) =>
             limitLines(limit.instanceId, this.#limits.merge(limit)),
@@ -154,14 +156,17 @@
     const lines = limitLines(instanceId, this.#limits.record(instanceId, maxRequestsPerSecond));
     return lines.length === 0
       ? []
-      : [...lines, ...this.#send({ limits: [this.#limits.reportOf(instanceId)], leaving: [] })];
+      : [
+          ...lines,
+          ...this.#send({ limits: [this.#limits.reportOf(instanceId)], leaving: [], pauses: [] }),
+        ];
   }
 
   #recordLeaving(target: PublishedTarget): readonly Effect[] {
     const lines = this.#addLeaving(target);
     return lines.length === 0
       ? []
-      : [...lines, ...this.#send({ limits: [], leaving: [toReport(target)] })];
+      : [...lines, ...this.#send({ limits: [], leaving: [toReport(target)], pauses: [] })];
   }
 
   /** Returns a line when the leaving of the target is new. */
@@ -179,27 +184,41 @@
     return leaving !== undefined && leaving.startedAtMs === startedAtMs;
   }
 
-  /** A further pause does not shorten an earlier one. */
   #recordPause({ instanceId, service }: PublishedTarget, askedMs: number): readonly Effect[] {
-    const untilMs = this.#nowMs() + Math.min(askedMs, MAX_PAUSE_MS);
-    const knownUntilMs = this.#pausedUntilMs.get(instanceId) ?? -Infinity;
-    this.#pausedUntilMs.set(instanceId, Math.max(untilMs, knownUntilMs));
-    return knownUntilMs > this.#nowMs()
-      ? []
-      : [log(LogLevel.Info, LogTopic.TargetPaused, { instanceId, service, durationMs: askedMs })];
+    return this.#pauses.record(instanceId, askedMs)
+      ? [log(LogLevel.Info, LogTopic.TargetPaused, { instanceId, service, durationMs: askedMs })]
+      : [];
   }
 
   /** Reports notices repeatedly, since messages may be lost. */
   #report(): readonly Effect[] {
+    const limits = this.#limits.reports().slice(-MAX_REPORTED);
+    const leaving = this.#recentLeaving().slice(-MAX_REPORTED);
+    const pauses = this.#pauses.ownReports().slice(-MAX_REPORTED);
+    return limits.length + leaving.length + pauses.length === 0
+      ? []
+      : this.#send({ limits, leaving, pauses }, REPORT_RECIPIENTS);
+  }
+
+  #recentLeaving(): readonly ReportedLeaving[] {
     const nowMs = this.#nowMs();
-    const leaving = [...this.#leaving.values()]
+    return [...this.#leaving.values()]
       .filter(({ sinceMs }) => nowMs - sinceMs < REPORT_LEAVING_MS)
-      .slice(-MAX_REPORTED_LEAVING)
       .map(toReport);
+  }
+
+  /** Messages for a gateway that has started; none when there is nothing to tell. */
+  #buildAnswers(address: string): readonly TargetNoticesMessage[] {
     const limits = this.#limits.reports();
-    return limits.length + leaving.length === 0
-      ? []
-      : this.#send({ limits, leaving }, REPORT_RECIPIENTS);
+    const leaving = this.#recentLeaving();
+    const pauses = this.#pauses.reportsFor(address);
+    const count = datagramCountOf([limits.length, leaving.length, pauses.length]);
+    return Array.from({ length: count }, (_, index) => ({
+      kind: PeerMessageKind.TargetNotices,
+      limits: partOf(limits, index),
+      leaving: partOf(leaving, index),
+      pauses: partOf(pauses, index),
+    }));
   }
 
   /** Sends to some other gateways, chosen at random; by default to all. */
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -178,15 +178,25 @@
   readonly startedAtMs?: number;
 }
 
+/** Time for which a target wants no request from one gateway. */
+export interface ReportedPause {
+  readonly gatewayAddress: string;
+  readonly instanceId: string;
+  readonly remainingMs: number;
+}
+
 /** What targets said of themselves in their answers. */
 export interface TargetNoticesMessage {
   readonly kind: PeerMessageKind.TargetNotices;
   readonly limits: readonly ReportedLimit[];
   readonly leaving: readonly ReportedLeaving[];
+  /** Pauses of the sender, or of the recipient before its start. */
+  readonly pauses: readonly ReportedPause[];
 }
 
 /**
- * Asks a gateway for what a process that starts can learn from its peers only.
+ * Asks a gateway for what a process that starts can learn from its peers only. Crashes are answered
+ * with `Suspects`, limits, leavings and pauses with `TargetNotices`, the rest with `StartState`.
  */
 export interface QueryStartStateMessage {
   readonly kind: PeerMessageKind.QueryStartState;
--- a/packages/gateway/src/suspects-service.ts
+++ b/packages/gateway/src/suspects-service.ts
@@ -55,12 +55,12 @@
 /** Suspects that are no longer refused are sent one at a time: a crash shows within this time. */
 const TRIAL_INTERVAL_MS = 1_000;
 
-/** Time after the start in which the other gateways become known. */
-const QUERY_PERIOD_MS = 5_000;
-
-/** Crashes in one periodic report, so that it fits a datagram. */
+/** Crashes in one message, so that it fits a datagram. */
 const MAX_REPORTED_CRASHES = 8;
 
+/** Messages with crashes that answer a gateway that has started. */
+const MAX_ANSWER_MESSAGES = 8;
+
 /** A gateway that knows an answer this much newer tells the one that reported a crash. */
 const MIN_NEWS_MS = 1_000;
 
@@ -106,11 +106,6 @@
 
   readonly #jitter: number;
 
-  readonly #startedAtMs: number;
-
-  /** Addresses of the gateways that were asked after the start. */
-  readonly #queriedPeers = new Set<string>();
-
   readonly #members: MembersApi;
 
   private constructor(
@@ -119,7 +114,6 @@
   ) {
     this.#members = find(ServiceName.Members);
     this.#jitter = options.runtime.random();
-    this.#startedAtMs = options.runtime.nowMs();
   }
 
   static create(options: SuspectsOptions, find: FindService): SuspectsService {
@@ -211,23 +205,7 @@
     if (event.kind === EventKind.TimerFired && event.timer === TimerKind.SuspectReport) {
       return [SuspectsService.scheduleReport(), ...this.#reportCrashes()];
     }
-    return event.kind === EventKind.PeerMessageReceived
-      ? [...this.#queryNewPeers(), ...this.#onMessage(event)]
-      : [];
-  }
-
-  /** After a start, asks each gateway once: others may have seen crashes before. */
-  #queryNewPeers(): readonly Effect[] {
-    if (this.#nowMs() - this.#startedAtMs > QUERY_PERIOD_MS) {
-      return [];
-    }
-    const unasked = this.#members
-      .others(PeerRole.Gateway)
-      .filter(({ address }) => !this.#queriedPeers.has(address));
-    return unasked.map(({ address }) => {
-      this.#queriedPeers.add(address);
-      return sendToPeer(address, { kind: PeerMessageKind.QuerySuspects });
-    });
+    return event.kind === EventKind.PeerMessageReceived ? this.#onMessage(event) : [];
   }
 
   #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
@@ -236,10 +214,10 @@
         const { instanceId, fingerprint, segments, answers } = message;
         return this.#merge(address, [{ instanceId, ageMs: 0, fingerprint, segments }], answers);
       }
-      case PeerMessageKind.QuerySuspects: {
-        const report = this.#buildReport();
-        return report === undefined ? [] : [sendToPeer(address, report)];
-      }
+      // Gateways of earlier versions ask for the crashes only.
+      case PeerMessageKind.QuerySuspects:
+      case PeerMessageKind.QueryStartState:
+        return this.#buildAnswers().map((answer) => sendToPeer(address, answer));
       case PeerMessageKind.Suspects:
         return this.#merge(address, message.crashes, message.answers);
       default:
@@ -291,33 +269,40 @@
   /** Reports crashes repeatedly, since messages may be lost. */
   #reportCrashes(): readonly Effect[] {
     const { random } = this.options.runtime;
-    const report = this.#buildReport();
-    return report === undefined
+    const crashes = this.#barredCrashes().slice(-MAX_REPORTED_CRASHES);
+    return crashes.length === 0
       ? []
       : this.#members
           .others(PeerRole.Gateway)
           .map(({ address }) => ({ address, sortKey: random() }))
           .sort((left, right) => left.sortKey - right.sortKey)
           .slice(0, REPORT_RECIPIENTS)
-          .map(({ address }) => sendToPeer(address, report));
+          .map(({ address }) => sendToPeer(address, this.#buildReport(crashes)));
+  }
+
+  /** Crashes for which requests are refused now. */
+  #barredCrashes(): readonly Crash[] {
+    return this.#crashes.filter((crash) => this.#barredForMs(crash) > 0);
   }
 
-  /** Crashes for which requests are refused now; undefined when there are none. */
-  #buildReport(): SuspectsMessage | undefined {
-    const crashes = this.#crashes
-      .filter((crash) => this.#barredForMs(crash) > 0)
-      .slice(-MAX_REPORTED_CRASHES);
+  #buildReport(crashes: readonly Crash[]): SuspectsMessage {
     const nowMs = this.#nowMs();
-    return crashes.length === 0
-      ? undefined
-      : {
-          kind: PeerMessageKind.Suspects,
-          crashes: crashes.map(({ atMs, ...crash }) => ({
-            ...crash,
-            ageMs: Math.round(nowMs - atMs),
-          })),
-          answers: this.#answersOf(crashes.flatMap(({ segments }) => segments)),
-        };
+    return {
+      kind: PeerMessageKind.Suspects,
+      crashes: crashes.map(({ atMs, ...crash }) => ({ ...crash, ageMs: Math.round(nowMs - atMs) })),
+      answers: this.#answersOf(crashes.flatMap(({ segments }) => segments)),
+    };
+  }
+
+  /** Messages for a gateway that has started, with the latest crashes first. */
+  #buildAnswers(): readonly SuspectsMessage[] {
+    const crashes = [...this.#crashes].reverse();
+    const count = Math.min(MAX_ANSWER_MESSAGES, Math.ceil(crashes.length / MAX_REPORTED_CRASHES));
+    return Array.from({ length: count }, (_, index) =>
+      this.#buildReport(
+        crashes.slice(index * MAX_REPORTED_CRASHES, (index + 1) * MAX_REPORTED_CRASHES),
+      ),
+    );
   }
 
   #broadcast(message: CrashReportMessage | SuspectsMessage): readonly Effect[] {
--- a/packages/gateway/tests/peer-knowledge.test.ts
+++ b/packages/gateway/tests/peer-knowledge.test.ts
@@ -6,6 +6,7 @@
   EffectKind,
   EventKind,
   LogTopic,
+  NO_NOTICE,
   PeerMessageKind,
   PeerRole,
   ServiceName,
@@ -13,12 +14,14 @@
   type Effect,
   type PeerMessage,
   type StoreItem,
+  type TargetNotice,
 } from '../src/index.js';
 import { Fleet, type IsLost } from './fleet.js';
 import {
   Harness,
   configurationItem,
   configurationOf,
+  headOf,
   routeOf,
   targetItem,
   targetOf,
@@ -363,6 +366,69 @@
   expect(new Set(answers.flat().map(({ instanceId }) => instanceId)).size).toEqual(40);
 });
 
+/** Lets a target answer the only call of a gateway with a notice. */
+const answerWith = (harness: Harness, notice: Partial<TargetNotice>, status = 200): void => {
+  harness.request();
+  const callId = harness.lastCallId();
+  const head = headOf({ status, isNotRun: status !== 200, notice: { ...NO_NOTICE, ...notice } });
+  harness.post({ kind: EventKind.TargetHeadReceived, callId, head });
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId });
+};
+
+const ONE_TARGET = itemsOf(9, ['key-1']).slice(0, 2);
+
+// Guards against requests to a target in the pause that it asked the process before for.
+test('a pause goes on after a restart', () => {
+  const fleet = Fleet.create(3, ONE_TARGET);
+  const [first] = fleet.harnesses;
+  if (first !== undefined) {
+    answerWith(first, { pauseMs: 5_000 }, 503);
+  }
+  fleet.run(1_000);
+  const harness = fleet.restart(0, ONE_TARGET);
+  fleet.run(300);
+  expect(harness.isReady()).toEqual(true);
+  expect(requestMany(harness)).toEqual(0);
+  expect(fleet.harnesses.slice(1).map(requestMany)).toEqual([20, 20]);
+  fleet.run(5_000);
+  expect(requestMany(harness)).toEqual(20);
+});
+
+// Guards against requests to a target that has said to others that it leaves.
+test('a leaving target is known after a restart', () => {
+  const fleet = Fleet.create(2, ONE_TARGET);
+  const [, other] = fleet.harnesses;
+  if (other !== undefined) {
+    answerWith(other, { isLeaving: true });
+  }
+  // By then the notice that the other gateway sent at once has arrived at the process before.
+  fleet.run(50);
+  const harness = fleet.restart(0, ONE_TARGET);
+  fleet.run(60);
+  expect(harness.isReady()).toEqual(true);
+  expect(requestMany(harness)).toEqual(0);
+});
+
+// Guards against requests beyond a limit that a target named before the start.
+test('more limits than a datagram holds are known after a start', () => {
+  const limits = Array.from({ length: 40 }, (_, index) => ({
+    instanceId: `t-${index}`,
+    ageMs: 0,
+    maxRequestsPerSecond: 1,
+  }));
+  const fleet = Fleet.create(2, ONE_TARGET);
+  const [, other] = fleet.harnesses;
+  other?.post({
+    kind: EventKind.PeerMessageReceived,
+    address: OTHER_PEER,
+    message: { kind: PeerMessageKind.TargetNotices, limits, leaving: [], pauses: [] },
+  });
+  const harness = fleet.restart(0, ONE_TARGET);
+  fleet.run(60);
+  const lines = topicsOf(harness).filter((topic) => topic === LogTopic.TargetLimited);
+  expect(lines.length).toEqual(40);
+});
+
 // Guards against questions to processes that are no gateways.
 test('rank agents are not asked', () => {
   const harness = Harness.start();
