--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -11,6 +11,10 @@
 import engineLimitsRegistration from './engineLimitsRegistration.js';
 import { exchangesRegistration } from './exchanges-service.js';
 import { groupsRegistration } from './groups-service.js';
+import { copiesRegistration } from './intake/copies-service.js';
+import { intakeRegistration } from './intake/intake-service.js';
+import { returnsRegistration } from './intake/returns-service.js';
+import { refusalsRegistration } from './intake/refusals-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
@@ -36,6 +40,8 @@
   readonly retryBudget: RetryBudgetBound;
   /** Time between the signal to stop and the forced end of the process. */
   readonly graceMs: number;
+  /** Time within which a target that has left gets no further requests. */
+  readonly drainTimeoutMs: number;
   /** Chooses among several targets; by default the least loaded one. */
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
@@ -59,7 +65,7 @@
  * Kernel.create({ services: createGatewayServices(options), nowMs, perform, onDrained, onFatalError });
  */
 export const createGatewayServices = (options: GatewayOptions): readonly AnyRegistration[] => {
-  const { runtime, self, seeds, retryBudget, graceMs } = options;
+  const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
   const { decideCall = decideByNotices, decidePriority } = options;
@@ -68,7 +74,7 @@
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
-    targetsRegistration({ runtime }),
+    targetsRegistration({ runtime, drainTimeoutMs }),
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime }),
     groupsRegistration({ runtime }),
@@ -81,6 +87,10 @@
     peerKnowledgeRegistration({ runtime, seeds, decideFloor }),
     routingRegistration({ runtime, availabilityZone, chooseTarget }),
     retriesRegistration({ runtime }),
+    copiesRegistration({ runtime }),
+    returnsRegistration({ runtime }),
+    refusalsRegistration({ runtime }),
+    intakeRegistration({ runtime }),
     exchangesRegistration({
       runtime,
       isStalled,
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,11 +1,14 @@
 /** @module Names and APIs of the services. */
+import type { OtherCopies, RefusalScope } from '@ebonysill/scheduling';
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
-import type { Exchange, Resolution } from './exchange.js';
+import type { Exchange, ExchangeReason, Resolution } from './exchange.js';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
+import type { Moment } from './moment.js';
 import type { Member, PassEstimate, PeerRole, ServiceCount, TargetCount } from './peer-message.js';
+import type { Denial } from './request-check.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
   CallerLimits,
@@ -31,7 +34,11 @@
   Notices = 'notices',
   PeerKnowledge = 'peer-knowledge',
   Routing = 'routing',
+  Copies = 'copies',
+  Returns = 'returns',
+  Refusals = 'refusals',
   Exchanges = 'exchanges',
+  Intake = 'intake',
   Lifecycle = 'lifecycle',
   EngineLimits = 'engine-advice',
   RankMonitor = 'rank-monitor',
@@ -221,6 +228,52 @@
   readonly takeAfterRejection: (exchange: Exchange) => PublishedTarget | undefined;
 }
 
+/** Ages of the gateways' copies of the store. */
+export interface CopiesApi {
+  /** Age of this gateway's copy; the greatest safe integer while it has no configuration. */
+  readonly ownAgeMs: () => number;
+  readonly others: () => OtherCopies;
+}
+
+/** A request that was refused. */
+export interface RefusedRequest {
+  /** Refusals so far that concerned one gateway each. */
+  readonly localCount: number;
+  /** When the caller's deadline ends. */
+  readonly expiresAtMs: number;
+}
+
+/** Refused requests whose callers may come back. */
+export interface ReturnsApi {
+  /** The refusal of a request with the same method, path, credential and body. */
+  readonly find: (request: CallerRequest) => RefusedRequest | undefined;
+  readonly record: (request: CallerRequest, refused: RefusedRequest) => void;
+}
+
+/** What a refused caller was told. */
+export interface ToldReturn {
+  readonly scope: RefusalScope;
+  readonly retryAfterMs: number;
+}
+
+/** Answers requests that did not run and never will. */
+export interface RefusalsApi {
+  /** Answers a request that the check denied. */
+  readonly deny: (exchangeId: number, request: CallerRequest, denial: Denial) => readonly Effect[];
+  /** Refuses a request; `admission` is given when it is the cause. */
+  readonly refuse: (
+    exchange: Exchange,
+    cause: ExchangeReason,
+    admission?: AdmissionResult,
+  ) => readonly Effect[];
+}
+
+/** Calls and answers of admitted requests. */
+export interface ExchangesApi {
+  /** Starts the first call of an admitted request. */
+  readonly start: (exchange: Exchange, target: PublishedTarget) => readonly Effect[];
+}
+
 /** Limits the requests to cold targets. */
 export interface ColdStartsApi {
   /** Whether this gateway may send a target one more request now. */
@@ -241,8 +294,12 @@
 
 /** What targets say of themselves in their answers. */
 export interface NoticesApi {
-  /** Records the head of an answer; the effects log what has changed. */
-  readonly recordHead: (target: PublishedTarget, head: TargetHead) => readonly Effect[];
+  /** Records the head of the answer to a call of that moment; the effects log what has changed. */
+  readonly recordHead: (
+    target: PublishedTarget,
+    head: TargetHead,
+    askedAt: Moment,
+  ) => readonly Effect[];
   /** Whether a target may be called, by what it said. */
   readonly decide: (target: PublishedTarget) => CallDecision;
   /** Counts a request that this gateway sends now. */
@@ -300,7 +357,11 @@
   readonly [ServiceName.Notices]: NoticesApi;
   readonly [ServiceName.PeerKnowledge]: PeerKnowledgeApi;
   readonly [ServiceName.Routing]: RoutingApi;
-  readonly [ServiceName.Exchanges]: object;
+  readonly [ServiceName.Copies]: CopiesApi;
+  readonly [ServiceName.Returns]: ReturnsApi;
+  readonly [ServiceName.Refusals]: RefusalsApi;
+  readonly [ServiceName.Exchanges]: ExchangesApi;
+  readonly [ServiceName.Intake]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
   readonly [ServiceName.EngineLimits]: object;
   readonly [ServiceName.RankMonitor]: RankMonitorApi;
--- a/packages/gateway/src/exchange-log.ts
+++ b/packages/gateway/src/exchange-log.ts
@@ -1,8 +1,10 @@
 /** @module Log lines about exchanges: the decision, and the state that it was based on. */
 import { log } from './build-effects.js';
+import type { ToldReturn } from './directory.js';
 import { LogLevel, LogTopic, type LogEffect, type LogFields } from './effect.js';
 import type { CallerRequest } from './exchange-data.js';
 import { ExchangeOutcome, ExchangeReason, type Exchange } from './exchange.js';
+import type { Denial } from './request-check.js';
 
 /** How an exchange ended. */
 export interface ExchangeEnd {
@@ -22,6 +24,8 @@
   /** Requests in the pool, when that is why the request was refused. */
   readonly runningCount?: number;
   readonly nowMs: number;
+  /** What the caller was told; absent unless it was refused. */
+  readonly told?: ToldReturn;
   /** Time since the store last confirmed this process's copy of it. */
   readonly knowledgeAgeMs: number;
 }
@@ -41,16 +45,16 @@
 /** Line about a request that was denied before it became an exchange. */
 type DeniedLine = (
   requestId: string,
-  status: number,
-  reason: ExchangeReason,
+  denial: Denial,
   knowledgeAgeMs: number,
+  told?: ToldReturn,
 ) => LogEffect;
 
 /** Line about a call that failed and may be retried. */
 type CallFailedLine = (exchange: Exchange, reason: ExchangeReason, detail: string) => LogEffect;
 
-/** Line about an error; the exchange is undefined when it did not begin. */
-type InternalErrorLine = (exchange: Exchange | undefined, error: unknown) => LogEffect;
+/** Line about an error; the identifier is undefined when the exchange has ended. */
+type InternalErrorLine = (requestId: string | undefined, error: unknown) => LogEffect;
 
 /** Line about the end of an exchange. */
 type EndedLine = (exchange: Exchange, end: ExchangeEnd, state: ExchangeEndState) => LogEffect;
@@ -59,14 +63,15 @@
  * Builds the line about a denied request.
  *
  * @example
- * deniedLine('attempt-1', 404, ExchangeReason.NoRoute, 800);
+ * deniedLine('attempt-1', { status: 404, reason: ExchangeReason.NoRoute }, 800);
  */
-export const deniedLine: DeniedLine = (requestId, status, reason, knowledgeAgeMs) =>
+export const deniedLine: DeniedLine = (requestId, { status, reason }, knowledgeAgeMs, told) =>
   log(LogLevel.Info, LogTopic.RequestEnded, {
     requestId,
     status,
     reason,
     outcome: ExchangeOutcome.Refused,
+    ...told,
     knowledgeAgeMs,
   });
 
@@ -98,11 +103,11 @@
  * Builds the line about an error in the handler of one exchange.
  *
  * @example
- * internalErrorLine(exchange, new TypeError('no route'));
+ * internalErrorLine('attempt-1', new TypeError('no route'));
  */
-export const internalErrorLine: InternalErrorLine = (exchange, error) =>
+export const internalErrorLine: InternalErrorLine = (requestId, error) =>
   log(LogLevel.Warn, LogTopic.ExchangeFailed, {
-    ...(exchange === undefined ? {} : { requestId: exchange.request.attemptId }),
+    ...(requestId === undefined ? {} : { requestId }),
     detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
   });
 
@@ -127,6 +132,7 @@
     longestPauseMs: Math.round(exchange.longestPauseMs),
     passMs: Math.round(state.passMs),
     ...(state.runningCount === undefined ? {} : { runningCount: state.runningCount }),
+    ...state.told,
     knowledgeAgeMs: state.knowledgeAgeMs,
   });
 };
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -4,7 +4,6 @@
 import { ExchangeReason, type Resolution } from './exchange.js';
 import { LocalStatus } from './local-answers.js';
 import type { Organisation, Route } from './published.js';
-import { spreadRetryAfterMs } from './retry-after.js';
 
 /** Whether a request may be sent to a target. */
 export enum CheckVerdict {
@@ -12,16 +11,16 @@
   Denied = 'denied',
 }
 
+/** Answer to a denied request. */
+export interface Denial {
+  readonly status: LocalStatus;
+  readonly reason: ExchangeReason;
+}
+
 /** Resolution of an allowed request, or the answer to a denied one. */
 export type CheckResult =
   | { readonly verdict: CheckVerdict.Allowed; readonly resolution: Resolution }
-  | {
-      readonly verdict: CheckVerdict.Denied;
-      readonly status: LocalStatus;
-      readonly reason: ExchangeReason;
-      /** When another gateway probably answers; absent when nothing is known of that. */
-      readonly retryAfterMs?: number;
-    };
+  | ({ readonly verdict: CheckVerdict.Denied } & Denial);
 
 /** State against which requests are checked. */
 export interface RequestCheck {
@@ -36,19 +35,18 @@
  * Maximum age of the store copy for accepting a credential, since it may have been revoked.
  * Operators allow 5 s from their change; one second is left for the target's queue and the network.
  */
-const MAX_CREDENTIAL_AGE_MS = 4_000;
-
-/** Maximum age of the store copy for answering that a route or credential does not exist. */
-const MAX_DENIAL_AGE_MS = 2_500;
+export const MAX_CREDENTIAL_AGE_MS = 4_000;
 
-/** Retry delay of a caller that another gateway can serve: one that knows the configuration. */
-const ELSEWHERE_RETRY_AFTER_MS = 20;
+/**
+ * Maximum age of the store copy for answering that a route or credential does not exist. In calm the
+ * age stays below twice the wait of a watch and the time of its answer.
+ */
+const MAX_DENIAL_AGE_MS = 2_900;
 
-const deny = (status: LocalStatus, reason: ExchangeReason, retryAfterMs?: number): CheckResult => ({
+const deny = (status: LocalStatus, reason: ExchangeReason): CheckResult => ({
   verdict: CheckVerdict.Denied,
   status,
   reason,
-  ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
 });
 
 const STALE = deny(LocalStatus.NotRun, ExchangeReason.StoreCopyStale);
@@ -108,14 +106,10 @@
  * checkRequest({ catalogue, store, random }, request).verdict;
  */
 export const checkRequest = (check: RequestCheck, request: CallerRequest): CheckResult => {
-  const { catalogue, peerKnowledge, random } = check;
-  if (catalogue.version() === 0) {
+  const { catalogue, peerKnowledge } = check;
+  if (catalogue.version() === 0 || !peerKnowledge.isConfigurationCurrent()) {
     return deny(LocalStatus.NotRun, ExchangeReason.NotConfigured);
   }
-  if (!peerKnowledge.isConfigurationCurrent()) {
-    const retryAfterMs = spreadRetryAfterMs(ELSEWHERE_RETRY_AFTER_MS, random());
-    return deny(LocalStatus.NotRun, ExchangeReason.NotConfigured, retryAfterMs);
-  }
   const route = catalogue.routeOf(request.host, request.path);
   if (route === undefined) {
     return ageMsOf(check) > MAX_DENIAL_AGE_MS ? STALE : NO_ROUTE;
