fix: agents carry out no message of another group's driver

A group could begin a held pass early, or an engine get an order that was meant for another one: agents checked the epoch of the messages ReleaseStep, HoldStep, ArmMap, DisarmMap and PrepareMap, but not the group. Epochs of different groups are often the same, and an address may have changed its group.

The driver checks the group of ReleaseStep, and the rank monitor that of every message that names one, once its engine has reported its group.

--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -216,7 +216,9 @@
         }
         return [];
       case PeerMessageKind.ReleaseStep:
-        return this.#onReleaseRequested(message.epoch, message.step);
+        return message.groupName === groupName
+          ? this.#onReleaseRequested(message.epoch, message.step)
+          : [];
       default:
         return [];
     }
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -274,6 +274,13 @@
   }
 
   #onMessage({ address, message }: PeerMessageEvent): readonly Effect[] {
+    const isForeign =
+      'groupName' in message &&
+      this.#report !== undefined &&
+      message.groupName !== this.#report.groupName;
+    if (isForeign) {
+      return [];
+    }
     switch (message.kind) {
       case PeerMessageKind.QueryState:
         return this.#pollSoon();
