fix: agents and drivers count the age of reports from when they were asked for

An agent that woke confirmed holds and gave orders by an answer that its engine had sent before.

Cause: the age of reports and confirmations counted from when they were handled, or not at all, on a clock that stands still while the machine does.

- The rank monitor counts its report from the question to the engine; one older than 1 s confirms no hold, leads to no order and lets no driver act.
- RankState and HoldConfirmed tell the age of the report.
A driver adds to it the longest time for which the message may have waited (ArrivalBound: up to the timer before the last one, since the last one may have run between the wake-up and the messages).
It ignores confirmations older than 500 ms and asks again, and it leaves the check before a hold only with fresh reports.
- Reports, unconfirmed holds and the decay of popularity count suspended time.

Looked at and left: counts (differences of totals, with the version of their map), addresses of engines (kept for an epoch), requests to confirm (checked against a fresh report), answers to orders (each has its number; an outcome stays true), phases of a change and abandoned holds (after a suspension they need fresh reports; the wait of an abort must not end early by a jump of the time of day), and repeat intervals. There are no leases.

Tests: process suspended, or the machine; each but the control (a confirmation lets a driver arm the ranks) failed with the part that it guards taken out.

--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -122,6 +122,8 @@
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
     report,
+    // Agents of earlier versions report no age.
+    ageMs: z.number().nonnegative().default(0),
     engineAddress: z.string(),
   }),
   z.object({ kind: z.literal(PeerMessageKind.QueryState), groupName: z.string() }),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -326,8 +326,10 @@
 
 /** The engine beside this process. */
 export interface RankMonitorApi {
-  /** Latest report; undefined while the engine does not answer. */
+  /** Latest report; undefined while the engine does not answer, or when the report is old. */
   readonly report: () => RankReport | undefined;
+  /** When the latest report was asked for. */
+  readonly reportAskedAt: () => Moment;
   /** Difference between the latest two counts; undefined before the second. */
   readonly countDelta: () => RankCountDelta | undefined;
   /**
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,7 @@
 export * from './is-stalled.js';
 export * from './exchange-data.js';
 export * from './members-service.js';
+export * from './moment.js';
 export * from './peer-message.js';
 export * from './published.js';
 export * from './rank-data.js';
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -232,6 +232,8 @@
 export interface RankStateMessage {
   readonly kind: PeerMessageKind.RankState | PeerMessageKind.HoldConfirmed;
   readonly report: RankReport;
+  /** Time since the agent asked the engine for the report. */
+  readonly ageMs: number;
   /** IP address and port of the engine, used when its agent does not answer. */
   readonly engineAddress: string;
 }
--- a/packages/rank-agent/src/GroupView.ts
+++ b/packages/rank-agent/src/GroupView.ts
@@ -1,12 +1,20 @@
 /** @module Latest reports of a group's ranks, as its driver has received them. */
-import type { RankCountDelta, RankPlacement, RankReport } from '@ebonysill/gateway';
+import {
+  ageMsOf,
+  type Moment,
+  type RankCountDelta,
+  type RankPlacement,
+  type RankReport,
+  type Runtime,
+} from '@ebonysill/gateway';
 
 /** State of a rank as its agent last reported it. */
 export interface KnownRank {
   readonly agentAddress: string;
   readonly engineAddress: string;
   readonly report: RankReport;
-  readonly lastReceivedAtMs: number;
+  /** Moment as of which the report holds at least. */
+  readonly asOf: Moment;
 }
 
 /** Age from which a report is ignored; agents send unchanged state three times as often. */
@@ -18,25 +26,25 @@
 
   readonly #deltas = new Map<number, RankCountDelta>();
 
-  private constructor(private readonly nowMs: () => number) {}
+  private constructor(private readonly runtime: Runtime) {}
 
   /**
    * Creates a view without ranks.
    *
    * @example
-   * const view = GroupView.create(runtime.nowMs);
+   * const view = GroupView.create(runtime);
    */
-  static create(nowMs: () => number): GroupView {
-    return new GroupView(nowMs);
+  static create(runtime: Runtime): GroupView {
+    return new GroupView(runtime);
   }
 
-  recordReport(agentAddress: string, engineAddress: string, report: RankReport): void {
-    this.#ranks.set(report.rank, {
-      agentAddress,
-      engineAddress,
-      report,
-      lastReceivedAtMs: this.nowMs(),
-    });
+  recordReport(known: KnownRank): void {
+    this.#ranks.set(known.report.rank, known);
+  }
+
+  /** Whether a report is recent enough to be acted on. */
+  isFresh({ asOf }: KnownRank): boolean {
+    return ageMsOf(this.runtime, asOf) < STATE_EXPIRY_MS;
   }
 
   /** Records the latest counts of a rank, which also list the experts that it holds. */
@@ -47,7 +55,7 @@
   /** All ranks in order; undefined unless all are open and have fresh reports of one epoch. */
   currentRanks(): readonly KnownRank[] | undefined {
     const fresh = [...this.#ranks.values()]
-      .filter(({ lastReceivedAtMs }) => this.nowMs() - lastReceivedAtMs < STATE_EXPIRY_MS)
+      .filter((rank) => this.isFresh(rank))
       .sort((left, right) => left.report.rank - right.report.rank);
     const first = fresh[0]?.report;
     const isComplete =
--- a/packages/rank-agent/src/HoldTracker.ts
+++ b/packages/rank-agent/src/HoldTracker.ts
@@ -1,5 +1,12 @@
 /** @module Decides whether the agent may release its engine's hold without a driver's order. */
-import type { RankReport } from '@ebonysill/gateway';
+import {
+  NEVER,
+  ageMsOf,
+  momentNow,
+  type Moment,
+  type RankReport,
+  type Runtime,
+} from '@ebonysill/gateway';
 
 /** Time after which an unconfirmed hold is released; drivers confirm within a few messages. */
 const CONFIRM_TIMEOUT_MS = 250;
@@ -19,23 +26,23 @@
 
   #heldStep = 0;
 
-  #heldAtMs = 0;
+  #heldAt: Moment = NEVER;
 
   #confirmedStep = 0;
 
   /** Highest step whose hold has ended, or whose release was ordered and may still be in flight. */
   #endedStep = 0;
 
-  private constructor(private readonly nowMs: () => number) {}
+  private constructor(private readonly runtime: Runtime) {}
 
   /**
    * Creates a tracker without any report.
    *
    * @example
-   * const tracker = HoldTracker.create(runtime.nowMs);
+   * const tracker = HoldTracker.create(runtime);
    */
-  static create(nowMs: () => number): HoldTracker {
-    return new HoldTracker(nowMs);
+  static create(runtime: Runtime): HoldTracker {
+    return new HoldTracker(runtime);
   }
 
   /** Records the engine's latest report; a new epoch discards all earlier state. */
@@ -54,7 +61,7 @@
     this.recordRelease(this.#heldStep);
     this.#hasSeenNoHold ||= heldStep === 0;
     this.#heldStep = heldStep;
-    this.#heldAtMs = this.nowMs();
+    this.#heldAt = momentNow(this.runtime);
   }
 
   /** Records that a step has been or may be released, so its hold can no longer be confirmed. */
@@ -84,7 +91,7 @@
       this.#heldStep > 0 &&
       this.#hasSeenNoHold &&
       this.#heldStep !== this.#confirmedStep &&
-      this.nowMs() - this.#heldAtMs >= CONFIRM_TIMEOUT_MS;
+      ageMsOf(this.runtime, this.#heldAt) >= CONFIRM_TIMEOUT_MS;
     return isAbandoned ? this.#heldStep : undefined;
   }
 }
--- a/packages/rank-agent/src/PopularityMeter.ts
+++ b/packages/rank-agent/src/PopularityMeter.ts
@@ -1,5 +1,11 @@
 /** @module Estimates the popularity of experts from the activation counts that ranks report. */
-import type { RankCountDelta } from '@ebonysill/gateway';
+import {
+  ageMsOf,
+  momentNow,
+  type Moment,
+  type RankCountDelta,
+  type Runtime,
+} from '@ebonysill/gateway';
 import type { Popularity } from './placement.js';
 
 /** Share of a count that remains after one second; popularity shifts within a few seconds. */
@@ -11,20 +17,20 @@
 export default class PopularityMeter {
   #sums: number[][] = [];
 
-  #decayedAtMs: number;
+  #decayedAt: Moment;
 
-  private constructor(private readonly nowMs: () => number) {
-    this.#decayedAtMs = nowMs();
+  private constructor(private readonly runtime: Runtime) {
+    this.#decayedAt = momentNow(runtime);
   }
 
   /**
    * Creates a meter without any counts.
    *
    * @example
-   * const meter = PopularityMeter.create(runtime.nowMs);
+   * const meter = PopularityMeter.create(runtime);
    */
-  static create(nowMs: () => number): PopularityMeter {
-    return new PopularityMeter(nowMs);
+  static create(runtime: Runtime): PopularityMeter {
+    return new PopularityMeter(runtime);
   }
 
   /** Adds the activations that one rank has reported. */
@@ -54,9 +60,9 @@
   }
 
   #decay(): void {
-    const nowMs = this.nowMs();
-    const factor = DECAY_PER_SECOND ** ((nowMs - this.#decayedAtMs) / MS_PER_SECOND);
-    this.#decayedAtMs = nowMs;
+    const elapsedMs = ageMsOf(this.runtime, this.#decayedAt);
+    const factor = DECAY_PER_SECOND ** (elapsedMs / MS_PER_SECOND);
+    this.#decayedAt = momentNow(this.runtime);
     this.#sums = this.#sums.map((set) => set.map((count) => count * factor));
   }
 }
--- a/packages/rank-agent/src/change-phases.ts
+++ b/packages/rank-agent/src/change-phases.ts
@@ -130,8 +130,11 @@
   }
 
   #advanceChecking(change: MapChange): readonly Effect[] {
-    const ranks = this.options.view.knownRanks(change.epoch);
-    if (ranks.every(({ lastReceivedAtMs }) => lastReceivedAtMs > change.phaseStartedAtMs)) {
+    const { view } = this.options;
+    const ranks = view.knownRanks(change.epoch);
+    const isAnswered = (rank: KnownRank): boolean =>
+      rank.asOf.atMs > change.phaseStartedAtMs && view.isFresh(rank);
+    if (ranks.every(isAnswered)) {
       change.enter(ChangePhase.Holding);
       return this.#advanceNow(change);
     }
--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -19,6 +19,7 @@
   PeerRole,
   ServiceName,
   TimerKind,
+  ageMsOf,
   log,
   sendToPeer,
   setTimer,
@@ -27,6 +28,7 @@
   type Event,
   type FindService,
   type MembersApi,
+  type Moment,
   type PeerMessageEvent,
   type RankMonitorApi,
   type RankCountDelta,
@@ -38,6 +40,7 @@
   type Runtime,
 } from '@ebonysill/gateway';
 import { createInstance } from '@ebonysill/kernel';
+import ArrivalBound from './ArrivalBound.js';
 import { ACTIVE_INTERVAL_MS, ChangePhases } from './change-phases.js';
 import EngineDirectory from './EngineDirectory.js';
 import GroupView, { type KnownRank } from './GroupView.js';
@@ -65,6 +68,12 @@
 /** Time after which a held pass is recovered if this driver has no change in progress. */
 const ABANDONED_HOLD_MS = 600;
 
+/**
+ * Age from which the confirmation of a hold is ignored. By then another driver may have released the
+ * hold; an agent that still retains it confirms it again.
+ */
+const MAX_CONFIRMATION_AGE_MS = 500;
+
 /** Maximum time that a rank copies weights for one change; short changes take effect sooner. */
 const MAX_COPY_MS = 450;
 
@@ -106,6 +115,8 @@
 
   #limits: EngineLimitsMessage | undefined;
 
+  readonly #arrivals: ArrivalBound;
+
   readonly #view: GroupView;
 
   readonly #popularity: PopularityMeter;
@@ -122,8 +133,9 @@
     private readonly options: GroupDriverOptions,
     find: FindService,
   ) {
-    this.#view = GroupView.create(options.runtime.nowMs);
-    this.#popularity = PopularityMeter.create(options.runtime.nowMs);
+    this.#arrivals = ArrivalBound.create(options.runtime);
+    this.#view = GroupView.create(options.runtime);
+    this.#popularity = PopularityMeter.create(options.runtime);
     this.#members = find(ServiceName.Members);
     this.#monitor = find(ServiceName.RankMonitor);
     const { nowMs } = options.runtime;
@@ -162,6 +174,7 @@
   }
 
   #onTimer(): readonly Effect[] {
+    this.#arrivals.tick();
     const effects = this.#evaluate();
     const delayMs = this.#change === undefined ? IDLE_INTERVAL_MS : ACTIVE_INTERVAL_MS;
     return [...effects, setTimer(TimerKind.MapChange, TIMER_KEY, delayMs)];
@@ -176,7 +189,12 @@
   }
 
   #onOwnReport(report: RankReport): readonly Effect[] {
-    this.#view.recordReport(this.#members.self().address, this.options.engineAddress, report);
+    this.#view.recordReport({
+      agentAddress: this.#members.self().address,
+      engineAddress: this.options.engineAddress,
+      report,
+      asOf: this.#monitor.reportAskedAt(),
+    });
     return this.#change === undefined ? [] : this.#evaluate();
   }
 
@@ -206,7 +224,7 @@
         if (message.report.groupName !== groupName) {
           return [];
         }
-        this.#view.recordReport(address, message.engineAddress, message.report);
+        this.#recordState(address, message);
         return this.#change === undefined ? [] : this.#evaluate();
       case PeerMessageKind.HoldConfirmed:
         return this.#onHoldConfirmed(address, message);
@@ -224,24 +242,39 @@
     }
   }
 
-  #onHoldConfirmed(
-    address: string,
-    { engineAddress, report }: RankStateMessage,
-  ): readonly Effect[] {
+  #onHoldConfirmed(address: string, message: RankStateMessage): readonly Effect[] {
+    const { report } = message;
     const change = this.#change;
     const isExpected =
       change?.phase === ChangePhase.Holding &&
       report.epoch === change.epoch &&
       report.rank === change.holderRank &&
-      report.heldStep === change.step;
+      report.heldStep === change.step &&
+      ageMsOf(this.options.runtime, this.#askedAtOf(message)) < MAX_CONFIRMATION_AGE_MS;
     if (!isExpected) {
       return [];
     }
-    this.#view.recordReport(address, engineAddress, report);
+    this.#recordState(address, message);
     change.enter(ChangePhase.Arming);
     return this.#evaluate();
   }
 
+  #recordState(agentAddress: string, message: RankStateMessage): void {
+    const { engineAddress, report } = message;
+    this.#view.recordReport({
+      agentAddress,
+      engineAddress,
+      report,
+      asOf: this.#askedAtOf(message),
+    });
+  }
+
+  /** Earliest moment at which the agent can have asked its engine for the report. */
+  #askedAtOf({ ageMs }: RankStateMessage): Moment {
+    const { atMs, atSuspendAwareMs } = this.#arrivals.earliest();
+    return { atMs: atMs - ageMs, atSuspendAwareMs: atSuspendAwareMs - ageMs };
+  }
+
   /** Releases the hold of the engine beside this process, unless a change is in progress here. */
   #onReleaseRequested(epoch: number, step: number): readonly Effect[] {
     const report = this.#monitor.report();
--- a/packages/rank-agent/src/rank-monitor-service.ts
+++ b/packages/rank-agent/src/rank-monitor-service.ts
@@ -14,14 +14,18 @@
   PeerMessageKind,
   PeerRole,
   ServiceName,
+  NEVER,
   TimerKind,
+  ageMsOf,
   log,
+  momentNow,
   sendToPeer,
   setTimer,
   type Effect,
   type Event,
   type FindService,
   type MembersApi,
+  type Moment,
   type OnOrderOutcome,
   type Order,
   type OrderAnsweredEvent,
@@ -51,13 +55,13 @@
 /** Interval of reading the expert counts; popularity shifts within seconds. */
 const COUNT_INTERVAL_MS = 250;
 
-const TIMER_KEY = 0;
+/**
+ * Age from which a report is not acted on. An answer takes up to 400 ms, and the next one is there
+ * at the latest 650 ms after it was asked for, so that only a suspension makes a report this old.
+ */
+const MAX_REPORT_AGE_MS = 1_000;
 
-const START_EFFECTS: readonly Effect[] = [
-  { kind: EffectKind.QueryRank },
-  setTimer(TimerKind.RankReport, TIMER_KEY, POLL_INTERVAL_MS),
-  setTimer(TimerKind.ExpertCount, TIMER_KEY, COUNT_INTERVAL_MS),
-];
+const TIMER_KEY = 0;
 
 /** Key of the fields whose changes are sent to the driver without delay. */
 const stateKeyOf = (report: RankReport): string =>
@@ -89,6 +93,11 @@
 class RankMonitorService {
   #report: RankReport | undefined;
 
+  #reportAskedAt: Moment = NEVER;
+
+  /** When the questions were asked that have no answer yet. */
+  readonly #askedAt: Moment[] = [];
+
   /** Latest unanswered request; it is answered once the engine reports the hold. */
   #holdRequest: HoldRequest | undefined;
 
@@ -117,14 +126,17 @@
     find: FindService,
   ) {
     this.#members = find(ServiceName.Members);
-    this.#holds = HoldTracker.create(options.runtime.nowMs);
+    this.#holds = HoldTracker.create(options.runtime);
   }
 
   static create(options: RankMonitorOptions, find: FindService): RankMonitorService {
     return new RankMonitorService(options, find);
   }
 
-  readonly report = (): RankReport | undefined => this.#report;
+  readonly report = (): RankReport | undefined =>
+    this.#reportAgeMs() < MAX_REPORT_AGE_MS ? this.#report : undefined;
+
+  readonly reportAskedAt = (): Moment => this.#reportAskedAt;
 
   readonly countDelta = (): RankCountDelta | undefined => this.#lastDelta;
 
@@ -171,7 +183,7 @@
     switch (timer) {
       case TimerKind.RankReport:
         return [
-          { kind: EffectKind.QueryRank },
+          this.#askEngine(),
           setTimer(TimerKind.RankReport, TIMER_KEY, this.#pollIntervalMs()),
         ];
       case TimerKind.ExpertCount:
@@ -204,8 +216,27 @@
     return isFast ? FAST_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
   }
 
+  start(): readonly Effect[] {
+    return [
+      this.#askEngine(),
+      setTimer(TimerKind.RankReport, TIMER_KEY, POLL_INTERVAL_MS),
+      setTimer(TimerKind.ExpertCount, TIMER_KEY, COUNT_INTERVAL_MS),
+    ];
+  }
+
+  #askEngine(): Effect {
+    this.#askedAt.push(momentNow(this.options.runtime));
+    return { kind: EffectKind.QueryRank };
+  }
+
+  #reportAgeMs(): number {
+    return ageMsOf(this.options.runtime, this.#reportAskedAt);
+  }
+
+  /** Each question has one answer; if answers overtake each other, they count as older. */
   #onReport(report: RankReport | undefined): readonly Effect[] {
     this.#report = report;
+    this.#reportAskedAt = this.#askedAt.shift() ?? NEVER;
     if (report === undefined) {
       return [];
     }
@@ -238,6 +269,7 @@
       sendToPeer(address, {
         kind: PeerMessageKind.RankState,
         report,
+        ageMs: Math.round(this.#reportAgeMs()),
         engineAddress: this.options.engineAddress,
       }),
     );
@@ -305,14 +337,14 @@
   }
 
   #prepare(epoch: number, version: number, order: Order): readonly Effect[] {
-    const report = this.#report;
+    const report = this.report();
     const isDue =
       report?.epoch === epoch && report.armedVersion === 0 && report.preparedVersion < version;
     return isDue ? this.#giveLoggedOrder(order) : this.#pollSoon();
   }
 
   #hold(epoch: number, step: number): readonly Effect[] {
-    const report = this.#report;
+    const report = this.report();
     const isDue = report?.epoch === epoch && report.step < step && report.heldStep === 0;
     return isDue ? this.#giveLoggedOrder({ kind: OrderKind.Hold, epoch, step }) : this.#pollSoon();
   }
@@ -325,7 +357,7 @@
 
   /** Confirms the requested hold if the engine reports it. */
   #confirmRequestedHold(): readonly Effect[] {
-    const report = this.#report;
+    const report = this.report();
     const holdRequest = this.#holdRequest;
     if (report === undefined || holdRequest === undefined) {
       return [];
@@ -336,11 +368,12 @@
     this.#holdRequest = undefined;
     const { engineAddress } = this.options;
     const kind = PeerMessageKind.HoldConfirmed;
-    return [sendToPeer(holdRequest.address, { kind, report, engineAddress })];
+    const ageMs = Math.round(this.#reportAgeMs());
+    return [sendToPeer(holdRequest.address, { kind, report, ageMs, engineAddress })];
   }
 
   #arm(epoch: number, version: number, step: number): readonly Effect[] {
-    const report = this.#report;
+    const report = this.report();
     const isDue =
       report?.epoch === epoch && report.preparedVersion === version && report.armedVersion === 0;
     return isDue
@@ -349,7 +382,7 @@
   }
 
   #disarm(epoch: number, version: number): readonly Effect[] {
-    const report = this.#report;
+    const report = this.report();
     const isDue = report?.epoch === epoch && report.armedVersion === version;
     return isDue
       ? this.#giveLoggedOrder({ kind: OrderKind.Disarm, epoch, version })
@@ -360,7 +393,7 @@
   #pollSoon(): readonly Effect[] {
     this.#driverActiveAtMs = this.options.runtime.nowMs();
     this.#sentStateKey = '';
-    return [{ kind: EffectKind.QueryRank }];
+    return [this.#askEngine()];
   }
 
   #giveLoggedOrder(order: Order): readonly Effect[] {
@@ -399,9 +432,10 @@
   requires: [ServiceName.Members],
   create: (find) => {
     const service = RankMonitorService.create(options, find);
+    const { report, reportAskedAt, countDelta, order } = service;
     return createInstance(
-      { report: service.report, countDelta: service.countDelta, order: service.order },
-      { start: () => START_EFFECTS, handle: (event) => service.handle(event) },
+      { report, reportAskedAt, countDelta, order },
+      { start: () => service.start(), handle: (event) => service.handle(event) },
     );
   },
 });
--- a/packages/rank-agent/tests/agent.ts
+++ b/packages/rank-agent/tests/agent.ts
@@ -3,6 +3,7 @@
   EventKind,
   PeerMessageKind,
   PeerRole,
+  TimerKind,
   type Directory,
   type Effect,
   type Event,
@@ -35,10 +36,10 @@
 
 /** Runs the services of one agent; tests post its events. */
 export class Agent {
-  nowMs = 0;
+  #nowMs = 0;
 
-  /** Lead of the clock that counts suspended time over `nowMs`. */
-  suspendedMs = 0;
+  /** Lead of the clock that counts suspended time over the other one. */
+  #suspendedMs = 0;
 
   readonly #effects: Effect[] = [];
 
@@ -48,8 +49,8 @@
     this.#kernel = Kernel.create<Directory, Event, Effect>({
       services: createAgentServices({
         runtime: {
-          nowMs: () => this.nowMs,
-          suspendAwareMs: () => this.nowMs + this.suspendedMs,
+          nowMs: () => this.#nowMs,
+          suspendAwareMs: () => this.#nowMs + this.#suspendedMs,
           random: () => 0.5,
         },
         self: {
@@ -62,7 +63,7 @@
         engineAddress: '10.0.0.1:80',
         seeds: [],
       }),
-      nowMs: () => this.nowMs,
+      nowMs: () => this.#nowMs,
       perform: (effect) => this.#effects.push(effect),
       onDrained: () => undefined,
       onFatalError: (error) => {
@@ -89,6 +90,27 @@
     return this.#effects.slice(before);
   }
 
+  /** Lets time pass in which the process does nothing. */
+  wait(spanMs: number): void {
+    this.#nowMs += spanMs;
+  }
+
+  /** Lets time pass in which also the steady clock of the machine stands still. */
+  suspendMachine(spanMs: number): void {
+    this.#suspendedMs += spanMs;
+  }
+
+  /** Advances the clock until the driver evaluates; returns the resulting effects. */
+  tick(): readonly Effect[] {
+    this.wait(40);
+    return this.post({ kind: EventKind.TimerFired, timer: TimerKind.MapChange, key: 0 });
+  }
+
+  /** Asks the engine beside the agent. */
+  ask(): void {
+    this.post({ kind: EventKind.TimerFired, timer: TimerKind.RankReport, key: 0 });
+  }
+
   /** The engine beside the agent answers a question. */
   answer(report: RankReport): readonly Effect[] {
     return this.post({ kind: EventKind.RankReported, report });
@@ -98,14 +120,14 @@
     return this.post({ kind: EventKind.PeerMessageReceived, address, message });
   }
 
-  /** The driver of the group becomes known; it sorts before this agent. */
-  meetDriver(): void {
+  /** Another agent of the group becomes known; the one whose name sorts first is the driver. */
+  meet(name: string, address: string): void {
     this.receive({
       kind: PeerMessageKind.Hello,
       member: {
-        name: 'agent-0',
+        name,
         role: PeerRole.RankAgent,
-        address: DRIVER,
+        address,
         availabilityZone: 'zone-a',
         serviceName: 'model',
         groupName: 'group-1',
--- a/packages/rank-agent/tests/holds.test.ts
+++ b/packages/rank-agent/tests/holds.test.ts
@@ -25,15 +25,24 @@
 interface Fixture {
   readonly tracker: HoldTracker;
   readonly wait: (spanMs: number) => void;
+  readonly suspend: (spanMs: number) => void;
 }
 
 const createFixture = (): Fixture => {
   let nowMs = 0;
+  let suspendedMs = 0;
   return {
-    tracker: HoldTracker.create(() => nowMs),
+    tracker: HoldTracker.create({
+      nowMs: () => nowMs,
+      suspendAwareMs: () => nowMs + suspendedMs,
+      random: () => 0.5,
+    }),
     wait: (spanMs) => {
       nowMs += spanMs;
     },
+    suspend: (spanMs) => {
+      suspendedMs += spanMs;
+    },
   };
 };
 
@@ -46,6 +55,15 @@
   expect(tracker.abandonedStep()).toEqual(12);
 });
 
+// Guards against a group that stands still for longer because the clock of its agent did.
+test('suspended time counts in the age of a hold that no driver confirms', () => {
+  const { tracker, suspend } = createFixture();
+  tracker.recordReport(reportOf(0));
+  tracker.recordReport(reportOf(12));
+  suspend(250);
+  expect(tracker.abandonedStep()).toEqual(12);
+});
+
 test('retains a confirmed hold', () => {
   const { tracker, wait } = createFixture();
   tracker.recordReport(reportOf(0));
@@ -113,7 +131,7 @@
     agentAddress: `10.0.0.${rank}:7000`,
     engineAddress: `10.0.0.${rank}:80`,
     report: { ...reportOf(0), rank },
-    lastReceivedAtMs: 0,
+    asOf: { atMs: 0, atSuspendAwareMs: 0 },
   }));
   const takeDue = (): readonly number[] =>
     change.takeRanksDue(ranks, 800, 2).map(({ report }) => report.rank);
