--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -13,7 +13,15 @@
 import type { Exchange, ExchangeReason, Resolution } from './exchange.js';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import type { Moment } from './moment.js';
-import type { Member, PassEstimate, PeerRole, PoolRate, ReportedRefusal } from './peer-message.js';
+import type {
+  Member,
+  PassEstimate,
+  PeerRole,
+  PoolRate,
+  ReportedRefusal,
+  ServiceCount,
+  TargetCount,
+} from './peer-message.js';
 import type { Denial } from './request-check.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
@@ -40,6 +48,7 @@
   ColdStarts = 'cold-starts',
   Notices = 'notices',
   Results = 'results',
+  PeerKnowledge = 'peer-knowledge',
   Routing = 'routing',
   Copies = 'copies',
   Returns = 'returns',
@@ -232,6 +241,8 @@
   readonly recordRequest: (service: string) => void;
   /** Takes one retry out of the budget; false when the budget is spent. */
   readonly tryConsume: (service: string) => boolean;
+  /** Retries that this gateway took from its share of the additional ones, by service. */
+  readonly spentByService: () => readonly ServiceCount[];
 }
 
 /** Decides on further targets for a request; each `take` function uses the retry budget. */
@@ -337,6 +348,17 @@
   /** Whether this gateway may send a target one more request now. */
   readonly mayStart: (target: PublishedTarget) => boolean;
   readonly recordStart: (target: PublishedTarget) => void;
+  /** Requests that all gateways sent to cold targets in the last second, as far as known here. */
+  readonly recentStarts: () => readonly TargetCount[];
+}
+
+/** What this gateway learned from its peers after its start. */
+export interface PeerKnowledgeApi {
+  /**
+   * Whether the configuration may be served: the peers were asked, and no live one names a later
+   * configuration.
+   */
+  readonly isConfigurationCurrent: () => boolean;
 }
 
 /** What targets say of themselves in their answers. */
@@ -380,8 +402,10 @@
 
 /** The engine beside this process. */
 export interface RankMonitorApi {
-  /** Latest report; undefined while the engine does not answer. */
+  /** Latest report; undefined while the engine does not answer, or when the report is old. */
   readonly report: () => RankReport | undefined;
+  /** When the latest report was asked for. */
+  readonly reportAskedAt: () => Moment;
   /** Difference between the latest two counts; undefined before the second. */
   readonly countDelta: () => RankCountDelta | undefined;
   /**
@@ -410,6 +434,7 @@
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
   readonly [ServiceName.Results]: ResultsApi;
+  readonly [ServiceName.PeerKnowledge]: PeerKnowledgeApi;
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Copies]: CopiesApi;
   readonly [ServiceName.Returns]: ReturnsApi;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -17,6 +17,7 @@
 export * from './exchange-data.js';
 export { StartAnnouncement } from './loads-service.js';
 export * from './members-service.js';
+export * from './moment.js';
 export * from './peer-message.js';
 export * from './published.js';
 export * from './rank-data.js';
--- a/packages/gateway/src/intake/intake-service.ts
+++ b/packages/gateway/src/intake/intake-service.ts
@@ -48,6 +48,7 @@
     this.#check = {
       catalogue: find(ServiceName.Catalogue),
       store: find(ServiceName.Store),
+      peerKnowledge: find(ServiceName.PeerKnowledge),
       random: options.runtime.random,
     };
   }
@@ -108,6 +109,7 @@
   requires: [
     ServiceName.Store,
     ServiceName.Catalogue,
+    ServiceName.PeerKnowledge,
     ServiceName.Suspects,
     ServiceName.RetryBudget,
     ServiceName.Lifecycle,
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -1,5 +1,5 @@
 /** @module Checks callers' requests and resolves each to a route, a service and an organisation. */
-import type { CatalogueApi, StoreApi } from './directory.js';
+import type { CatalogueApi, PeerKnowledgeApi, StoreApi } from './directory.js';
 import type { CallerRequest } from './exchange-data.js';
 import { ExchangeReason, type Resolution } from './exchange.js';
 import { LocalStatus } from './local-answers.js';
@@ -26,6 +26,7 @@
 export interface RequestCheck {
   readonly catalogue: CatalogueApi;
   readonly store: StoreApi;
+  readonly peerKnowledge: PeerKnowledgeApi;
   /** Uniform in [0, 1); chooses among the services of a route. */
   readonly random: () => number;
 }
@@ -105,8 +106,8 @@
  * checkRequest({ catalogue, store, random }, request).verdict;
  */
 export const checkRequest = (check: RequestCheck, request: CallerRequest): CheckResult => {
-  const { catalogue } = check;
-  if (catalogue.version() === 0) {
+  const { catalogue, peerKnowledge } = check;
+  if (catalogue.version() === 0 || !peerKnowledge.isConfigurationCurrent()) {
     return deny(LocalStatus.NotRun, ExchangeReason.NotConfigured);
   }
   const route = catalogue.routeOf(request.host, request.path);
