--- a/packages/gateway-io/tests/peer-messages.test.ts
+++ b/packages/gateway-io/tests/peer-messages.test.ts
@@ -1,4 +1,4 @@
-/** @module Messages about crashes and loads, as other versions of a gateway send them. */
+/** @module Messages as other versions of a gateway send them. */
 import { test } from 'node:test';
 import { PeerMessageKind } from '@ebonysill/gateway';
 import { expect } from 'earl';
@@ -30,6 +30,12 @@
   expect(parsePeerMessage(message)).toEqual(undefined);
 });
 
+// Guards against mixed versions: load messages that are dropped leave targets overcommitted.
+test('a load message of an earlier version has no passes and no age', () => {
+  const kind = PeerMessageKind.Load;
+  expect(parsePeerMessage({ kind, counts: [] })).toEqual({ kind, counts: [], passes: [] });
+});
+
 // Guards against a fleet that counts nothing of its older gateways while it is updated.
 test('a load of an earlier version has no work', () => {
   const message = { kind: PeerMessageKind.LoadChange as const, instanceId: 'i-1', count: 2 };
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,8 @@
 import type { RequestWork } from '@ebonysill/scheduling';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import { EventSplitter } from './event-splitter.js';
+import type { WaitTrace } from './intake/wait-trace.js';
+import { NEVER, type Moment } from './moment.js';
 import { CallKind, type Organisation, type PublishedTarget, type Route } from './published.js';
 
 /** How an exchange ended. */
@@ -70,7 +72,8 @@
 
   target: PublishedTarget | undefined;
 
-  callStartedAtMs = 0;
+  /** When the current call was sent. */
+  calledAt: Moment = NEVER;
 
   /** Work of the current call that is outstanding; undefined when it is not known. */
   outstandingWork: RequestWork | undefined;
@@ -107,6 +110,9 @@
 
   splitter = EventSplitter.create();
 
+  /** What was known when the request had to wait; undefined if it did not. */
+  wait: WaitTrace | undefined;
+
   readonly triedIds = new Set<string>();
 
   private constructor(
@@ -156,6 +162,11 @@
     return this.resolution.route.kind === CallKind.Streaming;
   }
 
+  /** Records why and how long the request waited. */
+  recordWait(wait: WaitTrace): void {
+    this.wait = wait;
+  }
+
   /** Records the start of a call to a target and discards the answer of the previous call. */
   recordCall(callId: number, target: PublishedTarget, pool: string): void {
     this.callId = callId;
@@ -169,9 +180,9 @@
     this.lastCallEventAtMs = undefined;
   }
 
-  /** Records when a call starts and the work that it causes. */
-  recordStart(nowMs: number, work: RequestWork | undefined): void {
-    this.callStartedAtMs = nowMs;
+  /** Records when the current call was sent and the work that it causes. */
+  recordStart(moment: Moment, work: RequestWork | undefined): void {
+    this.calledAt = moment;
     this.outstandingWork = work;
   }
 
--- a/packages/gateway/src/feature.ts
+++ b/packages/gateway/src/feature.ts
@@ -1,5 +1,5 @@
 /** @module Features that a deployment asks for, and the decisions that each of them uses. */
-import { chooseByWork, measureRequest, priorityOf } from '@ebonysill/scheduling';
+import { QUEUE_BY_RATE, chooseByWork, measureRequest, priorityOf } from '@ebonysill/scheduling';
 import type { GatewayOptions } from './create-gateway-services.js';
 import { StartAnnouncement } from './loads-service.js';
 
@@ -12,7 +12,7 @@
 /** Decisions of a gateway that a feature replaces. */
 export type FeatureDecisions = Pick<
   GatewayOptions,
-  'decidePriority' | 'chooseTarget' | 'measureRequest' | 'startAnnouncement'
+  'decidePriority' | 'queueDecisions' | 'chooseTarget' | 'measureRequest' | 'startAnnouncement'
 >;
 
 /** Returns the decisions of these features. */
@@ -28,6 +28,7 @@
   features.includes(Feature.Scheduling)
     ? {
         decidePriority: priorityOf,
+        queueDecisions: QUEUE_BY_RATE,
         chooseTarget: chooseByWork,
         measureRequest,
         startAnnouncement: StartAnnouncement.TargetAndEnds,
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -5,9 +5,12 @@
 import {
   ServiceName,
   type AdmissionApi,
+  type CopiesApi,
   type FindService,
   type MembersApi,
   type Registration,
+  type ReturnsApi,
+  type ThroughputApi,
 } from './directory.js';
 import type { Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
@@ -16,6 +19,7 @@
   PeerMessageKind,
   PeerRole,
   type LoadChangeMessage,
+  type LoadMessage,
   type TargetCount,
 } from './peer-message.js';
 import PeerTotals from './PeerTotals.js';
@@ -25,6 +29,12 @@
 /** Interval of messages with all counts; they report ended requests, which is less urgent. */
 const BROADCAST_INTERVAL_MS = 250;
 
+/**
+ * Interval of the messages of a gateway without requests; they tell the age of its copy of the store,
+ * by which others decide whether they alone have lost the store.
+ */
+const IDLE_INTERVAL_MS = 1_000;
+
 /** Counts of a gateway from which nothing was received for this long are ignored. */
 const COUNT_EXPIRY_MS = 1_500;
 
@@ -60,12 +70,20 @@
   /** Empty when requests have been announced since. */
   #lastBroadcast = '';
 
+  #lastBroadcastAtMs = Number.NEGATIVE_INFINITY;
+
   #changeCount = 0;
 
   readonly #members: MembersApi;
 
   readonly #admission: AdmissionApi;
 
+  readonly #copies: CopiesApi;
+
+  readonly #throughput: ThroughputApi;
+
+  readonly #returns: ReturnsApi;
+
   private constructor(
     private readonly options: LoadsOptions,
     find: FindService,
@@ -73,6 +91,9 @@
     this.#peerTotals = PeerTotals.create(options.runtime.nowMs, COUNT_EXPIRY_MS);
     this.#members = find(ServiceName.Members);
     this.#admission = find(ServiceName.Admission);
+    this.#copies = find(ServiceName.Copies);
+    this.#throughput = find(ServiceName.Throughput);
+    this.#returns = find(ServiceName.Returns);
   }
 
   static create(options: LoadsOptions, find: FindService): LoadsService {
@@ -167,19 +188,31 @@
     return { instanceId, ...(this.#ownLoads.get(instanceId) ?? LoadSum.create()).toReport() };
   }
 
-  /** Sends nothing when no request is in progress and the last broadcast already said so. */
+  /** Sends less often while no request is in progress and the last broadcast already said so. */
   #broadcast(): readonly Effect[] {
     this.#endedIds.clear();
     const counts = [...this.#ownLoads.keys()].map((instanceId) => this.#reportOf(instanceId));
-    const passes = this.#admission.ownEstimates();
+    const refusals = this.#returns.takeNews();
     const text = JSON.stringify(counts);
-    if (counts.length === 0 && text === this.#lastBroadcast) {
+    const nowMs = this.options.runtime.nowMs();
+    const isRecent = nowMs - this.#lastBroadcastAtMs < IDLE_INTERVAL_MS;
+    const hasNews = counts.length > 0 || refusals.length > 0 || text !== this.#lastBroadcast;
+    if (!hasNews && isRecent) {
       return [];
     }
     this.#lastBroadcast = text;
+    this.#lastBroadcastAtMs = nowMs;
+    const message: LoadMessage = {
+      kind: PeerMessageKind.Load,
+      counts,
+      passes: this.#admission.ownEstimates(),
+      copyAgeMs: this.#copies.ownAgeMs(),
+      rates: this.#throughput.ownRates(),
+      ...(refusals.length === 0 ? {} : { refusals }),
+    };
     return this.#members
       .others(PeerRole.Gateway)
-      .map(({ address }) => sendToPeer(address, { kind: PeerMessageKind.Load, counts, passes }));
+      .map(({ address }) => sendToPeer(address, message));
   }
 }
 
@@ -191,7 +224,13 @@
  */
 export const loadsRegistration = (options: LoadsOptions): Registration<ServiceName.Loads> => ({
   name: ServiceName.Loads,
-  requires: [ServiceName.Members, ServiceName.Admission],
+  requires: [
+    ServiceName.Members,
+    ServiceName.Admission,
+    ServiceName.Copies,
+    ServiceName.Throughput,
+    ServiceName.Returns,
+  ],
   create: (find) => {
     const service = LoadsService.create(options, find);
     return createInstance(service, {
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -4,6 +4,7 @@
   EventKind,
   PeerRole,
   type Effect,
+  type GatewayOptions,
   type SendToPeerEffect,
   type StartCallEffect,
   type StoreItem,
@@ -18,6 +19,8 @@
   readonly gateway: Harness;
   readonly callId: number;
   readonly instanceId: string;
+  /** Body of the request, as text. */
+  readonly body: string;
   readonly atMs: number;
 }
 
@@ -42,6 +45,8 @@
 
   readonly #gateways: readonly Gateway[];
 
+  readonly #withoutStore = new Set<Harness>();
+
   #inFlight: readonly SentMessage[] = [];
 
   private constructor(
@@ -57,7 +62,12 @@
    * @example
    * const fleet = Fleet.create(10, [targetItem(targetOf('t-1'))]);
    */
-  static create(count: number, items: readonly StoreItem[], isLost: IsLost = () => false): Fleet {
+  static create(
+    count: number,
+    items: readonly StoreItem[],
+    isLost: IsLost = () => false,
+    options: Partial<GatewayOptions> = {},
+  ): Fleet {
     const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}:7000`);
     const fleet = new Fleet(
       addresses.map((address, index) => ({
@@ -70,6 +80,7 @@
             availabilityZone: 'zone-a',
           },
           seeds: addresses.filter((other) => other !== address),
+          ...options,
         }),
         doneCount: 0,
       })),
@@ -87,6 +98,14 @@
     return this.harnesses[0]?.nowMs ?? 0;
   }
 
+  /** From now on the store does not answer the gateway with this index. */
+  loseStore(index: number): void {
+    const harness = this.harnesses[index];
+    if (harness !== undefined) {
+      this.#withoutStore.add(harness);
+    }
+  }
+
   /** Advances the clock step by step; `onStep` runs before the messages of a step arrive. */
   run(spanMs: number, onStep: () => void = () => undefined): void {
     Array.from({ length: spanMs / STEP_MS }).forEach(() => {
@@ -95,7 +114,7 @@
       this.#inFlight = [];
       arriving.forEach((message) => this.#deliver(message));
       this.#gateways.forEach((gateway) => {
-        gateway.harness.advance(STEP_MS);
+        gateway.harness.advance(STEP_MS, !this.#withoutStore.has(gateway.harness));
         this.#carryOut(gateway);
       });
     });
@@ -116,8 +135,14 @@
     this.#inFlight = [...this.#inFlight, ...sent.map((effect) => ({ from: address, effect }))];
     effects
       .filter((effect): effect is StartCallEffect => effect.kind === EffectKind.StartCall)
-      .forEach(({ callId, call: { instanceId } }) =>
-        this.calls.push({ gateway: harness, callId, instanceId, atMs: harness.nowMs }),
+      .forEach(({ callId, call: { instanceId, body } }) =>
+        this.calls.push({
+          gateway: harness,
+          callId,
+          instanceId,
+          body: Buffer.from(body).toString(),
+          atMs: harness.nowMs,
+        }),
       );
   }
 }
