fix: loads of targets are read when a decision asks for them

Each request read work, long prompts and results of all targets of its service, of which the decision compares two.

--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -21,6 +21,7 @@
   type TargetsApi,
 } from './directory.js';
 import type { Effect } from './effect.js';
+import LoadedTarget from './LoadedTarget.js';
 import { PeerRole } from './peer-message.js';
 import { isSized, type PublishedTarget, type SizedEngine } from './published.js';
 import type { Runtime } from './runtime.js';
@@ -172,16 +173,13 @@
   }
 
   #toCandidate(target: PublishedTarget, usualTokens: number): TargetCandidate {
-    const { instanceId, slots, availabilityZone } = target;
-    return {
+    return LoadedTarget.create({
       target,
-      slots,
-      runningCount: this.#loads.countAt(instanceId),
-      workTokens: this.#loads.workTokensAt(instanceId, usualTokens),
-      longCount: this.#loads.longCountAt(instanceId),
-      ...this.#results.conditionOf(target),
-      isSameZone: availabilityZone === this.options.availabilityZone,
-    };
+      usualTokens,
+      loads: this.#loads,
+      results: this.#results,
+      availabilityZone: this.options.availabilityZone,
+    });
   }
 
   /** Usable targets without those that said that they leave. */
