feat: experiment that compares policies for overload on virtual time

Cause: decisions on overload were compared only by plays on the platform, which take minutes each, vary between plays, and mix many causes.

The emulator now exports its virtual clock.

--- /dev/null
+++ b/packages/bench/src/overload/SimulatedGateway.ts
@@ -0,0 +1,271 @@
+/** @module The services of one gateway on virtual time, with ports to the models around it. */
+import type { ScheduledAction, VirtualTime } from '@ebonysill/emulator';
+import {
+  CallStage,
+  EffectKind,
+  EventKind,
+  NO_NOTICE,
+  PeerRole,
+  StoreFailure,
+  StoreReadKind,
+  TargetReachability,
+  createGatewayServices,
+  type AbortAnswerEffect,
+  type BeginAnswerEffect,
+  type ContinueAnswerEffect,
+  type Directory,
+  type Effect,
+  type EndAnswerEffect,
+  type Event,
+  type GatewayOptions,
+  type ReadStoreEffect,
+  type SendAnswerEffect,
+  type SendToPeerEffect,
+  type StartCallEffect,
+  type StoreItem,
+  type TargetHead,
+} from '@ebonysill/gateway';
+import { Kernel } from '@ebonysill/kernel';
+import { zoneOf } from './deployment.js';
+import { Submission, type EngineGroup, type Job } from './EngineGroup.js';
+
+/** Delay between a gateway and a caller, a target or the store. */
+export const HOP_MS = 0.5;
+
+/** A watch of the store is answered after this time, so that it reports changes soon. */
+const WATCH_MS = 250;
+
+/** What a gateway sends to a caller. */
+export type AnswerEffect =
+  SendAnswerEffect | BeginAnswerEffect | ContinueAnswerEffect | EndAnswerEffect | AbortAnswerEffect;
+
+/** One rank of a group. */
+export interface RankAddress {
+  readonly group: EngineGroup;
+  readonly index: number;
+}
+
+/** The world around a gateway. */
+export interface GatewayWorld {
+  readonly time: VirtualTime;
+  readonly random: () => number;
+  readonly rankAt: (address: string) => RankAddress | undefined;
+  /** Items of the store that changed after a revision; undefined when it can't be reached. */
+  readonly itemsAfter: (revision: number) => readonly StoreItem[] | undefined;
+  readonly storeRevision: () => number;
+  readonly sendToPeer: (effect: SendToPeerEffect) => void;
+  readonly onAnswer: (effect: AnswerEffect) => void;
+  /** A target begins to run the request with this body. */
+  readonly onRun: (body: Uint8Array) => void;
+}
+
+/** Number, peers and decisions of a gateway. */
+export interface SimulatedGatewayOptions {
+  readonly index: number;
+  readonly addresses: readonly string[];
+  readonly decisions: Partial<GatewayOptions>;
+  readonly world: GatewayWorld;
+}
+
+interface Call extends RankAddress {
+  readonly job: Job;
+}
+
+const headOf = (changes: Partial<TargetHead>): TargetHead => ({
+  ...{ status: 200, isNotRun: false, isSigned: true, isEventStream: false },
+  ...{ endsWithConnection: false, notice: NO_NOTICE, headers: [] },
+  ...changes,
+});
+
+/** Performs the effects of the services; can be stopped and started again without its state. */
+export default class SimulatedGateway {
+  #kernel: Kernel<Directory, Event, Effect> | undefined;
+
+  readonly #timers = new Map<string, ScheduledAction>();
+
+  readonly #calls = new Map<number, Call>();
+
+  private constructor(private readonly options: SimulatedGatewayOptions) {}
+
+  /**
+   * Creates a gateway and starts it.
+   *
+   * @example
+   * SimulatedGateway.create({ index: 0, addresses: ['gateway-0'], decisions: {}, world }).isUp;
+   */
+  static create(options: SimulatedGatewayOptions): SimulatedGateway {
+    const gateway = new SimulatedGateway(options);
+    gateway.start();
+    return gateway;
+  }
+
+  get isUp(): boolean {
+    return this.#kernel !== undefined;
+  }
+
+  /** Handles an event, unless the process is down. */
+  post(event: Event): void {
+    this.#kernel?.post(event);
+  }
+
+  /** Starts the process with empty state. */
+  start(): void {
+    const { index, addresses, decisions, world } = this.options;
+    const nowMs = (): number => world.time.nowMs;
+    const address = addresses[index] ?? '';
+    const kernel = Kernel.create<Directory, Event, Effect>({
+      services: createGatewayServices({
+        runtime: { nowMs, suspendAwareMs: nowMs, random: world.random },
+        self: {
+          ...{ name: address, role: PeerRole.Gateway, address },
+          availabilityZone: zoneOf(index),
+        },
+        seeds: addresses.filter((other) => other !== address).slice(0, 3),
+        retryBudget: { ratio: 0.2, windowMs: 10_000, extraCount: 120 },
+        graceMs: 8_000,
+        ...decisions,
+      }),
+      nowMs,
+      perform: (effect) => this.#perform(effect),
+      onDrained: () => undefined,
+      onFatalError: (error) => {
+        throw error;
+      },
+    });
+    this.#kernel = kernel;
+    kernel.start();
+  }
+
+  /** Ends the process at once; its calls end too. */
+  stop(): void {
+    this.#kernel = undefined;
+    this.#timers.forEach((timer) => this.options.world.time.cancel(timer));
+    this.#timers.clear();
+    [...this.#calls.keys()].forEach((callId) => this.#cancel(callId));
+  }
+
+  #later(delayMs: number, event: Event): void {
+    const kernel = this.#kernel;
+    this.options.world.time.schedule(delayMs, () => {
+      if (kernel === this.#kernel) {
+        kernel?.post(event);
+      }
+    });
+  }
+
+  #perform(effect: Effect): void {
+    const { world } = this.options;
+    switch (effect.kind) {
+      case EffectKind.SetTimer:
+        this.#setTimer(`${effect.timer}/${effect.key}`, effect.delayMs, {
+          ...{ kind: EventKind.TimerFired, timer: effect.timer, key: effect.key },
+        });
+        break;
+      case EffectKind.ClearTimer:
+        this.#clearTimer(`${effect.timer}/${effect.key}`);
+        break;
+      case EffectKind.StartCall:
+        world.time.schedule(HOP_MS, () => this.#submit(effect));
+        break;
+      case EffectKind.CancelCall:
+        world.time.schedule(HOP_MS, () => this.#cancel(effect.callId));
+        break;
+      case EffectKind.CheckTarget:
+        this.#later(HOP_MS, {
+          ...{ kind: EventKind.TargetChecked, instanceId: effect.instanceId },
+          reachability: TargetReachability.Listening,
+        });
+        break;
+      case EffectKind.ReadStore:
+        this.#readStore(effect);
+        break;
+      case EffectKind.SendToPeer:
+        world.sendToPeer(effect);
+        break;
+      case EffectKind.SendAnswer:
+      case EffectKind.BeginAnswer:
+      case EffectKind.ContinueAnswer:
+      case EffectKind.EndAnswer:
+      case EffectKind.AbortAnswer:
+        world.onAnswer(effect);
+        break;
+      default:
+    }
+  }
+
+  #setTimer(name: string, delayMs: number, event: Event): void {
+    this.#clearTimer(name);
+    const timer = this.options.world.time.schedule(delayMs, () => {
+      this.#timers.delete(name);
+      this.post(event);
+    });
+    this.#timers.set(name, timer);
+  }
+
+  #clearTimer(name: string): void {
+    const timer = this.#timers.get(name);
+    if (timer !== undefined) {
+      this.#timers.delete(name);
+      this.options.world.time.cancel(timer);
+    }
+  }
+
+  #readStore({ read, afterRevision }: ReadStoreEffect): void {
+    const { time, itemsAfter, storeRevision } = this.options.world;
+    const kernel = this.#kernel;
+    time.schedule(read === StoreReadKind.Page ? HOP_MS : WATCH_MS, () => {
+      const items = itemsAfter(afterRevision);
+      const event: Event =
+        items === undefined
+          ? { kind: EventKind.StoreFailed, read, failure: StoreFailure.Unreachable, detail: 'down' }
+          : { kind: EventKind.StoreRead, read, items, revision: storeRevision() };
+      if (kernel === this.#kernel) {
+        kernel?.post(event);
+      }
+    });
+  }
+
+  #submit({ callId, call }: StartCallEffect): void {
+    const { rankAt, onRun } = this.options.world;
+    const rank = rankAt(call.address);
+    if (!this.isUp || rank === undefined) {
+      const stage = CallStage.NotSent;
+      this.#later(HOP_MS, { kind: EventKind.TargetCallFailed, callId, stage, detail: 'down' });
+      return;
+    }
+    const { promptTokens, eventCount } = JSON.parse(Buffer.from(call.body).toString()) as Job;
+    const isEventStream = promptTokens > 0;
+    const load = (): TargetHead['load'] & object => rank.group.loadOf(rank.index);
+    const job: Job = {
+      ...{ promptTokens, eventCount, priority: call.priority ?? 5 },
+      onStart: () => onRun(call.body),
+      onEvent: (event) => {
+        if (event === (isEventStream ? 1 : eventCount)) {
+          const head = headOf({ isEventStream, load: load() });
+          this.#later(HOP_MS, { kind: EventKind.TargetHeadReceived, callId, head });
+        }
+        if (isEventStream || event === eventCount) {
+          const data = Buffer.from(`id: ${event}\ndata: x\n\n`);
+          this.#later(HOP_MS, { kind: EventKind.TargetDataReceived, callId, data });
+        }
+      },
+      onEnd: () => {
+        this.#calls.delete(callId);
+        this.#later(HOP_MS, { kind: EventKind.TargetAnswerEnded, callId });
+      },
+    };
+    this.#calls.set(callId, { ...rank, job });
+    if (rank.group.submit(rank.index, job) === Submission.Rejected) {
+      this.#calls.delete(callId);
+      const head = headOf({ status: 503, isNotRun: true, load: load() });
+      this.#later(HOP_MS, { kind: EventKind.TargetHeadReceived, callId, head });
+      this.#later(HOP_MS, { kind: EventKind.TargetAnswerEnded, callId });
+    }
+  }
+
+  #cancel(callId: number): void {
+    const call = this.#calls.get(callId);
+    this.#calls.delete(callId);
+    call?.group.cancel(call.index, call.job);
+  }
+}
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -15,6 +15,7 @@
 export { FakeConfigurationService, FakeConfigurationMode } from './fake-configuration-service.js';
 export { DeliveryOutcome, type Delivery, type NetworkRules } from './emulated-network.js';
 export { Step, stepOf } from './step.js';
+export { VirtualTime, type ScheduledAction } from './virtual-time.js';
 export { chunkOf, expectedAnswer } from './expected-answer.js';
 export { createFleet, type FleetOptions, type Fleet } from './fleet.js';
 export {
