--- a/packages/bench/src/overload/summary.ts
+++ b/packages/bench/src/overload/summary.ts
@@ -68,7 +68,9 @@
   const groups = new Map<string, RequestRecord[]>();
   records.forEach((record) => {
     const key = keyOf(record);
-    groups.set(key, [...(groups.get(key) ?? []), record]);
+    const group = groups.get(key) ?? [];
+    groups.set(key, group);
+    group.push(record);
   });
   return new Map([...groups].map(([key, group]) => [key, sharesOf(group)]));
 };
