fix: the swing of the overload experiment has the usual load of the other patterns

Cause: with arrivals until 15 s the swing covers more of its trough; the decisions before refused 1.5 % and nearly everything was in time, so policies hardly differed.

--- a/packages/bench/src/overload/traffic.ts
+++ b/packages/bench/src/overload/traffic.ts
@@ -101,7 +101,7 @@
     loadAt: (atMs, gateway) => {
       const phase = (atMs / SWING_MS + (gateway % 3) / 12) * 2 * Math.PI;
       const burst = bursts.find(({ fromMs }) => atMs >= fromMs && atMs < fromMs + 1_000);
-      return (1 + 0.55 * Math.sin(phase)) * (burst?.factor ?? 1);
+      return USUAL_LOAD * (1 + 0.55 * Math.sin(phase)) * (burst?.factor ?? 1);
     },
   };
 };
