--- a/packages/bench/src/overload/SimulatedGateway.ts
+++ b/packages/bench/src/overload/SimulatedGateway.ts
@@ -123,6 +123,7 @@
         seeds: addresses.filter((other) => other !== address).slice(0, 3),
         retryBudget: { ratio: 0.2, windowMs: 10_000, extraCount: 120 },
         graceMs: 8_000,
+        drainTimeoutMs: 2_000,
         ...decisions,
       }),
       nowMs,
