--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -5,6 +5,7 @@
 import {
   isFailure,
   isFinalStatus,
+  isFull,
   isLiveStream,
   isSuccess,
   promisesNotRun,
@@ -21,10 +22,12 @@
   type NoticesApi,
   type RefusalsApi,
   type Registration,
+  type ResultsApi,
   type RetriesApi,
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
+  type ThroughputApi,
 } from './directory.js';
 import { EffectKind, type Effect } from './effect.js';
 import {
@@ -47,9 +50,10 @@
 import { endStateOf } from './intake/end-state.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
-import { momentNow } from './moment.js';
+import { ageMsOf, momentNow } from './moment.js';
 import type { PublishedTarget } from './published.js';
 import type { Runtime } from './runtime.js';
+import { TargetResultKind } from './target-result.js';
 import TimerKind from './TimerKind.js';
 
 /** Options of the service; it uses the clock and the random numbers of `runtime`. */
@@ -97,6 +101,10 @@
 
   readonly #notices: NoticesApi;
 
+  readonly #throughput: ThroughputApi;
+
+  readonly #results: ResultsApi;
+
   readonly #lifecycle: LifecycleApi;
 
   private constructor(
@@ -112,6 +120,8 @@
     this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
+    this.#throughput = find(ServiceName.Throughput);
+    this.#results = find(ServiceName.Results);
     this.#lifecycle = find(ServiceName.Lifecycle);
   }
 
@@ -207,17 +217,25 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     exchange.recordCall(callId, target, this.#routing.poolOf(target));
-    exchange.recordCallMoment(momentNow(this.options.runtime));
     this.#exchangeOfCall.set(callId, exchange);
-    const announcements = this.#loads.recordStart(target.instanceId);
+    const work = this.#routing.workOf(exchange);
+    exchange.recordStart(momentNow(this.options.runtime), work);
+    const announcements = this.#loads.recordStart(target.instanceId, work);
     this.#coldStarts.recordStart(target);
     this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
+    const { service, organisation } = exchange.resolution;
+    this.#throughput.recordStart(service, organisation?.name ?? '');
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
-    const { runtime, decidePriority } = this.options;
-    const call = buildTargetCall({ exchange, target, nowMs: runtime.nowMs(), decidePriority });
+    const { decidePriority } = this.options;
+    const call = buildTargetCall({
+      exchange,
+      target,
+      nowMs: this.options.runtime.nowMs(),
+      decidePriority,
+    });
     return [{ kind: EffectKind.StartCall, callId, call }, ...announcements];
   }
 
@@ -229,8 +247,9 @@
       return;
     }
     this.#exchangeOfCall.delete(callId);
-    this.#loads.recordEnd(target.instanceId);
+    this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
     this.#admission.recordEnd(pool, exchange.id);
+    this.#throughput.recordEnd(pool);
     exchange.clearCall();
   }
 
@@ -311,11 +330,45 @@
   }
 
   #recordProgress(exchange: Exchange, event: StreamEvent): void {
+    if (exchange.firstEventMs === undefined) {
+      this.#recordAnswerTime(exchange);
+    }
     const pauseMs = exchange.recordEvent(this.options.runtime.nowMs(), event.id);
+    if (pauseMs === undefined) {
+      this.#recordAnswered(exchange);
+    }
     this.#admission.recordEvent(exchange.pool, exchange.id, pauseMs);
     exchange.recordGroupEvents(this.#admission.eventCountOf(exchange.pool));
   }
 
+  /** Times of requests that were called more than once are not usual. */
+  #recordAnswerTime({ resolution, receivedAtMs, wait, triedIds }: Exchange): void {
+    if (triedIds.size === 1) {
+      const timeMs = this.options.runtime.nowMs() - receivedAtMs - (wait?.waitedMs ?? 0);
+      this.#throughput.recordAnswer(resolution.route.name, timeMs);
+    }
+  }
+
+  /** Records that the answer of the current call has begun, or has arrived if it is no stream. */
+  #recordAnswered(exchange: Exchange): void {
+    const { target, calledAt } = exchange;
+    if (target === undefined) {
+      return;
+    }
+    const latencyMs = ageMsOf(this.options.runtime, calledAt);
+    this.#results.recordResult(target, { kind: TargetResultKind.Answered, latencyMs });
+    const work = exchange.callId === undefined ? undefined : exchange.recordPromptRead();
+    if (work !== undefined) {
+      this.#loads.recordPromptRead(target.instanceId, work);
+    }
+  }
+
+  #recordResult({ target }: Exchange, kind: TargetResultKind.Failed | TargetResultKind.Full): void {
+    if (target !== undefined) {
+      this.#results.recordResult(target, { kind });
+    }
+  }
+
   /** A stream that is resumed at another target keeps the head sent for the first one. */
   static #beginAnswer(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
     return exchange.markAnswerBegun()
@@ -367,6 +420,11 @@
       );
     }
     exchange.recordAttempt();
+    if (isFailure(status)) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    } else {
+      this.#recordAnswered(exchange);
+    }
     const retried = isFailure(status) ? this.#retry(exchange) : undefined;
     if (retried !== undefined) {
       return [
@@ -377,6 +435,7 @@
     if (promisesNotRun(status)) {
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
+    this.#recordAnswerTime(exchange);
     return [
       ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
@@ -393,6 +452,9 @@
   /** The target proved that it did not run the request, so any kind of call may be retried. */
   #onNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
     exchange.recordRejection();
+    if (isFull(head)) {
+      this.#recordResult(exchange, TargetResultKind.Full);
+    }
     const target = this.#retries.takeAfterRejection(exchange);
     return [
       callFailedLine(
@@ -413,6 +475,7 @@
       return this.#onConnectionLost(exchange, detail);
     }
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     exchange.recordUnreachable();
     const lines = [
       callFailedLine(exchange, ExchangeReason.TargetUnreachable, detail),
@@ -487,6 +550,7 @@
   ): readonly Effect[] {
     exchange.recordAttempt();
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [callFailedLine(exchange, reason, detail)];
   }
 
@@ -527,6 +591,7 @@
     }
     const line = callFailedLine(exchange, ExchangeReason.Stalled, 'others of its group go on');
     exchange.recordAttempt();
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [line, ...this.#cancelCall(exchange), ...this.#call(exchange, target)];
   }
 
@@ -536,6 +601,9 @@
       return [];
     }
     exchange.markAbandoned();
+    if (exchange.callId !== undefined && exchange.progress === AnswerProgress.None) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    }
     return [
       ...this.#cancelCall(exchange),
       ...this.#fail(exchange, ExchangeReason.DeadlinePassed, LocalStatus.Timeout),
@@ -623,6 +691,8 @@
     ServiceName.Retries,
     ServiceName.ColdStarts,
     ServiceName.Notices,
+    ServiceName.Throughput,
+    ServiceName.Results,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
