fix: the overload experiment announces sizes, and follows the choice of targets by work

Bench did not build, and a policy that goes by sizes had none.

Change: callers announce the maximum and an estimate of the answer, right at the median and missing for a tenth. The naive policy knows its own counts alone because its gateways get no load messages; candidates no longer show own counts.

Measured: 21 of 21 tests of the experiment pass.

--- a/packages/bench/src/bin/overload.ts
+++ b/packages/bench/src/bin/overload.ts
@@ -60,9 +60,9 @@
   const scenario = createScenario();
   const { deployment, incident, incidentAtMs } = scenario;
   const requests = drawRequests(scenario, createRandom(seed + 1));
-  const results = POLICIES.map(({ name, decisions }) => ({
-    name,
-    result: runScenario({ scenario: createScenario(), requests, decisions, seed: seed + 2 }),
+  const results = POLICIES.map((policy) => ({
+    name: policy.name,
+    result: runScenario({ scenario: createScenario(), requests, policy, seed: seed + 2 }),
   }));
   const bound = boundOf(requests, deployment, (atMs) =>
     incident === Incident.HalfPoolReturns && atMs < incidentAtMs ? 0.5 : 1,
--- a/packages/bench/src/overload/Callers.ts
+++ b/packages/bench/src/overload/Callers.ts
@@ -2,7 +2,7 @@
 import type { Random, VirtualTime } from '@ebonysill/emulator';
 import { EffectKind, EventKind } from '@ebonysill/gateway';
 import SimulatedGateway, { HOP_MS, type AnswerEffect } from './SimulatedGateway.js';
-import type { PlannedRequest } from './traffic.js';
+import { MAX_EVENTS, type PlannedRequest } from './traffic.js';
 
 /** How a request ended for its caller. */
 export enum Ending {
@@ -123,6 +123,7 @@
 
   #send(record: RequestRecord, gateway: number): void {
     const { id, kind, organisation, deadlineAtMs, promptTokens, eventCount } = record.planned;
+    const { answerTokensHint } = record.planned;
     this.#exchangeCount += 1;
     const exchangeId = this.#exchangeCount;
     const attempt = { exchangeId, record, gateway };
@@ -137,6 +138,8 @@
     const request = {
       ...{ attemptId: `${id}-${exchangeId}`, host: 'app.example', method: 'POST', headers: [] },
       ...{ path: `/${kind.name}/x`, credential: `key-${organisation}`, remainingMs, promptTokens },
+      ...(promptTokens > 0 ? { maxAnswerTokens: 4 * MAX_EVENTS } : {}),
+      ...(answerTokensHint === undefined ? {} : { answerTokensHint }),
       promptSegments: promptTokens > 0 ? ['shared'] : [],
       body: Buffer.from(JSON.stringify({ id, promptTokens, eventCount })),
     };
--- a/packages/bench/src/overload/deployment.ts
+++ b/packages/bench/src/overload/deployment.ts
@@ -31,12 +31,17 @@
   readonly gatewayCount: number;
   readonly groupCount: number;
   readonly group: GroupProfile;
+  /** Tokens that a rank keeps in memory, as published. */
+  readonly kvCacheTokens: number;
   readonly kinds: readonly RequestKind[];
 }
 
 /** Longest pause between the events of a stream that meets the objective. */
 export const MAX_PAUSE_MS = 120;
 
+/** Mean of the prompts of all kinds, with the shared tokens. */
+const USUAL_PROMPT_TOKENS = 835;
+
 /** Organisations of each deployment. */
 export const ORGANISATION_COUNT = 24;
 
@@ -96,6 +101,7 @@
 export const CAPTIONS: Deployment = {
   gatewayCount: 6,
   groupCount: 2,
+  kvCacheTokens: 217_000,
   group: { ...GROUP, rankCount: 24, stepMs: 5.85, readTokensPerMs: 61.2 },
   kinds: [
     ...CAPTIONS_STREAMS.map(streamOf(0.5, 2 / 3)),
@@ -108,6 +114,7 @@
 export const PARKING: Deployment = {
   gatewayCount: 22,
   groupCount: 1,
+  kvCacheTokens: 288_166,
   group: { ...GROUP, rankCount: 36, stepMs: 4.84, readTokensPerMs: 74.8 },
   kinds: [
     ...PARKING_STREAMS.map(streamOf(0.33, 1 / 2)),
@@ -130,7 +137,7 @@
  * @example
  * configurationItemOf(CAPTIONS);
  */
-export const configurationItemOf = ({ kinds, group }: Deployment): StoreItem => ({
+export const configurationItemOf = ({ kinds, group, kvCacheTokens }: Deployment): StoreItem => ({
   kind: ItemKind.Configuration,
   scope: ItemScope.Configuration,
   configuration: {
@@ -143,6 +150,8 @@
         engine: {
           ...group,
           readTokensPerSecond: group.readTokensPerMs * 1_000,
+          ...{ chunkTokens: 512, contextPerThousand: 0, pairsPerMillion: 0, kvCacheTokens },
+          usual: { promptTokens: USUAL_PROMPT_TOKENS, answerTokens: 23 * group.stepsPerPass },
           ...{ expertFraction: 0, layerSetCount: 0, expertCount: 0 },
           ...{ placesPerRank: 0, spareCapacity: 0, expertCopyMs: 0 },
         },
--- a/packages/bench/src/overload/policies.ts
+++ b/packages/bench/src/overload/policies.ts
@@ -11,23 +11,29 @@
 export interface Policy {
   readonly name: string;
   readonly decisions: Partial<GatewayOptions>;
+  /** Whether gateways hear of each other's load; if not, they know their own counts alone. */
+  readonly sharesLoads: boolean;
 }
 
-/** Least loaded by the gateway's own counts; undefined when these fill all targets. */
-const chooseByOwnCounts: ChooseTarget = ({ candidates, loads, random }) =>
+/** Least loaded by known counts; undefined when these fill all targets. */
+const chooseByCounts: ChooseTarget = ({ candidates, random }) =>
   candidates
-    .map((target) => ({ target, count: loads.ownCountAt(target.instanceId), tie: random() }))
-    .filter(({ target, count }) => count < target.slots)
-    .sort((left, right) => left.count - right.count || left.tie - right.tie)[0]?.target;
+    .filter(({ runningCount, slots }) => runningCount < slots)
+    .map((candidate) => ({ candidate, tie: random() }))
+    .sort(
+      (left, right) =>
+        left.candidate.runningCount - right.candidate.runningCount || left.tie - right.tie,
+    )[0]?.candidate;
 
 /** This policy, the one before, and a naive one. */
 export const POLICIES: readonly Policy[] = [
-  { name: 'scheduling', decisions: decisionsOf([Feature.Scheduling]) },
-  { name: 'before', decisions: {} },
+  { name: 'scheduling', decisions: decisionsOf([Feature.Scheduling]), sharesLoads: true },
+  { name: 'before', decisions: {}, sharesLoads: true },
   {
     name: 'naive',
+    sharesLoads: false,
     decisions: {
-      chooseTarget: chooseByOwnCounts,
+      chooseTarget: chooseByCounts,
       decideAdmission: () => AdmissionVerdict.Admitted,
       isStalled: () => false,
     },
--- a/packages/bench/src/overload/run-scenario.ts
+++ b/packages/bench/src/overload/run-scenario.ts
@@ -3,13 +3,13 @@
 import {
   EventKind,
   PeerMessageKind,
-  type GatewayOptions,
   type GroupTargetsMessage,
   type StoreItem,
 } from '@ebonysill/gateway';
 import { Callers, type RequestRecord } from './Callers.js';
 import { PLAIN, PLAIN_COUNT, configurationItemOf, targetItemsOf } from './deployment.js';
 import { EngineGroup } from './EngineGroup.js';
+import type { Policy } from './policies.js';
 import SimulatedGateway, {
   HOP_MS,
   type GatewayWorld,
@@ -27,7 +27,7 @@
 export interface RunOptions {
   readonly scenario: Scenario;
   readonly requests: readonly PlannedRequest[];
-  readonly decisions: Partial<GatewayOptions>;
+  readonly policy: Policy;
   readonly seed: number;
 }
 
@@ -38,6 +38,11 @@
 /** Every caller has an answer, or has left, by then. */
 const END_MS = TRAFFIC_UNTIL_MS + 8_500;
 
+const LOAD_MESSAGES: readonly PeerMessageKind[] = [
+  PeerMessageKind.Load,
+  PeerMessageKind.LoadChange,
+];
+
 /** Gateways that lose the store. */
 const CUT_OFF_COUNT = 2;
 
@@ -48,9 +53,9 @@
  * Runs a scenario on virtual time; the same options always give the same result.
  *
  * @example
- * runScenario({ scenario, requests, decisions: {}, seed: 1 }).records.length;
+ * runScenario({ scenario, requests, policy, seed: 1 }).records.length;
  */
-export const runScenario: RunScenario = ({ scenario, requests, decisions, seed }) => {
+export const runScenario: RunScenario = ({ scenario, requests, policy, seed }) => {
   const { deployment, incident, incidentAtMs, peerDelayMs, lossShare } = scenario;
   const time = VirtualTime.create();
   const random = createRandom(seed);
@@ -98,13 +103,16 @@
         time.schedule(HOP_MS, () => callers.onAnswer(effect));
       },
       sendToPeer: ({ address: to, message }: Parameters<GatewayWorld['sendToPeer']>[0]) => {
-        if (random() >= lossShare) {
+        const isLoad = LOAD_MESSAGES.includes(message.kind);
+        if (random() >= lossShare && (policy.sharesLoads || !isLoad)) {
           const event = { kind: EventKind.PeerMessageReceived, address, message } as const;
           time.schedule(peerDelayMs(), () => gateways[addresses.indexOf(to)]?.post(event));
         }
       },
     };
-    gateways.push(SimulatedGateway.create({ index, addresses, decisions, world }));
+    gateways.push(
+      SimulatedGateway.create({ index, addresses, decisions: policy.decisions, world }),
+    );
   });
 
   const reportGroups = (): void => {
--- a/packages/bench/src/overload/traffic.ts
+++ b/packages/bench/src/overload/traffic.ts
@@ -47,6 +47,8 @@
   readonly deadlineAtMs: number;
   readonly promptTokens: number;
   readonly eventCount: number;
+  /** Right at the median; absent for a tenth of the streams. */
+  readonly answerTokensHint?: number;
 }
 
 /** Gateways know each other and the targets by then. */
@@ -61,7 +63,8 @@
 
 const SHARED_TOKENS = 40;
 
-const MAX_EVENTS = 58;
+/** Events of an answer at most. */
+export const MAX_EVENTS = 58;
 
 const STEP_MS = 10;
 
@@ -178,6 +181,8 @@
   const requests: PlannedRequest[] = [];
   const draw = (kind: RequestKind, gateway: number, arrivesAtMs: number): void => {
     const isStream = kind.promptMean > 0;
+    const eventCount = drawSize(kind.eventMean, MAX_EVENTS, random);
+    const hint = drawSize(1.2 * eventCount * deployment.group.stepsPerPass, 1_000, random);
     requests.push({
       ...{ id: requests.length, kind, gateway, arrivesAtMs },
       organisation: pick(organisationWeights, random),
@@ -186,7 +191,8 @@
       promptTokens: isStream
         ? SHARED_TOKENS + drawSize(kind.promptMean, MAX_PROMPT_TOKENS, random)
         : 0,
-      eventCount: drawSize(kind.eventMean, MAX_EVENTS, random),
+      eventCount,
+      ...(isStream && random() < 0.9 ? { answerTokensHint: hint } : {}),
     });
   };
   for (let atMs = TRAFFIC_FROM_MS; atMs < TRAFFIC_UNTIL_MS; atMs += STEP_MS) {
--- a/packages/bench/tests/overload.test.ts
+++ b/packages/bench/tests/overload.test.ts
@@ -57,13 +57,17 @@
   drawRequests(scenarioOf(pattern, seed), createRandom(seed + 1));
 
 /** Runs the requests of a pattern that arrive in a span from the begin of the traffic. */
-const runPattern = (pattern: string, seed: number, spanMs: number, policy = 'before'): RunResult =>
+const runPattern = (pattern: string, seed: number, spanMs: number, name = 'before'): RunResult =>
   runScenario({
     scenario: scenarioOf(pattern, seed),
     requests: requestsOf(pattern, seed).filter(
       ({ arrivesAtMs }) => arrivesAtMs < TRAFFIC_FROM_MS + spanMs,
     ),
-    decisions: POLICIES.find(({ name }) => name === policy)?.decisions ?? {},
+    policy: POLICIES.find((policy) => policy.name === name) ?? {
+      name,
+      decisions: {},
+      sharesLoads: true,
+    },
     seed,
   });
 
