--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -27,6 +27,7 @@
 import { StartAnnouncement, loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
+import { peerKnowledgeRegistration } from './peer-knowledge-service.js';
 import type { Member } from './peer-message.js';
 import { resultsRegistration } from './results-service.js';
 import { retriesRegistration } from './retries-service.js';
@@ -36,6 +37,7 @@
 import { storeRegistration } from './store-service.js';
 import { suspectsRegistration } from './suspects-service.js';
 import { targetsRegistration } from './targets-service.js';
+import { floorOfLivePeers, type DecideFloor } from './version-floor.js';
 
 /** Settings and dependencies of a gateway. */
 export interface GatewayOptions {
@@ -62,6 +64,8 @@
   readonly measureRequest?: MeasureRequest;
   /** What other gateways are told when a request starts; by default the load of its target. */
   readonly startAnnouncement?: StartAnnouncement;
+  /** Decides which configuration is too old to serve; by default one below those of live peers. */
+  readonly decideFloor?: DecideFloor;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
   /** Decisions on requests that wait; by default none does. */
@@ -82,6 +86,7 @@
   const { measureRequest } = options;
   const queueing = queueDecisions === undefined ? {} : { queueDecisions };
   const { startAnnouncement = StartAnnouncement.Target } = options;
+  const { decideFloor = floorOfLivePeers } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -103,6 +108,7 @@
       chooseTarget,
       ...(measureRequest === undefined ? {} : { measureRequest }),
     }),
+    peerKnowledgeRegistration({ runtime, seeds, decideFloor }),
     retriesRegistration({ runtime }),
     copiesRegistration({ runtime }),
     returnsRegistration({ runtime }),
--- a/packages/gateway/src/intake/copies-service.ts
+++ b/packages/gateway/src/intake/copies-service.ts
@@ -6,6 +6,7 @@
   type CatalogueApi,
   type FindService,
   type MembersApi,
+  type PeerKnowledgeApi,
   type Registration,
   type StoreApi,
 } from '../directory.js';
@@ -38,6 +39,8 @@
 
   readonly #catalogue: CatalogueApi;
 
+  readonly #peerKnowledge: PeerKnowledgeApi;
+
   readonly #members: MembersApi;
 
   private constructor(
@@ -46,6 +49,7 @@
   ) {
     this.#store = find(ServiceName.Store);
     this.#catalogue = find(ServiceName.Catalogue);
+    this.#peerKnowledge = find(ServiceName.PeerKnowledge);
     this.#members = find(ServiceName.Members);
   }
 
@@ -55,7 +59,7 @@
 
   readonly ownAgeMs = (): number => {
     const ageMs =
-      this.#catalogue.version() === 0
+      this.#catalogue.version() === 0 || !this.#peerKnowledge.isConfigurationCurrent()
         ? Number.POSITIVE_INFINITY
         : Math.max(this.#store.ageMs(), this.#catalogue.unreadableForMs());
     return Math.min(Math.round(ageMs), Number.MAX_SAFE_INTEGER);
@@ -109,7 +113,12 @@
   runtime,
 }: CopiesOptions): Registration<ServiceName.Copies> => ({
   name: ServiceName.Copies,
-  requires: [ServiceName.Store, ServiceName.Catalogue, ServiceName.Members],
+  requires: [
+    ServiceName.Store,
+    ServiceName.Catalogue,
+    ServiceName.PeerKnowledge,
+    ServiceName.Members,
+  ],
   create: (find) => {
     const service = CopiesService.create(runtime, find);
     return createInstance(
--- a/packages/gateway/src/peer-message.ts
+++ b/packages/gateway/src/peer-message.ts
@@ -22,6 +22,8 @@
   Suspects = 'suspects',
   QuerySuspects = 'query-suspects',
   TargetNotices = 'target-notices',
+  QueryStartState = 'query-start-state',
+  StartState = 'start-state',
   RankState = 'rank-state',
   RankCountDelta = 'rank-increase',
   QueryState = 'tell-state',
@@ -210,11 +212,49 @@
   readonly startedAtMs?: number;
 }
 
+/** Time for which a target wants no request from one gateway. */
+export interface ReportedPause {
+  readonly gatewayAddress: string;
+  readonly instanceId: string;
+  readonly remainingMs: number;
+}
+
 /** What targets said of themselves in their answers. */
 export interface TargetNoticesMessage {
   readonly kind: PeerMessageKind.TargetNotices;
   readonly limits: readonly ReportedLimit[];
   readonly leaving: readonly ReportedLeaving[];
+  /** Pauses of the sender, or of the recipient before its start. */
+  readonly pauses: readonly ReportedPause[];
+}
+
+/**
+ * Asks a gateway for what a process that starts can learn from its peers only. Crashes are answered
+ * with `Suspects`, limits, leavings and pauses with `TargetNotices`, the rest with `StartState`.
+ */
+export interface QueryStartStateMessage {
+  readonly kind: PeerMessageKind.QueryStartState;
+}
+
+/** Retries for a service that a gateway took from its share of the additional retries. */
+export interface ServiceCount {
+  readonly serviceName: string;
+  readonly count: number;
+}
+
+/** What a gateway knows; counts that do not fit one datagram follow in further ones. */
+export interface StartStateMessage {
+  readonly kind: PeerMessageKind.StartState;
+  /** Whether the sender is itself still asking, so that it may know less than others. */
+  readonly isStarting: boolean;
+  /** Version of the configuration that the sender has in force; 0 before the first. */
+  readonly version: number;
+  /** How often the store had been restored when the sender last heard of it. */
+  readonly era?: number;
+  /** Retries in the window of the retry budget. */
+  readonly spentRetries: readonly ServiceCount[];
+  /** Requests that all gateways sent to cold targets in the last second. */
+  readonly coldStarts: readonly TargetCount[];
 }
 
 /**
@@ -224,6 +264,8 @@
 export interface RankStateMessage {
   readonly kind: PeerMessageKind.RankState | PeerMessageKind.HoldConfirmed;
   readonly report: RankReport;
+  /** Time since the agent asked the engine for the report. */
+  readonly ageMs: number;
   /** IP address and port of the engine, used when its agent does not answer. */
   readonly engineAddress: string;
 }
@@ -295,6 +337,8 @@
   | SuspectsMessage
   | QuerySuspectsMessage
   | TargetNoticesMessage
+  | QueryStartStateMessage
+  | StartStateMessage
   | RankStateMessage
   | QueryStateMessage
   | RankCountDeltaMessage
