feat: budgets of bytes and connections for what clients make a process keep

Many clients that each leave a body, an answer or a connection unfinished exhaust the memory and the descriptors of a process, which so far only bounded each of them alone.

Nothing uses them yet.

--- a/packages/gateway-io/src/TargetClient.ts
+++ b/packages/gateway-io/src/TargetClient.ts
@@ -15,7 +15,7 @@
   type TargetCall,
   type TargetHead,
 } from '@ebonysill/gateway';
-import detectReset from '@ebonysill/http';
+import { detectReset } from '@ebonysill/http';
 import checkReachability from './checkReachability.js';
 
 /** Encodes a call's header fields. */
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,11 @@
+/** @module Public interface of the package. */
+export { default as detectReset } from './detectReset.js';
+export { default as BodyBuffer } from './BodyBuffer.js';
+export {
+  default as ByteBudget,
+  CHECK_INTERVAL_MS,
+  DropCause,
+  type Holding,
+  type HoldingOptions,
+} from './ByteBudget.js';
+export { default as ConnectionLimit } from './ConnectionLimit.js';
--- a/packages/transport/src/TargetPort.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -12,7 +12,7 @@
   type Event,
   type TargetHealthEvent,
 } from '@ebonysill/core';
-import detectReset from '@ebonysill/http';
+import { detectReset } from '@ebonysill/http';
 import { Agent } from 'undici';
 import { z } from 'zod';
 import addResume from './addResume.js';
