feat: settings name the memory and the descriptors of a gateway's host

Bounds on what callers make a gateway keep follow from its host, which differs by deployment (202 to 602 MB, 2,069 to 12,300 descriptors). The fields are text, because some templates are filled in only in part; a text that is no number means the smallest host. bodyTimeoutSeconds (10) is the time in which an unfinished body must make progress.

--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -16,6 +16,21 @@
   seedAddresses: z.array(addressField),
 };
 
+/** Of the smallest host of the deployments; holds on every host that names nothing. */
+const SMALLEST_MEMORY_MB = 202;
+
+const SMALLEST_DESCRIPTOR_COUNT = 2_069;
+
+/** Ordinary callers send their bodies whole; a slow link moves 1 KiB in far less. */
+const DEFAULT_BODY_TIMEOUT_SECONDS = 10;
+
+/** A positive number as text; any other text, such as a placeholder left as it is, means the default. */
+const hostLimitField = (defaultValue: number): z.ZodType<number> =>
+  z
+    .string()
+    .default('')
+    .transform((text) => (Number(text) > 0 ? Number(text) : defaultValue));
+
 /** Settings of a gateway. */
 export const gatewaySettingsSchema = z.strictObject({
   ...peerFields,
@@ -30,6 +45,12 @@
     windowSeconds: z.number().positive(),
     extraCount: z.number().min(0),
   }),
+  /** Memory of the host. */
+  memoryMb: hostLimitField(SMALLEST_MEMORY_MB),
+  /** Descriptors that the host lets the process open. */
+  fileDescriptors: hostLimitField(SMALLEST_DESCRIPTOR_COUNT),
+  /** Time in which an unfinished body of a caller must make progress. */
+  bodyTimeoutSeconds: z.number().positive().default(DEFAULT_BODY_TIMEOUT_SECONDS),
   /** What the deployment asks for, in its platform's words, separated by commas; others are ignored. */
   features: z
     .string()
