feat: check of a request's head against the configuration in force

A request without a credential, without a route or at a gateway whose copy of the store is too old was refused only after its whole body had been received. createHeadCheck denies the same requests with the same status, Retry-After and log line before that.

--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -199,6 +199,7 @@
   MapChangeStarted = 'map change started',
   MapChangeEnded = 'map change ended',
   OrderAnswered = 'order answered',
+  CallersDropped = 'callers dropped',
 }
 
 /** Fields of a log line. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** @module Public interface of the gateway's services. */
 export * from './bar-suspects.js';
 export * from './build-effects.js';
+export * from './check-head.js';
 export * from './choose-target.js';
 export * from './crash.js';
 export * from './create-gateway-services.js';
