fix: callers outside the limits no longer exhaust a gateway

Callers saw: many clients that send bodies in very small or large chunks and stop, that send nothing or half a head, or that read no answer, ended the gateway or took it beyond the memory and the descriptors of its host.

Cause: each chunk was kept as Node delivers it (an object on the heap, and a slice that holds its whole block of 64 KiB), bodies, answers and connections had no bound together, and a request without a credential was received whole before it was refused.

Change: - A request with a body is checked from its head. It is answered there unless the body comes with it; then the connection stays open as before. - Bodies go into a budget of bytes from the memory of the host, together with answers that wait for their callers; connections into one of descriptors. What has made no progress for longest goes first: a body with 503 or, after bodyTimeoutSeconds, 408, always before a service sees the request. - At most four bodies in many small chunks are received at once, the rest of refused ones is not read, and new connections are handed over one in each turn of the event loop. - A half head behind a running request, which was answered 408 in the place of the answer, now ends the connection after that answer; what follows on the connection does not run. - Counters by cause, and one line by cause in five seconds.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -1,4 +1,5 @@
 /** @module HTTP server that accepts callers' requests and writes the answers. */
+import type { Socket } from 'node:net';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import {
   EventKind,
@@ -10,7 +11,18 @@
   type Event,
   type HeaderField,
 } from '@ebonysill/gateway';
+import {
+  BodyReceiver,
+  ByteBudget,
+  CHECK_INTERVAL_MS,
+  ConnectionLimit,
+  DropCause,
+  spreadConnections,
+  type Holding,
+} from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
+import { MALFORMED, refusalOf, type RefusalAnswer } from './caller-answers.js';
+import { deriveCallerBounds, type CallerBounds } from './derive-caller-bounds.js';
 
 /** Request line, header fields and body of a request, before decoding. */
 export interface EncodedRequest {
@@ -31,6 +43,17 @@
   /** Whether answers ask callers to close their connection; true while the process drains. */
   readonly isClosing: () => boolean;
   readonly onError: (error: unknown) => void;
+  /**
+   * Checks a decoded request with a body before the body is received; returns the answer to one that
+   * is refused. Every request goes on by default.
+   */
+  readonly checkHead?: (request: CallerRequest) => RefusalAnswer | undefined;
+  /** By default those of the smallest host. */
+  readonly bounds?: CallerBounds;
+  /** Time in which an unfinished body must make progress. */
+  readonly bodyTimeoutMs?: number;
+  /** Called for each body, answer or connection that is dropped. */
+  readonly onDropped?: (cause: DropCause) => void;
 }
 
 /** IP address and port to listen on. */
@@ -75,14 +98,42 @@
  */
 const REFUSED_BODY_MS = 1_000;
 
-const STATUS_TOO_LARGE = 413;
+/**
+ * Time for which a refusal waits for the rest of a body, most of which arrive with their head. The
+ * connection can be used again then.
+ */
+const REFUSAL_DELAY_MS = 20;
+
+/** Bounds when no host is given: those of the smallest one. */
+const SMALLEST_HOST = { memoryMb: 202, fileDescriptors: 2_069 };
+
+const DEFAULT_BODY_TIMEOUT_MS = 10_000;
+
+/** Time for which an answer may wait without being read while it is not complete. */
+const ANSWER_TIMEOUT_MS = 30_000;
+
+const EMPTY_BODY = new Uint8Array(0);
+
+/** Answers to errors of the parser by their code; other errors are malformed requests. */
+const STATUS_LINE_OF: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+};
+
+const BAD_REQUEST_LINE = '400 Bad Request';
 
 const MS_PER_SECOND = 1_000;
 
 interface OpenExchange {
   readonly response: ServerResponse;
+  /** Brings the bytes that wait for the caller up to date. */
+  readonly refreshWaiting: () => void;
 }
 
+const hasBody = ({ headers }: IncomingMessage): boolean =>
+  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+
 /** Posts callers' requests as events and writes the answers that the services decide on. */
 export default class CallerServer {
   readonly #server: Server;
@@ -91,6 +142,21 @@
 
   readonly #connections = CallerConnections.create();
 
+  readonly #budget: ByteBudget;
+
+  readonly #bodies: BodyReceiver;
+
+  readonly #limit: ConnectionLimit;
+
+  /** By connection: the responses to complete requests, in the order of the requests. */
+  readonly #running = new WeakMap<Socket, Set<ServerResponse>>();
+
+  /** Connections on which a request was answered before it was complete. */
+  readonly #refusedSockets = new WeakSet<Socket>();
+
+  /** Connections whose further bytes cannot be read as requests. */
+  readonly #brokenSockets = new WeakSet<Socket>();
+
   #nextExchangeId = 1;
 
   #acceptedCount = 0;
@@ -109,10 +175,27 @@
       (request, response) => this.#receive(request, response),
     );
     this.#server.requestTimeout = 0;
-    this.#server.on('connection', (socket) => {
+    this.#server.on('connection', (socket) => this.#connections.add(socket));
+    spreadConnections(this.#server);
+    this.#server.on('connection', () => {
       this.#acceptedCount += 1;
-      this.#connections.add(socket);
     });
+    const { bounds = deriveCallerBounds(SMALLEST_HOST), onDropped = () => undefined } = options;
+    this.#budget = ByteBudget.create({ maxBytes: bounds.maxHeldBytes, onDropped });
+    this.#bodies = BodyReceiver.create({
+      budget: this.#budget,
+      timeoutMs: options.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
+      onDropped,
+    });
+    this.#limit = ConnectionLimit.create({ maxCount: bounds.maxConnectionCount, onDropped });
+    this.#limit.watch(this.#server);
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.#onClientError(error, socket as Socket),
+    );
+    setInterval(() => {
+      this.#budget.check();
+      this.#limit.check();
+    }, CHECK_INTERVAL_MS).unref();
     // Node closes idle connections by itself when the listener closes, and by its own notion of idle.
     this.#server.closeIdleConnections = () => this.#connections.closeIdle();
   }
@@ -148,18 +231,12 @@
 
   /** Sends an answer whose body is complete, with its length. */
   sendAnswer(effect: SendAnswerEffect): void {
-    const response = this.#removeExchange(effect.exchangeId);
-    if (response === undefined) {
-      return;
+    const exchange = this.#removeExchange(effect.exchangeId);
+    if (exchange !== undefined) {
+      this.#writeWhole(exchange.response, effect);
+      exchange.response.end();
+      exchange.refreshWaiting();
     }
-    const body = Buffer.concat(effect.body);
-    const length: HeaderField = { name: 'content-length', value: String(body.length) };
-    this.#writeHead(response, effect.status, [
-      ...effect.headers,
-      length,
-      ...CallerServer.#retryAfter(effect.retryAfterMs),
-    ]);
-    response.end(body);
   }
 
   /** Sends the head of an answer of unknown length. */
@@ -172,11 +249,13 @@
 
   /** Sends body bytes; disconnects a caller that does not read them. */
   continueAnswer({ exchangeId, data }: ContinueAnswerEffect): void {
-    const response = this.#openExchanges.get(exchangeId)?.response;
-    if (response === undefined) {
+    const exchange = this.#openExchanges.get(exchangeId);
+    if (exchange === undefined) {
       return;
     }
+    const { response, refreshWaiting } = exchange;
     response.write(data);
+    refreshWaiting();
     if (response.writableLength > MAX_BUFFERED_BYTES) {
       response.destroy();
     }
@@ -184,12 +263,12 @@
 
   /** Ends an answer as complete. */
   endAnswer(exchangeId: number): void {
-    this.#removeExchange(exchangeId)?.end();
+    this.#removeExchange(exchangeId)?.response.end();
   }
 
   /** Closes the connection, so that the caller cannot mistake the answer for a complete one. */
   abortAnswer(exchangeId: number): void {
-    this.#removeExchange(exchangeId)?.destroy();
+    this.#removeExchange(exchangeId)?.response.destroy();
   }
 
   /** Closes connections on which no request is in progress and whose last answer was taken. */
@@ -239,75 +318,189 @@
     this.#server.closeAllConnections();
   }
 
-  #removeExchange(exchangeId: number): ServerResponse | undefined {
+  #removeExchange(exchangeId: number): OpenExchange | undefined {
     const exchange = this.#openExchanges.get(exchangeId);
     this.#openExchanges.delete(exchangeId);
-    return exchange?.response;
+    return exchange;
   }
 
   #receive(request: IncomingMessage, response: ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    this.#connections.recordRequest(request, response);
     request.on('error', () => response.destroy());
     response.on('error', this.options.onError);
-    if (Number(request.headers['content-length'] ?? 0) > this.#maxBodyBytes) {
-      CallerServer.#rejectBody(request, response);
+    if (this.#brokenSockets.has(request.socket)) {
+      // The connection ends with the answer before; this request must not run.
+      request.resume();
       return;
     }
-    request.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= this.#maxBodyBytes) {
-        chunks.push(chunk);
-      } else if (!response.headersSent) {
-        chunks.length = 0;
-        CallerServer.#rejectBody(request, response);
-      }
+    this.#connections.recordRequest(request, response);
+    if (!hasBody(request)) {
+      request.resume();
+      request.on('end', () => this.#acceptOrHold(request, response, this.#decode(request)));
+      return;
+    }
+    this.#receiveBody(request, response);
+  }
+
+  /** Decides what can be decided from the head, and reads the body of what is left. */
+  #receiveBody(request: IncomingMessage, response: ServerResponse): void {
+    const decoded = this.#decode(request);
+    const refusal = decoded === undefined ? MALFORMED : this.options.checkHead?.(decoded);
+    if (decoded === undefined || refusal !== undefined) {
+      this.#refuseAfterBody(request, response, refusal ?? MALFORMED);
+      return;
+    }
+    this.#bodies.receive({
+      request,
+      response,
+      maxBytes: this.#maxBodyBytes,
+      onComplete: (body) => this.#acceptOrHold(request, response, { ...decoded, body }),
+      onRefused: (cause) => this.#refuse(request, response, refusalOf(cause)),
     });
+  }
+
+  /** Answers once the rest of the body has come, or after a short time. */
+  #refuseAfterBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    refusal: RefusalAnswer,
+  ): void {
+    const timer = setTimeout(() => this.#refuse(request, response, refusal), REFUSAL_DELAY_MS);
+    response.on('close', () => clearTimeout(timer));
     request.on('end', () => {
+      clearTimeout(timer);
       if (!response.headersSent) {
-        const accept = (): void => this.#accept(request, response, Buffer.concat(chunks));
-        if (this.#heldRequests === undefined) {
-          accept();
-        } else {
-          this.#heldRequests.push(accept);
-        }
+        this.#writeWhole(response, refusal);
+        response.end();
       }
     });
+    BodyReceiver.drop(request, () => this.#refuse(request, response, refusal));
   }
 
   /** Answers at once; the connection closes after the rest of the body, or after a while. */
-  static #rejectBody(request: IncomingMessage, response: ServerResponse): void {
-    response.writeHead(STATUS_TOO_LARGE, { 'content-length': '0', connection: 'close' });
-    response.flushHeaders();
+  #refuse(request: IncomingMessage, response: ServerResponse, refusal: RefusalAnswer): void {
+    if (response.headersSent || response.destroyed) {
+      return;
+    }
+    this.#refusedSockets.add(request.socket);
+    response.shouldKeepAlive = false;
+    this.#writeWhole(response, refusal);
     const timer = setTimeout(() => response.end(), REFUSED_BODY_MS);
     request.on('end', () => response.end());
     response.on('close', () => clearTimeout(timer));
-    request.resume();
+    BodyReceiver.drop(request, () => {
+      response.end();
+    });
   }
 
-  #accept(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
-    const decoded = this.options.decode({
+  #decode(request: IncomingMessage): CallerRequest | undefined {
+    return this.options.decode({
       method: request.method ?? '',
       url: request.url ?? '',
       rawHeaders: request.rawHeaders,
-      body,
+      body: EMPTY_BODY,
     });
+  }
+
+  #acceptOrHold(
+    request: IncomingMessage,
+    response: ServerResponse,
+    decoded: CallerRequest | undefined,
+  ): void {
+    const accept = (): void => this.#accept(request, response, decoded);
+    if (this.#heldRequests === undefined) {
+      accept();
+    } else {
+      this.#heldRequests.push(accept);
+    }
+  }
+
+  #accept(
+    { socket }: IncomingMessage,
+    response: ServerResponse,
+    decoded: CallerRequest | undefined,
+  ): void {
     if (decoded === undefined) {
-      CallerServer.#reject(response, 400);
+      response.shouldKeepAlive = false;
+      this.#writeWhole(response, MALFORMED);
+      response.end();
       return;
     }
     const exchangeId = this.#nextExchangeId;
     this.#nextExchangeId += 1;
-    this.#openExchanges.set(exchangeId, { response });
+    const waiting = this.#holdAnswer(socket, response);
+    const running = this.#running.get(socket) ?? new Set();
+    this.#running.set(socket, running.add(response));
+    this.#limit.recordRequest(socket);
+    this.#openExchanges.set(exchangeId, { response, refreshWaiting: waiting });
     response.on('close', () => {
+      running.delete(response);
+      this.#limit.recordAnswer(socket);
       if (this.#openExchanges.delete(exchangeId)) {
         this.options.post({ kind: EventKind.CallerDisconnected, exchangeId });
       }
+      if (running.size === 0 && this.#brokenSockets.has(socket)) {
+        socket.destroySoon();
+      }
     });
     this.options.post({ kind: EventKind.RequestReceived, exchangeId, request: decoded });
   }
 
+  /** Counts the bytes of an answer that wait for the caller; returns how to count them again. */
+  #holdAnswer(socket: Socket, response: ServerResponse): () => void {
+    let takenBytes = 0;
+    const refresh = (holding: Holding): void => {
+      const takenNowBytes = socket.bytesWritten - socket.writableLength;
+      if (takenNowBytes > takenBytes || response.writableLength === 0) {
+        takenBytes = takenNowBytes;
+        holding.recordProgress();
+      }
+      holding.setSize(response.writableLength);
+    };
+    const holding = this.#budget.open({
+      stallTimeoutMs: ANSWER_TIMEOUT_MS,
+      stallCause: DropCause.AnswerStalled,
+      drop: () => response.destroy(),
+      refresh: () => refresh(holding),
+    });
+    response.on('close', () => holding.release());
+    return () => refresh(holding);
+  }
+
+  /**
+   * Answers what cannot be read as a request. While an earlier request of the connection runs, its
+   * answer comes first and ends the connection.
+   */
+  #onClientError({ code = '' }: NodeJS.ErrnoException, socket: Socket): void {
+    const last = [...(this.#running.get(socket) ?? [])].at(-1);
+    if (last !== undefined && !socket.destroyed) {
+      this.#brokenSockets.add(socket);
+      last.shouldKeepAlive = false;
+      return;
+    }
+    const isAnswered = this.#refusedSockets.has(socket);
+    if (socket.writable && !isAnswered) {
+      const statusLine = STATUS_LINE_OF[code] ?? BAD_REQUEST_LINE;
+      socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+    }
+    socket.destroy();
+  }
+
+  /** Writes a complete answer without ending it. */
+  #writeWhole(response: ServerResponse, answer: RefusalAnswer): void {
+    const body = Buffer.concat(answer.body);
+    const length: HeaderField = { name: 'content-length', value: String(body.length) };
+    this.#writeHead(response, answer.status, [
+      ...answer.headers,
+      length,
+      ...CallerServer.#retryAfter(answer.retryAfterMs),
+    ]);
+    if (body.length > 0) {
+      response.write(body);
+    } else {
+      response.flushHeaders();
+    }
+  }
+
   #writeHead(response: ServerResponse, status: number, headers: readonly HeaderField[]): void {
     if (this.options.isClosing()) {
       response.shouldKeepAlive = false;
@@ -323,9 +516,4 @@
       ? []
       : [{ name: 'retry-after', value: String(retryAfterMs / MS_PER_SECOND) }];
   }
-
-  static #reject(response: ServerResponse, status: number): void {
-    response.writeHead(status, { 'content-length': '0', connection: 'close' });
-    response.end();
-  }
 }
--- a/packages/gateway-io/src/MetricsRecorder.ts
+++ b/packages/gateway-io/src/MetricsRecorder.ts
@@ -50,6 +50,11 @@
     this.#recordDuration('ebonysill_longest_pause_ms', service, fields.longestPauseMs);
   }
 
+  /** Counts what was given up for a cause. */
+  recordDropped(cause: string): void {
+    this.#increment(`ebonysill_dropped_total{cause="${cause}"}`);
+  }
+
   /** All metrics in the Prometheus text format. */
   format(): string {
     const counters = [...this.#counters].map(([name, value]) => `${name} ${value}`);
--- /dev/null
+++ b/packages/gateway-io/tests/caller-bounds.test.ts
@@ -0,0 +1,44 @@
+/** @module Bounds on what callers may make a gateway keep, and the lines about what is dropped. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { LogTopic, type LogEffect } from '@ebonysill/gateway';
+import { DropReporter, REPORT_INTERVAL_MS, deriveCallerBounds } from '../src/index.js';
+
+/** Received in pieces and copied into one buffer. */
+const PUBLISHED_BODY_TWICE_BYTES = 2 * 4_194_304;
+
+// Guards against bounds that leave no room for one body of the published size.
+test('every host has room for a published body', () => {
+  [0, 64, 202, 602].forEach((memoryMb) => {
+    const { maxHeldBytes } = deriveCallerBounds({ memoryMb, fileDescriptors: 2_069 });
+    expect(maxHeldBytes).toBeGreaterThan(PUBLISHED_BODY_TWICE_BYTES);
+  });
+});
+
+// Guards against callers that take the descriptors of files, targets and the store.
+test('connections leave descriptors for the rest of the process', () => {
+  const { maxConnectionCount } = deriveCallerBounds({ memoryMb: 202, fileDescriptors: 2_069 });
+  expect(maxConnectionCount).toEqual(1_401);
+});
+
+// Guards against a line for each connection of a flood.
+test('a flood writes one line for a cause in an interval', (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] });
+  const lines: LogEffect[] = [];
+  const counted: string[] = [];
+  const drops = DropReporter.create({
+    write: (line) => lines.push(line),
+    count: (cause) => counted.push(cause),
+  });
+  Array.from({ length: 1_000 }, () => drops.record('no-room'));
+  drops.record('body-stalled');
+  expect(lines.map(({ fields }) => [fields.reason, fields.count])).toEqual([
+    ['no-room', 1],
+    ['body-stalled', 1],
+  ]);
+  context.mock.timers.tick(REPORT_INTERVAL_MS);
+  expect(lines.slice(2).map(({ topic, fields }) => [topic, fields.reason, fields.count])).toEqual([
+    [LogTopic.CallersDropped, 'no-room', 999],
+  ]);
+  expect([lines.length, counted.length]).toEqual([3, 1_001]);
+});
--- a/packages/gateway-io/tests/caller-server.test.ts
+++ b/packages/gateway-io/tests/caller-server.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
 import { EffectKind, EventKind, type Event } from '@ebonysill/gateway';
-import { CallerServer } from '../src/index.js';
+import { CallerServer, type CallerServerOptions } from '../src/index.js';
 
 const HOST = '127.0.0.1';
 
@@ -35,7 +35,10 @@
 };
 
 /** Starts a server and connects a caller; the connection closes after the test. */
-const open = async (after: (fn: () => void) => void): Promise<Opened> => {
+const open = async (
+  after: (fn: () => void) => void,
+  options: Partial<CallerServerOptions> = {},
+): Promise<Opened> => {
   const events: Event[] = [];
   const server = CallerServer.create({
     decode: ({ method, url, body }) => ({
@@ -51,6 +54,7 @@
     post: (event) => events.push(event),
     isClosing: () => false,
     onError: () => undefined,
+    ...options,
   });
   const port = await freePort();
   await server.listen({ host: HOST, port });
@@ -180,3 +184,113 @@
   server.closeIdle();
   await once(caller, 'close');
 });
+
+const sendShort = ({ server, events }: Opened): void => {
+  const [event] = events;
+  if (event?.kind === EventKind.RequestReceived) {
+    server.sendAnswer({
+      kind: EffectKind.SendAnswer,
+      exchangeId: event.exchangeId,
+      status: 200,
+      headers: [],
+      body: [Buffer.from('whole')],
+    });
+  }
+};
+
+// Guards against a 408 that the caller takes for the answer to the request that still runs.
+test('half a head behind a running request is not answered in its place', async (context) => {
+  const opened = await open((fn) => context.after(fn));
+  const { caller, events, received, isClosed } = opened;
+  caller.write(`${head('Content-Length: 0\r\n')}POST /a/y HTTP/1.1\r\nHost: app.exa`);
+  await waitUntil(() => events.length > 0);
+  // Longer than the timeout of a head and the interval of its check.
+  await delay(1_000);
+  expect(received()).toEqual('');
+  sendShort(opened);
+  await waitUntil(isClosed);
+  expect(received().startsWith('HTTP/1.1 200')).toEqual(true);
+  expect(received().endsWith('whole')).toEqual(true);
+  expect(received().split('HTTP/1.1').length).toEqual(2);
+});
+
+// Guards against running a request whose connection was given up.
+test('a head that is completed after its timeout does not run', async (context) => {
+  const opened = await open((fn) => context.after(fn));
+  const { caller, events, isClosed } = opened;
+  caller.write(`${head('Content-Length: 0\r\n')}POST /a/y HTTP/1.1\r\nHost: app.exa`);
+  await waitUntil(() => events.length > 0);
+  await delay(1_000);
+  caller.write('mple\r\nContent-Length: 0\r\n\r\n');
+  await delay(100);
+  sendShort(opened);
+  await waitUntil(isClosed);
+  expect(events.length).toEqual(1);
+});
+
+// Guards against bytes that are kept for callers who will be refused anyway.
+test('a request is refused from its head', async (context) => {
+  const { caller, events, received } = await open((fn) => context.after(fn), {
+    checkHead: () => ({ status: 401, headers: [], body: [Buffer.from('no')] }),
+  });
+  caller.write(head('Content-Length: 900\r\n'));
+  await waitUntil(() => received().includes('no'));
+  expect(received()).toInclude('HTTP/1.1 401');
+  expect(received()).toInclude('Connection: close');
+  expect(events).toEqual([]);
+});
+
+// Guards against a new connection for each refused request of an ordinary caller.
+test('a refused request that is complete leaves its connection open', async (context) => {
+  const { caller, received, isClosed } = await open((fn) => context.after(fn), {
+    checkHead: () => ({ status: 401, headers: [], body: [Buffer.from('no')] }),
+  });
+  const whole = `${head('Content-Length: 5\r\n')}whole`;
+  caller.write(whole);
+  await waitUntil(() => received().includes('no'));
+  caller.write(whole);
+  await waitUntil(() => received().split('HTTP/1.1 401').length === 3);
+  expect(isClosed()).toEqual(false);
+});
+
+// Guards against bodies that are kept for ever, and against a byte now and then that prolongs them.
+test('a body without progress is answered 408', async (context) => {
+  const causes: string[] = [];
+  const { caller, events, received } = await open((fn) => context.after(fn), {
+    bodyTimeoutMs: 300,
+    onDropped: (cause) => causes.push(cause),
+  });
+  caller.write(`${head('Content-Length: 900\r\n')}x`);
+  const timer = setInterval(() => caller.write('x'), 50);
+  context.after(() => clearInterval(timer));
+  await waitUntil(() => received().includes('HTTP/1.1 408'));
+  expect(received()).toInclude('Connection: close');
+  expect(events).toEqual([]);
+  expect(causes).toEqual(['body-stalled']);
+});
+
+// Guards against a request that is accepted although its bytes have no room.
+test('a body without room is answered 503', async (context) => {
+  const { caller, events, received } = await open((fn) => context.after(fn), {
+    bounds: { maxHeldBytes: 9_000, maxConnectionCount: 10 },
+  });
+  caller.write(head('Content-Length: 1000\r\n'));
+  await waitUntil(() => received().includes('HTTP/1.1 503'));
+  expect(received()).toInclude('retry-after: 0.0');
+  expect(received()).toInclude('Connection: close');
+  expect(events).toEqual([]);
+});
+
+// Guards against answers that are kept for callers who do not read them.
+test('answers that are not read are dropped when they have no room', async (context) => {
+  const opened = await open((fn) => context.after(fn), {
+    bounds: { maxHeldBytes: 1_000_000, maxConnectionCount: 10 },
+  });
+  opened.caller.pause();
+  opened.caller.write(head('Content-Length: 0\r\n'));
+  await waitUntil(() => opened.events.length > 0);
+  answerFirst(opened);
+  opened.caller.resume();
+  await once(opened.caller, 'close');
+  expect(opened.received().length).toBeLessThan(LARGE_ANSWER_BYTES);
+});
--- a/packages/http/src/ByteBudget.ts
+++ b/packages/http/src/ByteBudget.ts
@@ -9,6 +9,10 @@
   AnswerStalled = 'answer-stalled',
   /** The budget of bytes was used up. */
   NoRoom = 'no-room',
+  /** A body exceeds the limit of one body. */
+  TooLarge = 'too-large',
+  /** Too many bodies came in many small chunks at once. */
+  Fragmented = 'small-chunks',
   /** The budget of connections was used up. */
   TooManyConnections = 'too-many-connections',
 }
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,6 +1,7 @@
 /** @module Public interface of the package. */
 export { default as detectReset } from './detectReset.js';
 export { default as BodyBuffer } from './BodyBuffer.js';
+export { default as BodyReceiver } from './BodyReceiver.js';
 export {
   default as ByteBudget,
   CHECK_INTERVAL_MS,
@@ -9,3 +10,4 @@
   type HoldingOptions,
 } from './ByteBudget.js';
 export { default as ConnectionLimit } from './ConnectionLimit.js';
+export { default as spreadConnections } from './spreadConnections.js';
