--- a/packages/gateway/src/check-head.ts
+++ b/packages/gateway/src/check-head.ts
@@ -2,9 +2,9 @@
 import type { LogEffect, SendAnswerEffect } from './effect.js';
 import type { CallerRequest } from './exchange-data.js';
 import { deniedLine } from './exchange-log.js';
+import { storeAgeMsOf } from './intake/end-state.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
 import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
-import { retryAfterMsOf } from './retry-after.js';
 
 /** Answer to a request that is refused from its head, and the line about it. */
 export interface HeadRefusal {
@@ -16,8 +16,9 @@
 export type CheckHead = (request: CallerRequest) => HeadRefusal | undefined;
 
 /**
- * Creates a check of heads against the configuration in force. It denies what the check of a complete
- * request denies, with the same answers.
+ * Creates a check of heads against the configuration in force. It denies requests without a route or a
+ * credential, as the check of a complete request does. Requests that are told to return are left to
+ * that check, since the delay depends on the whole request.
  *
  * @example
  * const checkHead = createHeadCheck({ catalogue, store, random });
@@ -26,15 +27,11 @@
   (check: RequestCheck): CheckHead =>
   (request) => {
     const result = checkRequest(check, request);
-    if (result.verdict === CheckVerdict.Allowed) {
+    if (result.verdict === CheckVerdict.Allowed || result.status === LocalStatus.NotRun) {
       return undefined;
     }
-    const { status, reason } = result;
-    const retryAfterMs =
-      status === LocalStatus.NotRun ? retryAfterMsOf(request.remainingMs) : undefined;
-    const storeAgeMs = Math.min(Math.round(check.store.ageMs()), Number.MAX_SAFE_INTEGER);
     return {
-      answer: localAnswer(0, status, reason, retryAfterMs),
-      line: deniedLine(request.attemptId, status, reason, storeAgeMs),
+      answer: localAnswer(0, result.status, result.reason),
+      line: deniedLine(request.attemptId, result, storeAgeMsOf(check.store)),
     };
   };
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,5 +1,10 @@
 /** @module The services that make up a gateway. */
-import type { DecidePriority } from '@ebonysill/scheduling';
+import {
+  weighTarget,
+  type DecidePriority,
+  type MeasureRequest,
+  type QueueDecisions,
+} from '@ebonysill/scheduling';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import { catalogueRegistration } from './catalogue-service.js';
@@ -11,12 +16,19 @@
 import engineLimitsRegistration from './engineLimitsRegistration.js';
 import { exchangesRegistration } from './exchanges-service.js';
 import { groupsRegistration } from './groups-service.js';
+import { copiesRegistration } from './intake/copies-service.js';
+import { intakeRegistration } from './intake/intake-service.js';
+import { returnsRegistration } from './intake/returns-service.js';
+import { refusalsRegistration } from './intake/refusals-service.js';
+import { throughputRegistration } from './intake/throughput-service.js';
+import { waitingRegistration } from './intake/waiting-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
 import { loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
 import type { Member } from './peer-message.js';
+import { resultsRegistration } from './results-service.js';
 import { retriesRegistration } from './retries-service.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
 import type { Runtime } from './runtime.js';
@@ -34,6 +46,8 @@
   readonly retryBudget: RetryBudgetBound;
   /** Time between the signal to stop and the forced end of the process. */
   readonly graceMs: number;
+  /** Time within which a target that has left gets no further requests. */
+  readonly drainTimeoutMs: number;
   /** Chooses among several targets; by default the least loaded one. */
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
@@ -44,8 +58,12 @@
   readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
   readonly isStalled?: IsStalled;
+  /** Determines the work of requests at engines; by default they are counted. */
+  readonly measureRequest?: MeasureRequest;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
+  /** Decisions on requests that wait; by default none does. */
+  readonly queueDecisions?: QueueDecisions;
 }
 
 /**
@@ -55,15 +73,17 @@
  * Kernel.create({ services: createGatewayServices(options), nowMs, perform, onDrained, onFatalError });
  */
 export const createGatewayServices = (options: GatewayOptions): readonly AnyRegistration[] => {
-  const { runtime, self, seeds, retryBudget, graceMs } = options;
+  const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideCall = decideByNotices, decidePriority } = options;
+  const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
+  const { measureRequest } = options;
+  const queueing = queueDecisions === undefined ? {} : { queueDecisions };
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
-    targetsRegistration({ runtime }),
+    targetsRegistration({ runtime, drainTimeoutMs }),
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime }),
     groupsRegistration({ runtime }),
@@ -73,8 +93,20 @@
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
     noticesRegistration({ runtime, decideCall }),
-    routingRegistration({ runtime, availabilityZone, chooseTarget }),
+    resultsRegistration({ runtime, weighTarget }),
+    routingRegistration({
+      runtime,
+      availabilityZone,
+      chooseTarget,
+      ...(measureRequest === undefined ? {} : { measureRequest }),
+    }),
     retriesRegistration({ runtime }),
+    copiesRegistration({ runtime }),
+    returnsRegistration({ runtime }),
+    throughputRegistration({ runtime }),
+    refusalsRegistration({ runtime, ...queueing }),
+    waitingRegistration({ runtime, ...queueing }),
+    intakeRegistration({ runtime }),
     exchangesRegistration({
       runtime,
       isStalled,
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -1,11 +1,15 @@
 /** @module Names and APIs of the services. */
+import type { OtherCopies, RefusalScope, ReturnKind } from '@ebonysill/scheduling';
 import type { Find, NamedRegistration, ServiceRegistration } from '@ebonysill/kernel';
+import type { AnnouncedTokens, RequestWork } from '@ebonysill/scheduling';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
-import type { Exchange, Resolution } from './exchange.js';
+import type { Exchange, ExchangeReason, Resolution } from './exchange.js';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
-import type { Member, PassEstimate, PeerRole } from './peer-message.js';
+import type { Moment } from './moment.js';
+import type { Member, PassEstimate, PeerRole, PoolRate, ReportedRefusal } from './peer-message.js';
+import type { Denial } from './request-check.js';
 import type { Order, OrderOutcome, RankCountDelta, RankReport } from './rank-data.js';
 import type {
   CallerLimits,
@@ -14,6 +18,7 @@
   PublishedTarget,
   Route,
 } from './published.js';
+import type { TargetCondition, TargetResult } from './target-result.js';
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -29,8 +34,15 @@
   Retries = 'retries',
   ColdStarts = 'cold-starts',
   Notices = 'notices',
+  Results = 'results',
   Routing = 'routing',
+  Copies = 'copies',
+  Returns = 'returns',
+  Throughput = 'throughput',
+  Refusals = 'refusals',
   Exchanges = 'exchanges',
+  Waiting = 'waiting',
+  Intake = 'intake',
   Lifecycle = 'lifecycle',
   EngineLimits = 'engine-advice',
   RankMonitor = 'rank-monitor',
@@ -83,12 +95,23 @@
 /** Requests in progress by target, over all gateways. */
 export interface LoadsApi {
   /** Counts a request that is sent now; the effects announce it to the other gateways. */
-  readonly recordStart: (instanceId: string) => readonly Effect[];
-  readonly recordEnd: (instanceId: string) => void;
+  readonly recordStart: (instanceId: string, work?: RequestWork) => readonly Effect[];
+  /** Removes the part of the work that is done when a prompt has been read. */
+  readonly recordPromptRead: (instanceId: string, work: RequestWork) => void;
+  /** Removes a request with the work that was outstanding. */
+  readonly recordEnd: (instanceId: string, work?: RequestWork) => void;
   /** Requests of all gateways at a target, as last reported. */
   readonly countAt: (instanceId: string) => number;
   /** Requests of this gateway at a target. */
   readonly ownCountAt: (instanceId: string) => number;
+  /** Outstanding work at a target; a request of unknown work counts as `usualTokens`. */
+  readonly workTokensAt: (instanceId: string, usualTokens: number) => number;
+  /** Requests at a target whose long prompts have not been read. */
+  readonly longCountAt: (instanceId: string) => number;
+  /** Mean time since the other gateways last reported their load; 0 without others. */
+  readonly reportAgeMs: () => number;
+  /** Changes whenever a request of this gateway starts, ends, or has its prompt read. */
+  readonly changeCount: () => number;
 }
 
 /** Which targets execute their passes together. */
@@ -145,6 +168,8 @@
 /** A request for which a target is wanted. */
 export interface RoutedRequest {
   readonly resolution: Resolution;
+  /** What its caller announced. */
+  readonly request: AnnouncedTokens;
   /** Instances that were called for the request before. */
   readonly triedIds: ReadonlySet<string>;
 }
@@ -155,6 +180,8 @@
   readonly refusalOf: (request: RoutedRequest) => AdmissionResult | undefined;
   /** Chooses a target that has not been tried; undefined when there is none. */
   readonly choose: (request: RoutedRequest) => PublishedTarget | undefined;
+  /** Work of a request; undefined while the sizes of its service's requests are not published. */
+  readonly workOf: (request: RoutedRequest) => RequestWork | undefined;
   /** Time until some target of a service wants a request; 0 when one does now, or none will. */
   readonly blockedForMs: (service: string) => number;
   /** Excludes a target for a short time, unless there is no other. */
@@ -218,6 +245,87 @@
   readonly takeAfterRejection: (exchange: Exchange) => PublishedTarget | undefined;
 }
 
+/** Ages of the gateways' copies of the store. */
+export interface CopiesApi {
+  /** Age of this gateway's copy; the greatest safe integer while it has no configuration. */
+  readonly ownAgeMs: () => number;
+  readonly others: () => OtherCopies;
+}
+
+/** A request that was refused. */
+export interface RefusedRequest {
+  /** Service that had no place; absent when the cause lay with a gateway. */
+  readonly service?: string;
+  /** Refusals so far that concerned one gateway each. */
+  readonly localCount: number;
+  /** When its caller was told to come back. */
+  readonly dueAtMs: number;
+  /** When the caller's deadline ends. */
+  readonly expiresAtMs: number;
+}
+
+/** Refused requests whose callers may come back. */
+export interface ReturnsApi {
+  /** The refusal of a request with the same method, path, credential and body. */
+  readonly find: (request: CallerRequest) => RefusedRequest | undefined;
+  /** Whether a request is a return; each refusal counts for one return. */
+  readonly takeReturn: (request: CallerRequest) => ReturnKind;
+  readonly record: (request: CallerRequest, refused: RefusedRequest) => void;
+  /** Callers that a service had no place for and that have not come back yet. */
+  readonly dueCount: (service: string) => number;
+  /** Refusals of this gateway since the last call, for the others. */
+  readonly takeNews: () => readonly ReportedRefusal[];
+}
+
+/** How fast places come free and answers arrive. */
+export interface ThroughputApi {
+  readonly recordStart: (service: string, organisation: string) => void;
+  readonly recordEnd: (pool: string) => void;
+  /** Records the time from the start of a call to its answer, or to its first event. */
+  readonly recordAnswer: (route: string, timeMs: number) => void;
+  /** Time to an answer that most do not exceed; undefined before the first. */
+  readonly usualAnswerMs: (route: string) => number | undefined;
+  /** Starts of this gateway within the last second. */
+  readonly startsOf: (service: string, organisation: string) => number;
+  /** Requests of all gateways that end in a pool; 0 when unknown. */
+  readonly endsPerSecond: (pool: string) => number;
+  /** The same for all pools of a service. */
+  readonly serviceEndsPerSecond: (service: string) => number;
+  /** Age of the oldest report that is used; 0 without one. */
+  readonly oldestReportMs: () => number;
+  /** What this gateway measures itself, for the others. */
+  readonly ownRates: () => readonly PoolRate[];
+}
+
+/** What a refused caller was told. */
+export interface ToldReturn {
+  readonly scope: RefusalScope;
+  readonly retryAfterMs: number;
+}
+
+/** Answers requests that did not run and never will. */
+export interface RefusalsApi {
+  /** Answers a request that the check denied. */
+  readonly deny: (exchangeId: number, request: CallerRequest, denial: Denial) => readonly Effect[];
+  /** Refuses a request; `admission` is given when it is the cause. */
+  readonly refuse: (
+    exchange: Exchange,
+    cause: ExchangeReason,
+    admission?: AdmissionResult,
+  ) => readonly Effect[];
+}
+
+/** Calls and answers of admitted requests. */
+export interface ExchangesApi {
+  /** Starts the first call of an admitted request. */
+  readonly start: (exchange: Exchange, target: PublishedTarget) => readonly Effect[];
+}
+
+/** Starts admitted requests, or holds them until there is a place. */
+export interface WaitingApi {
+  readonly admit: (exchange: Exchange) => readonly Effect[];
+}
+
 /** Limits the requests to cold targets. */
 export interface ColdStartsApi {
   /** Whether this gateway may send a target one more request now. */
@@ -227,14 +335,25 @@
 
 /** What targets say of themselves in their answers. */
 export interface NoticesApi {
-  /** Records the head of an answer; the effects log what has changed. */
-  readonly recordHead: (target: PublishedTarget, head: TargetHead) => readonly Effect[];
+  /** Records the head of the answer to a call of that moment; the effects log what has changed. */
+  readonly recordHead: (
+    target: PublishedTarget,
+    head: TargetHead,
+    askedAt: Moment,
+  ) => readonly Effect[];
   /** Whether a target may be called, by what it said. */
   readonly decide: (target: PublishedTarget) => CallDecision;
   /** Counts a request that this gateway sends now. */
   readonly recordStart: (target: PublishedTarget) => void;
 }
 
+/** Results of this gateway's calls, by target. */
+export interface ResultsApi {
+  readonly recordResult: (target: PublishedTarget, result: TargetResult) => void;
+  /** What the results say about a target. */
+  readonly conditionOf: (target: PublishedTarget) => TargetCondition;
+}
+
 /** Readiness of the process and its drain. */
 export interface LifecycleApi {
   readonly isReady: () => boolean;
@@ -284,8 +403,15 @@
   readonly [ServiceName.Retries]: RetriesApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
+  readonly [ServiceName.Results]: ResultsApi;
   readonly [ServiceName.Routing]: RoutingApi;
-  readonly [ServiceName.Exchanges]: object;
+  readonly [ServiceName.Copies]: CopiesApi;
+  readonly [ServiceName.Returns]: ReturnsApi;
+  readonly [ServiceName.Throughput]: ThroughputApi;
+  readonly [ServiceName.Refusals]: RefusalsApi;
+  readonly [ServiceName.Exchanges]: ExchangesApi;
+  readonly [ServiceName.Waiting]: WaitingApi;
+  readonly [ServiceName.Intake]: object;
   readonly [ServiceName.Lifecycle]: LifecycleApi;
   readonly [ServiceName.EngineLimits]: object;
   readonly [ServiceName.RankMonitor]: RankMonitorApi;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -1,10 +1,11 @@
-/** @module Forwards each caller's request to a target and returns the answer. */
+/** @module Forwards each admitted request to a target and returns the answer. */
 import { InvariantError, createInstance } from '@ebonysill/kernel';
 import type { DecidePriority } from '@ebonysill/scheduling';
 import AnswerBuffers from './AnswerBuffers.js';
 import {
   isFailure,
   isFinalStatus,
+  isFull,
   isLiveStream,
   isSuccess,
   promisesNotRun,
@@ -14,24 +15,24 @@
 import {
   ServiceName,
   type AdmissionApi,
-  type AdmissionResult,
   type ColdStartsApi,
   type FindService,
   type LifecycleApi,
   type LoadsApi,
   type NoticesApi,
+  type RefusalsApi,
   type Registration,
+  type ResultsApi,
   type RetriesApi,
-  type RetryBudgetApi,
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
+  type ThroughputApi,
 } from './directory.js';
 import { EffectKind, type Effect } from './effect.js';
 import {
   EventKind,
   type Event,
-  type RequestReceivedEvent,
   type TargetCallFailedEvent,
   type TargetCheckedEvent,
   type TimerFiredEvent,
@@ -40,19 +41,19 @@
 import { MAX_EVENT_BYTES, type StreamEvent } from './event-splitter.js';
 import {
   callFailedLine,
-  deniedLine,
   endedLine,
   internalErrorLine,
   servedWith,
   type ExchangeEnd,
 } from './exchange-log.js';
 import { AnswerProgress, Exchange, ExchangeOutcome, ExchangeReason } from './exchange.js';
+import { endStateOf } from './intake/end-state.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
+import { ageMsOf, momentNow } from './moment.js';
 import type { PublishedTarget } from './published.js';
-import { CheckVerdict, checkRequest, type RequestCheck } from './request-check.js';
-import { DRAINING_RETRY_AFTER_MS, retryAfterMsOf, spreadRetryAfterMs } from './retry-after.js';
 import type { Runtime } from './runtime.js';
+import { TargetResultKind } from './target-result.js';
 import TimerKind from './TimerKind.js';
 
 /** Options of the service; it uses the clock and the random numbers of `runtime`. */
@@ -82,26 +83,28 @@
 
   #nextCallId = 1;
 
-  readonly #check: RequestCheck;
-
   readonly #store: StoreApi;
 
   readonly #routing: RoutingApi;
 
+  readonly #refusals: RefusalsApi;
+
   readonly #loads: LoadsApi;
 
   readonly #suspects: SuspectsApi;
 
   readonly #admission: AdmissionApi;
 
-  readonly #retryBudget: RetryBudgetApi;
-
   readonly #retries: RetriesApi;
 
   readonly #coldStarts: ColdStartsApi;
 
   readonly #notices: NoticesApi;
 
+  readonly #throughput: ThroughputApi;
+
+  readonly #results: ResultsApi;
+
   readonly #lifecycle: LifecycleApi;
 
   private constructor(
@@ -110,29 +113,34 @@
   ) {
     this.#store = find(ServiceName.Store);
     this.#routing = find(ServiceName.Routing);
+    this.#refusals = find(ServiceName.Refusals);
     this.#loads = find(ServiceName.Loads);
     this.#suspects = find(ServiceName.Suspects);
     this.#admission = find(ServiceName.Admission);
-    this.#retryBudget = find(ServiceName.RetryBudget);
     this.#retries = find(ServiceName.Retries);
     this.#coldStarts = find(ServiceName.ColdStarts);
     this.#notices = find(ServiceName.Notices);
+    this.#throughput = find(ServiceName.Throughput);
+    this.#results = find(ServiceName.Results);
     this.#lifecycle = find(ServiceName.Lifecycle);
-    this.#check = {
-      catalogue: find(ServiceName.Catalogue),
-      store: this.#store,
-      random: options.runtime.random,
-    };
   }
 
   static create(options: ExchangesOptions, find: FindService): ExchangesService {
     return new ExchangesService(options, find);
   }
 
+  readonly start = (exchange: Exchange, target: PublishedTarget): readonly Effect[] => {
+    this.#exchanges.set(exchange.id, exchange);
+    this.#lifecycle.recordExchangeStart();
+    const leftMs = Math.max(0, exchange.deadlineAtMs - this.options.runtime.nowMs());
+    return this.#guard(exchange.id, () => [
+      setTimer(TimerKind.RequestDeadline, exchange.id, leftMs),
+      ...this.#call(exchange, target),
+    ]);
+  };
+
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
-      case EventKind.RequestReceived:
-        return this.#guard(event.exchangeId, () => this.#onRequest(event));
       case EventKind.CallerDisconnected:
         return this.#onCallerDisconnected(event.exchangeId);
       case EventKind.TargetHeadReceived:
@@ -187,52 +195,14 @@
         throw error;
       }
       const exchange = this.#exchanges.get(exchangeId);
-      return [
-        internalErrorLine(exchange, error),
-        ...(exchange === undefined
-          ? [localAnswer(exchangeId, LocalStatus.BadGateway, ExchangeReason.InternalError)]
-          : [...this.#cancelCall(exchange), ...this.#fail(exchange, ExchangeReason.InternalError)]),
-      ];
-    }
-  }
-
-  #onRequest({ exchangeId, request }: RequestReceivedEvent): readonly Effect[] {
-    const { nowMs } = this.options.runtime;
-    const result = checkRequest(this.#check, request);
-    if (result.verdict === CheckVerdict.Denied) {
-      const { status, reason } = result;
-      const retryAfterMs =
-        status === LocalStatus.NotRun ? retryAfterMsOf(request.remainingMs) : undefined;
-      return [
-        localAnswer(exchangeId, status, reason, retryAfterMs),
-        deniedLine(request.attemptId, status, reason, this.#storeAgeMs()),
-      ];
-    }
-    const { resolution } = result;
-    const exchange = Exchange.create(exchangeId, request, resolution, nowMs());
-    this.#retryBudget.recordRequest(resolution.service);
-    return this.#admit(exchange);
-  }
-
-  #admit(exchange: Exchange): readonly Effect[] {
-    const refusal = this.#routing.refusalOf(exchange);
-    this.#exchanges.set(exchange.id, exchange);
-    this.#lifecycle.recordExchangeStart();
-    if (!this.#lifecycle.mayBegin(exchange.isStream, this.#remainingMs(exchange))) {
-      return this.#refuse(exchange, ExchangeReason.Draining, DRAINING_RETRY_AFTER_MS);
-    }
-    const barredForMs = this.#suspects.barredForMs(exchange);
-    if (barredForMs > 0) {
-      return this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs);
-    }
-    if (refusal !== undefined) {
-      return this.#refuse(exchange, ExchangeReason.TooManyStreams, refusal.retryAfterMs, refusal);
+      return exchange === undefined
+        ? [internalErrorLine(undefined, error)]
+        : [
+            internalErrorLine(exchange.request.attemptId, error),
+            ...this.#cancelCall(exchange),
+            ...this.#fail(exchange, ExchangeReason.InternalError),
+          ];
     }
-    const leftMs = Math.max(0, exchange.deadlineAtMs - this.options.runtime.nowMs());
-    return [
-      setTimer(TimerKind.RequestDeadline, exchange.id, leftMs),
-      ...this.#callNextTarget(exchange, ExchangeReason.NoTarget),
-    ];
   }
 
   /** Calls a target that has not been tried; refuses or fails the request when there is none. */
@@ -248,15 +218,24 @@
     this.#nextCallId += 1;
     exchange.recordCall(callId, target, this.#routing.poolOf(target));
     this.#exchangeOfCall.set(callId, exchange);
-    const announcements = this.#loads.recordStart(target.instanceId);
+    const work = this.#routing.workOf(exchange);
+    exchange.recordStart(momentNow(this.options.runtime), work);
+    const announcements = this.#loads.recordStart(target.instanceId, work);
     this.#coldStarts.recordStart(target);
     this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
+    const { service, organisation } = exchange.resolution;
+    this.#throughput.recordStart(service, organisation?.name ?? '');
     if (exchange.isStream) {
       this.#admission.recordStart(exchange.pool, exchange.id);
     }
-    const { runtime, decidePriority } = this.options;
-    const call = buildTargetCall({ exchange, target, nowMs: runtime.nowMs(), decidePriority });
+    const { decidePriority } = this.options;
+    const call = buildTargetCall({
+      exchange,
+      target,
+      nowMs: this.options.runtime.nowMs(),
+      decidePriority,
+    });
     return [{ kind: EffectKind.StartCall, callId, call }, ...announcements];
   }
 
@@ -268,8 +247,9 @@
       return;
     }
     this.#exchangeOfCall.delete(callId);
-    this.#loads.recordEnd(target.instanceId);
+    this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
     this.#admission.recordEnd(pool, exchange.id);
+    this.#throughput.recordEnd(pool);
     exchange.clearCall();
   }
 
@@ -288,7 +268,8 @@
       return this.#interrupt(exchange, `the answer has status ${head.status}`);
     }
     exchange.recordHead(head);
-    return exchange.target === undefined ? [] : this.#notices.recordHead(exchange.target, head);
+    const { target, calledAt } = exchange;
+    return target === undefined ? [] : this.#notices.recordHead(target, head, calledAt);
   }
 
   #onData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
@@ -349,11 +330,45 @@
   }
 
   #recordProgress(exchange: Exchange, event: StreamEvent): void {
+    if (exchange.firstEventMs === undefined) {
+      this.#recordAnswerTime(exchange);
+    }
     const pauseMs = exchange.recordEvent(this.options.runtime.nowMs(), event.id);
+    if (pauseMs === undefined) {
+      this.#recordAnswered(exchange);
+    }
     this.#admission.recordEvent(exchange.pool, exchange.id, pauseMs);
     exchange.recordGroupEvents(this.#admission.eventCountOf(exchange.pool));
   }
 
+  /** Times of requests that were called more than once are not usual. */
+  #recordAnswerTime({ resolution, receivedAtMs, wait, triedIds }: Exchange): void {
+    if (triedIds.size === 1) {
+      const timeMs = this.options.runtime.nowMs() - receivedAtMs - (wait?.waitedMs ?? 0);
+      this.#throughput.recordAnswer(resolution.route.name, timeMs);
+    }
+  }
+
+  /** Records that the answer of the current call has begun, or has arrived if it is no stream. */
+  #recordAnswered(exchange: Exchange): void {
+    const { target, calledAt } = exchange;
+    if (target === undefined) {
+      return;
+    }
+    const latencyMs = ageMsOf(this.options.runtime, calledAt);
+    this.#results.recordResult(target, { kind: TargetResultKind.Answered, latencyMs });
+    const work = exchange.callId === undefined ? undefined : exchange.recordPromptRead();
+    if (work !== undefined) {
+      this.#loads.recordPromptRead(target.instanceId, work);
+    }
+  }
+
+  #recordResult({ target }: Exchange, kind: TargetResultKind.Failed | TargetResultKind.Full): void {
+    if (target !== undefined) {
+      this.#results.recordResult(target, { kind });
+    }
+  }
+
   /** A stream that is resumed at another target keeps the head sent for the first one. */
   static #beginAnswer(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
     return exchange.markAnswerBegun()
@@ -405,6 +420,11 @@
       );
     }
     exchange.recordAttempt();
+    if (isFailure(status)) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    } else {
+      this.#recordAnswered(exchange);
+    }
     const retried = isFailure(status) ? this.#retry(exchange) : undefined;
     if (retried !== undefined) {
       return [
@@ -415,6 +435,7 @@
     if (promisesNotRun(status)) {
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
+    this.#recordAnswerTime(exchange);
     return [
       ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
@@ -431,6 +452,9 @@
   /** The target proved that it did not run the request, so any kind of call may be retried. */
   #onNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
     exchange.recordRejection();
+    if (isFull(head)) {
+      this.#recordResult(exchange, TargetResultKind.Full);
+    }
     const target = this.#retries.takeAfterRejection(exchange);
     return [
       callFailedLine(
@@ -451,6 +475,7 @@
       return this.#onConnectionLost(exchange, detail);
     }
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     exchange.recordUnreachable();
     const lines = [
       callFailedLine(exchange, ExchangeReason.TargetUnreachable, detail),
@@ -525,6 +550,7 @@
   ): readonly Effect[] {
     exchange.recordAttempt();
     this.#avoid(exchange);
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [callFailedLine(exchange, reason, detail)];
   }
 
@@ -565,19 +591,19 @@
     }
     const line = callFailedLine(exchange, ExchangeReason.Stalled, 'others of its group go on');
     exchange.recordAttempt();
+    this.#recordResult(exchange, TargetResultKind.Failed);
     return [line, ...this.#cancelCall(exchange), ...this.#call(exchange, target)];
   }
 
-  #remainingMs({ deadlineAtMs }: Exchange): number {
-    return deadlineAtMs - this.options.runtime.nowMs();
-  }
-
   #onDeadline(exchangeId: number): readonly Effect[] {
     const exchange = this.#exchanges.get(exchangeId);
     if (exchange === undefined) {
       return [];
     }
     exchange.markAbandoned();
+    if (exchange.callId !== undefined && exchange.progress === AnswerProgress.None) {
+      this.#recordResult(exchange, TargetResultKind.Failed);
+    }
     return [
       ...this.#cancelCall(exchange),
       ...this.#fail(exchange, ExchangeReason.DeadlinePassed, LocalStatus.Timeout),
@@ -613,31 +639,7 @@
     if (exchange.mayHaveRun) {
       return this.#fail(exchange, reason);
     }
-    const barredForMs = this.#suspects.barredForMs(exchange);
-    if (barredForMs > 0) {
-      return this.#refuse(exchange, ExchangeReason.CrashSuspect, barredForMs);
-    }
-    const blockedForMs = this.#routing.blockedForMs(exchange.resolution.service);
-    return blockedForMs > 0
-      ? this.#refuse(exchange, ExchangeReason.TargetsBlocked, this.#spread(blockedForMs))
-      : this.#refuse(exchange, reason, retryAfterMsOf(this.#remainingMs(exchange)));
-  }
-
-  #spread(delayMs: number): number {
-    return spreadRetryAfterMs(delayMs, this.options.runtime.random());
-  }
-
-  #refuse(
-    exchange: Exchange,
-    reason: ExchangeReason,
-    retryAfterMs: number,
-    admission?: AdmissionResult,
-  ): readonly Effect[] {
-    const end = { outcome: ExchangeOutcome.Refused, reason, status: LocalStatus.NotRun };
-    return [
-      localAnswer(exchange.id, LocalStatus.NotRun, reason, retryAfterMs),
-      ...this.#finish(exchange, end, admission),
-    ];
+    return [...this.#refusals.refuse(exchange, reason), ...this.#remove(exchange)];
   }
 
   #fail(
@@ -651,27 +653,21 @@
     return [answer, ...this.#finish(exchange, { outcome: ExchangeOutcome.Failed, reason, status })];
   }
 
-  #finish(
-    exchange: Exchange,
-    end: ExchangeEnd,
-    { passMs, runningCount }: Partial<AdmissionResult> = {},
-  ): readonly Effect[] {
-    this.#exchanges.delete(exchange.id);
-    this.#checkedTargets.delete(exchange.id);
-    this.#lifecycle.recordExchangeEnd();
-    return [
-      clearTimer(TimerKind.RequestDeadline, exchange.id),
-      endedLine(exchange, end, {
-        nowMs: this.options.runtime.nowMs(),
-        passMs: passMs ?? this.#admission.passMsOf(exchange.pool),
-        ...(runningCount === undefined ? {} : { runningCount }),
-        knowledgeAgeMs: this.#storeAgeMs(),
-      }),
-    ];
+  #finish(exchange: Exchange, end: ExchangeEnd): readonly Effect[] {
+    const sources = {
+      runtime: this.options.runtime,
+      store: this.#store,
+      admission: this.#admission,
+    };
+    return [...this.#remove(exchange), endedLine(exchange, end, endStateOf(sources, exchange))];
   }
 
-  #storeAgeMs(): number {
-    return Math.min(Math.round(this.#store.ageMs()), Number.MAX_SAFE_INTEGER);
+  /** Forgets an exchange that has ended. */
+  #remove({ id }: Exchange): readonly Effect[] {
+    this.#exchanges.delete(id);
+    this.#checkedTargets.delete(id);
+    this.#lifecycle.recordExchangeEnd();
+    return [clearTimer(TimerKind.RequestDeadline, id)];
   }
 }
 
@@ -687,21 +683,22 @@
   name: ServiceName.Exchanges,
   requires: [
     ServiceName.Store,
-    ServiceName.Catalogue,
     ServiceName.Routing,
+    ServiceName.Refusals,
     ServiceName.Loads,
     ServiceName.Suspects,
     ServiceName.Admission,
-    ServiceName.RetryBudget,
     ServiceName.Retries,
     ServiceName.ColdStarts,
     ServiceName.Notices,
+    ServiceName.Throughput,
+    ServiceName.Results,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
     const service = ExchangesService.create(options, find);
     return createInstance(
-      {},
+      { start: service.start },
       {
         start: () => [ExchangesService.scheduleStallCheck()],
         handle: (event) => service.handle(event),
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -1,16 +1,21 @@
 /** @module Requests in progress by target: this gateway's own and those that others report. */
 import { createInstance } from '@ebonysill/kernel';
+import type { RequestWork } from '@ebonysill/scheduling';
 import { sendToPeer, setTimer } from './build-effects.js';
 import {
   ServiceName,
   type AdmissionApi,
+  type CopiesApi,
   type FindService,
   type MembersApi,
   type Registration,
+  type ReturnsApi,
+  type ThroughputApi,
 } from './directory.js';
 import type { Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
-import { PeerMessageKind, PeerRole } from './peer-message.js';
+import LoadSum from './LoadSum.js';
+import { PeerMessageKind, PeerRole, type LoadMessage } from './peer-message.js';
 import PeerTotals from './PeerTotals.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -18,6 +23,12 @@
 /** Interval of messages with all counts; they report ended requests, which is less urgent. */
 const BROADCAST_INTERVAL_MS = 250;
 
+/**
+ * Interval of the messages of a gateway without requests; they tell the age of its copy of the store,
+ * by which others decide whether they alone have lost the store.
+ */
+const IDLE_INTERVAL_MS = 1_000;
+
 /** Counts of a gateway from which nothing was received for this long are ignored. */
 const COUNT_EXPIRY_MS = 1_500;
 
@@ -30,46 +41,82 @@
 
 /** Sums the load of each target over all gateways. */
 class LoadsService {
-  readonly #ownCounts = new Map<string, number>();
+  /** By instance identifier. */
+  readonly #ownLoads = new Map<string, LoadSum>();
 
   readonly #peerTotals: PeerTotals;
 
+  /** Empty when requests have been announced since. */
   #lastBroadcast = '';
 
+  #lastBroadcastAtMs = Number.NEGATIVE_INFINITY;
+
+  #changeCount = 0;
+
   readonly #members: MembersApi;
 
   readonly #admission: AdmissionApi;
 
-  private constructor(runtime: Runtime, find: FindService) {
+  readonly #copies: CopiesApi;
+
+  readonly #throughput: ThroughputApi;
+
+  readonly #returns: ReturnsApi;
+
+  private constructor(
+    private readonly runtime: Runtime,
+    find: FindService,
+  ) {
     this.#peerTotals = PeerTotals.create(runtime.nowMs, COUNT_EXPIRY_MS);
     this.#members = find(ServiceName.Members);
     this.#admission = find(ServiceName.Admission);
+    this.#copies = find(ServiceName.Copies);
+    this.#throughput = find(ServiceName.Throughput);
+    this.#returns = find(ServiceName.Returns);
   }
 
   static create(runtime: Runtime, find: FindService): LoadsService {
     return new LoadsService(runtime, find);
   }
 
-  readonly recordStart = (instanceId: string): readonly Effect[] => {
-    const count = this.ownCountAt(instanceId) + 1;
-    this.#ownCounts.set(instanceId, count);
+  readonly recordStart = (instanceId: string, work?: RequestWork): readonly Effect[] => {
+    const load = this.#ownLoads.get(instanceId) ?? LoadSum.create();
+    load.addRequest(work);
+    this.#ownLoads.set(instanceId, load);
+    this.#changeCount += 1;
+    this.#lastBroadcast = '';
+    const message = { kind: PeerMessageKind.LoadChange as const, instanceId, ...load.toReport() };
     return this.#members
       .others(PeerRole.Gateway)
-      .map(({ address }) =>
-        sendToPeer(address, { kind: PeerMessageKind.LoadChange, instanceId, count }),
-      );
+      .map(({ address }) => sendToPeer(address, message));
+  };
+
+  readonly recordPromptRead = (instanceId: string, work: RequestWork): void => {
+    this.#ownLoads.get(instanceId)?.removePrompt(work);
+    this.#changeCount += 1;
   };
 
-  readonly recordEnd = (instanceId: string): void => {
-    const left = this.ownCountAt(instanceId) - 1;
-    if (left > 0) {
-      this.#ownCounts.set(instanceId, left);
-    } else {
-      this.#ownCounts.delete(instanceId);
+  readonly recordEnd = (instanceId: string, work?: RequestWork): void => {
+    const load = this.#ownLoads.get(instanceId);
+    load?.removeRequest(work);
+    this.#changeCount += 1;
+    if (load?.count === 0) {
+      this.#ownLoads.delete(instanceId);
     }
   };
 
-  readonly ownCountAt = (instanceId: string): number => this.#ownCounts.get(instanceId) ?? 0;
+  readonly changeCount = (): number => this.#changeCount;
+
+  readonly ownCountAt = (instanceId: string): number => this.#ownLoads.get(instanceId)?.count ?? 0;
+
+  readonly workTokensAt = (instanceId: string, usualTokens: number): number =>
+    (this.#ownLoads.get(instanceId)?.workTokens(usualTokens) ?? 0) +
+    this.#peerTotals.workTokensAt(instanceId, usualTokens);
+
+  readonly longCountAt = (instanceId: string): number =>
+    (this.#ownLoads.get(instanceId)?.longCount ?? 0) + this.#peerTotals.longCountAt(instanceId);
+
+  readonly reportAgeMs = (): number => this.#peerTotals.meanAgeMs();
 
   readonly countAt = (instanceId: string): number =>
     this.ownCountAt(instanceId) + this.#peerTotals.countAt(instanceId);
@@ -97,18 +144,33 @@
     return setTimer(TimerKind.LoadBroadcast, TIMER_KEY, BROADCAST_INTERVAL_MS);
   }
 
-  /** Sends nothing when no request is in progress and the last broadcast already said so. */
+  /** Sends less often while no request is in progress and the last broadcast already said so. */
   #broadcast(): readonly Effect[] {
-    const counts = [...this.#ownCounts].map(([instanceId, count]) => ({ instanceId, count }));
-    const passes = this.#admission.ownEstimates();
+    const counts = [...this.#ownLoads].map(([instanceId, load]) => ({
+      instanceId,
+      ...load.toReport(),
+    }));
+    const refusals = this.#returns.takeNews();
     const text = JSON.stringify(counts);
-    if (counts.length === 0 && text === this.#lastBroadcast) {
+    const nowMs = this.runtime.nowMs();
+    const isRecent = nowMs - this.#lastBroadcastAtMs < IDLE_INTERVAL_MS;
+    const hasNews = counts.length > 0 || refusals.length > 0 || text !== this.#lastBroadcast;
+    if (!hasNews && isRecent) {
       return [];
     }
     this.#lastBroadcast = text;
+    this.#lastBroadcastAtMs = nowMs;
+    const message: LoadMessage = {
+      kind: PeerMessageKind.Load,
+      counts,
+      passes: this.#admission.ownEstimates(),
+      copyAgeMs: this.#copies.ownAgeMs(),
+      rates: this.#throughput.ownRates(),
+      ...(refusals.length === 0 ? {} : { refusals }),
+    };
     return this.#members
       .others(PeerRole.Gateway)
-      .map(({ address }) => sendToPeer(address, { kind: PeerMessageKind.Load, counts, passes }));
+      .map(({ address }) => sendToPeer(address, message));
   }
 }
 
@@ -120,7 +182,13 @@
  */
 export const loadsRegistration = ({ runtime }: LoadsOptions): Registration<ServiceName.Loads> => ({
   name: ServiceName.Loads,
-  requires: [ServiceName.Members, ServiceName.Admission],
+  requires: [
+    ServiceName.Members,
+    ServiceName.Admission,
+    ServiceName.Copies,
+    ServiceName.Throughput,
+    ServiceName.Returns,
+  ],
   create: (find) => {
     const service = LoadsService.create(runtime, find);
     return createInstance(service, {
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -11,14 +11,16 @@
   Denied = 'denied',
 }
 
+/** Answer to a denied request. */
+export interface Denial {
+  readonly status: LocalStatus;
+  readonly reason: ExchangeReason;
+}
+
 /** Resolution of an allowed request, or the answer to a denied one. */
 export type CheckResult =
   | { readonly verdict: CheckVerdict.Allowed; readonly resolution: Resolution }
-  | {
-      readonly verdict: CheckVerdict.Denied;
-      readonly status: LocalStatus;
-      readonly reason: ExchangeReason;
-    };
+  | ({ readonly verdict: CheckVerdict.Denied } & Denial);
 
 /** State against which requests are checked. */
 export interface RequestCheck {
@@ -32,10 +34,13 @@
  * Maximum age of the store copy for accepting a credential, since it may have been revoked.
  * Operators allow 5 s from their change; one second is left for the target's queue and the network.
  */
-const MAX_CREDENTIAL_AGE_MS = 4_000;
+export const MAX_CREDENTIAL_AGE_MS = 4_000;
 
-/** Maximum age of the store copy for answering that a route or credential does not exist. */
-const MAX_DENIAL_AGE_MS = 2_500;
+/**
+ * Maximum age of the store copy for answering that a route or credential does not exist. In calm the
+ * age stays below twice the wait of a watch and the time of its answer.
+ */
+const MAX_DENIAL_AGE_MS = 2_900;
 
 const deny = (status: LocalStatus, reason: ExchangeReason): CheckResult => ({
   verdict: CheckVerdict.Denied,
--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -31,6 +31,8 @@
     .default('')
     .transform((text) => (Number(text) > 0 ? Number(text) : defaultValue));
 
+const DEFAULT_DRAIN_TIMEOUT_MS = 2_000;
+
 /** Settings of a gateway. */
 export const gatewaySettingsSchema = z.strictObject({
   ...peerFields,
@@ -40,6 +42,8 @@
   storeAddress: addressField,
   /** Time between the signal to stop and the signal that kills the process. */
   graceSeconds: z.number().positive(),
+  /** Time within which a target that has left gets no further requests. */
+  drainTimeoutMs: z.number().positive().default(DEFAULT_DRAIN_TIMEOUT_MS),
   retryBudget: z.strictObject({
     ratio: z.number().min(0),
     windowSeconds: z.number().positive(),
