fix: health checks and metrics have bounded connections, heads and times

Clients of the listeners for readiness and metrics, also the rank agent's, could open connections until the descriptors of the process were used up, and keep a body or an unread answer open without a limit.

--- a/packages/gateway-io/src/StatusServer.ts
+++ b/packages/gateway-io/src/StatusServer.ts
@@ -1,6 +1,7 @@
 /** @module HTTP servers for the health checks of load balancers and for monitoring. */
 import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
+import { CHECK_INTERVAL_MS, guardServer, type ServerBounds } from '@ebonysill/http';
 import type { ListenAddress } from './CallerServer.js';
 
 /** Answer to a status request. */
@@ -16,8 +17,12 @@
   /** Gives the answer for a path with its query. */
   readonly answer: (path: string) => StatusAnswer;
   readonly onError: (error: unknown) => void;
+  readonly bounds?: ServerBounds;
 }
 
+/** Checks need a few fields only. */
+const MAX_HEADER_BYTES = 8_192;
+
 /** Answers every request from its path alone; method and body are ignored. */
 export default class StatusServer {
   private constructor(private readonly server: Server) {}
@@ -28,8 +33,13 @@
    * @example
    * await StatusServer.create({ listen, answer: () => READY, onError });
    */
-  static async create({ listen, answer, onError }: StatusServerOptions): Promise<StatusServer> {
-    const server = createServer((request, response) => {
+  static async create(options: StatusServerOptions): Promise<StatusServer> {
+    const { listen, answer, onError, bounds } = options;
+    const limits = {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    };
+    const server = createServer(limits, (request, response) => {
       const { status, contentType, body } = answer(request.url ?? '');
       response.writeHead(status, {
         'content-type': contentType,
@@ -37,6 +47,7 @@
       });
       response.end(body);
     });
+    guardServer(server, bounds);
     server.listen(listen.port, listen.host);
     await once(server, 'listening');
     server.on('error', onError);
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -11,3 +11,4 @@
 } from './ByteBudget.js';
 export { default as ConnectionLimit } from './ConnectionLimit.js';
 export { default as spreadConnections } from './spreadConnections.js';
+export { MAX_STATUS_CONNECTIONS, guardServer, type ServerBounds } from './guard-server.js';
