fix: clients of entry processes and sidecars have bounded bodies, frames and connections

Clients could keep 2,048 links open with an unfinished frame of 4 MiB each before they had proved that they know the secret, prolong the handshake with a byte every two seconds, and have each part of a frame copied with all parts before it. Bodies of callers had no bound together, and the operators' port none at all.

- callers: 32 MiB for all bodies, 10 s for progress, 4,096 connections; 503 or 408 before a service sees the request
- operators: 64 connections, 64 KiB a body, 3 s a request, 15 s without a byte
- links: frames of 64 bytes until the proof, 2 s for the whole handshake, 32 MiB for all unfinished frames, 10 s for progress, 16 MiB that wait for one peer

The bounds did not exist before, so that the new tests were not run on the code before.

--- a/packages/transport/src/AdminServer.ts
+++ b/packages/transport/src/AdminServer.ts
@@ -1,6 +1,7 @@
 /** @module HTTP server for operators: calls to the process and its metrics page. */
 import type { AddressInfo } from 'node:net';
 import { createServer, type Server } from 'node:http';
+import { guardServer, type ServerBounds } from '@ebonysill/http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { adminRouter, type AdminFunctions } from './admin-router.js';
 import { formatMetrics } from './metrics-page.js';
@@ -9,6 +10,9 @@
 
 const METRICS_TYPE = 'text/plain; version=0.0.4';
 
+/** Calls of operators carry an id and a few fields. */
+const MAX_BODY_BYTES = 65_536;
+
 /** Serves metrics at `/metrics`, and tRPC calls at every other path. */
 export default class AdminServer {
   private constructor(private readonly server: Server) {}
@@ -19,8 +23,11 @@
    * @example
    * const admin = AdminServer.create({ readStatus, explain, readBurn });
    */
-  static create(functions: AdminFunctions): AdminServer {
-    const handleCall = createHTTPHandler({ router: adminRouter(functions) });
+  static create(functions: AdminFunctions, bounds?: ServerBounds): AdminServer {
+    const handleCall = createHTTPHandler({
+      router: adminRouter(functions),
+      maxBodySize: MAX_BODY_BYTES,
+    });
     const server = createServer((request, response) => {
       if (request.url === METRICS_PATH) {
         response.writeHead(200, { 'content-type': METRICS_TYPE });
@@ -29,6 +36,7 @@
         handleCall(request, response);
       }
     });
+    guardServer(server, bounds);
     return new AdminServer(server);
   }
 
--- a/packages/transport/src/LinkPort.ts
+++ b/packages/transport/src/LinkPort.ts
@@ -1,16 +1,46 @@
 /** @module Links between processes over TCP. */
 import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
+import { ByteBudget, CHECK_INTERVAL_MS, DropCause } from '@ebonysill/http';
 import { EventKind, type Event, type Message, type OpenLinkEffect } from '@ebonysill/core';
-import { FrameReader, frame } from './frame-reader.js';
+import { FrameReader, MAX_FRAME_BYTES, frame } from './frame-reader.js';
 import { HandshakeStep, LinkEnd, LinkHandshake } from './link-handshake.js';
 import { decodeMessage, encodeMessage } from './message-codec.js';
 
 /** Limit on open inbound links of one process. */
 const MAX_INBOUND_LINKS = 2_048;
 
-/** Time without traffic, while the handshake is unfinished, after which a link is closed. */
+/** Time within which a handshake has to be finished. */
 const HANDSHAKE_TIMEOUT_MS = 2_000;
 
+/** Longest frame of a handshake: anybody can send it. */
+const MAX_HANDSHAKE_FRAME_BYTES = 64;
+
+/** Each end sends a nonce and a proof before its first message. */
+const HANDSHAKE_FRAME_COUNT = 2;
+
+const maxBytesOf = (frameIndex: number): number =>
+  frameIndex < HANDSHAKE_FRAME_COUNT ? MAX_HANDSHAKE_FRAME_BYTES : MAX_FRAME_BYTES;
+
+/** Time in which an unfinished frame must make progress. */
+const FRAME_TIMEOUT_MS = 10_000;
+
+/** Memory of a frame that counts as its progress; a byte now and then does not. */
+const MIN_PROGRESS_BYTES = 512;
+
+/** Unfinished frames of all links together. */
+const MAX_PENDING_BYTES = 33_554_432;
+
+/** A peer that does not read is disconnected when more bytes wait for it on its link. */
+const MAX_UNSENT_BYTES = 16_777_216;
+
+/** Bounds that a test may lower. */
+export interface LinkBounds {
+  readonly maxInboundCount?: number;
+  readonly maxPendingBytes?: number;
+  readonly frameTimeoutMs?: number;
+  readonly handshakeTimeoutMs?: number;
+}
+
 /** TCP links to other processes, which carry messages as length-prefixed frames. */
 export default class LinkPort {
   readonly #sockets = new Map<string, Socket>();
@@ -19,10 +49,16 @@
 
   #inboundCount = 0;
 
+  readonly #budget: ByteBudget;
+
   private constructor(
     private readonly secret: string,
     private readonly post: (event: Event) => void,
-  ) {}
+    private readonly bounds: LinkBounds,
+  ) {
+    this.#budget = ByteBudget.create({ maxBytes: bounds.maxPendingBytes ?? MAX_PENDING_BYTES });
+    setInterval(() => this.#budget.check(), CHECK_INTERVAL_MS).unref();
+  }
 
   /**
    * Creates a port that posts link events.
@@ -30,14 +66,14 @@
    * @example
    * const links = LinkPort.create(secret, (event) => kernel.post(event));
    */
-  static create(secret: string, post: (event: Event) => void): LinkPort {
-    return new LinkPort(secret, post);
+  static create(secret: string, post: (event: Event) => void, bounds: LinkBounds = {}): LinkPort {
+    return new LinkPort(secret, post, bounds);
   }
 
   /** Starts listening; resolves with the port in use, which the system chooses for port 0. */
   listen(host: string, port: number): Promise<number> {
     const server = createServer((socket) => this.#accept(socket));
-    server.maxConnections = MAX_INBOUND_LINKS;
+    server.maxConnections = this.bounds.maxInboundCount ?? MAX_INBOUND_LINKS;
     this.#server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
@@ -55,7 +91,14 @@
 
   /** Sends a message. It is dropped if the link is closed, which `LinkClosed` reports. */
   send(linkId: string, message: Message): void {
-    this.#sockets.get(linkId)?.write(frame(encodeMessage(message)));
+    const socket = this.#sockets.get(linkId);
+    if (socket === undefined) {
+      return;
+    }
+    socket.write(frame(encodeMessage(message)));
+    if (socket.writableLength > MAX_UNSENT_BYTES) {
+      socket.destroy();
+    }
   }
 
   /** Closes a link at once; messages that are not yet written are dropped. */
@@ -79,27 +122,45 @@
    * end has proved that it knows the secret; `LinkClosed` is posted in any case.
    */
   #attach(linkId: string, socket: Socket, end: LinkEnd): void {
-    const reader = FrameReader.create();
+    const reader = FrameReader.create(maxBytesOf);
     const handshake = LinkHandshake.create(this.secret, end);
+    const { frameTimeoutMs, handshakeTimeoutMs } = this.bounds;
+    const pending = this.#budget.open({
+      stallTimeoutMs: frameTimeoutMs ?? FRAME_TIMEOUT_MS,
+      stallCause: DropCause.BodyStalled,
+      drop: () => socket.destroy(),
+    });
+    const handshakeTimer = setTimeout(
+      () => socket.destroy(),
+      handshakeTimeoutMs ?? HANDSHAKE_TIMEOUT_MS,
+    );
+    let progressBytes = 0;
     let receive = (payload: Buffer): void => {
       if (this.#advanceHandshake(linkId, socket, handshake, end, payload)) {
+        clearTimeout(handshakeTimer);
         receive = (message) => this.#receiveMessage(linkId, socket, message);
       }
     };
     this.#sockets.set(linkId, socket);
     socket.setNoDelay(true);
-    socket.setTimeout(HANDSHAKE_TIMEOUT_MS, () => socket.destroy());
     socket.write(frame(handshake.nonce));
     socket.on('data', (bytes) => {
       const frames = reader.push(bytes);
       if (frames === undefined) {
         socket.destroy();
-      } else {
-        frames.forEach((payload) => receive(payload));
+        return;
+      }
+      if (frames.length > 0 || reader.pendingBytes >= progressBytes) {
+        progressBytes = reader.pendingBytes + MIN_PROGRESS_BYTES;
+        pending.recordProgress();
       }
+      pending.setSize(reader.pendingBytes);
+      frames.forEach((payload) => receive(payload));
     });
     socket.on('error', () => socket.destroy());
     socket.once('close', () => {
+      clearTimeout(handshakeTimer);
+      pending.release();
       this.#sockets.delete(linkId);
       this.post({ kind: EventKind.LinkClosed, linkId });
     });
@@ -119,7 +180,6 @@
         socket.write(frame(handshake.createProof()));
         return false;
       case HandshakeStep.Done:
-        socket.setTimeout(0);
         this.post({ kind: EventKind.LinkOpened, linkId, isInbound: end === LinkEnd.Listener });
         return true;
       case HandshakeStep.Reject:
--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -16,6 +16,13 @@
   type Event,
   type Problem,
 } from '@ebonysill/core';
+import {
+  BodyReceiver,
+  ByteBudget,
+  CHECK_INTERVAL_MS,
+  ConnectionLimit,
+  DropCause,
+} from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
 import { decodeCallerRequest, isProblem } from './caller-request.js';
 import { statusOf } from './problem-status.js';
@@ -30,6 +37,17 @@
 /** Time for which a stop waits for callers that still receive their answers. */
 const MAX_FLUSH_MS = 5_000;
 
+/** Time for which the rest of a refused body is read and dropped. */
+const REFUSED_BODY_MS = 1_000;
+
+/** Time in which an unfinished body must make progress. */
+const BODY_TIMEOUT_MS = 10_000;
+
+/** Unfinished bodies and running requests of all callers together. */
+const MAX_HELD_BYTES = 33_554_432;
+
+const MAX_CONNECTION_COUNT = 4_096;
+
 const PROBLEM_TYPE = 'application/problem+json';
 
 const EVENT_STREAM = 'text/event-stream';
@@ -39,6 +57,14 @@
   readonly post: (event: Event) => void;
   /** Page for a GET request, such as `/readyz`; undefined if the request goes to a service. */
   readonly readPage: (path: string) => Page | undefined;
+  readonly bounds?: CallerPortBounds;
+}
+
+/** Bounds on what all callers together may make the process keep. */
+export interface CallerPortBounds {
+  readonly maxHeldBytes: number;
+  readonly maxConnectionCount: number;
+  readonly bodyTimeoutMs: number;
 }
 
 /** A page that the process itself serves. */
@@ -51,6 +77,23 @@
 type AnswerEffect =
   AnswerHeadEffect | AnswerChunkEffect | AnswerEndEffect | AnswerKeyEffect | AnswerProblemEffect;
 
+const problemOf = (cause: DropCause): Problem => {
+  switch (cause) {
+    case DropCause.TooLarge:
+      return notRun(Reason.TooLarge, `the body is longer than ${MAX_BODY_BYTES} bytes`);
+    case DropCause.BodyStalled:
+      return notRun(Reason.MalformedRequest, 'the body made no progress in time');
+    default:
+      return notRun(Reason.Overloaded, 'there is no room for the body');
+  }
+};
+
+const DEFAULT_BOUNDS: CallerPortBounds = {
+  maxHeldBytes: MAX_HELD_BYTES,
+  maxConnectionCount: MAX_CONNECTION_COUNT,
+  bodyTimeoutMs: BODY_TIMEOUT_MS,
+};
+
 const problemBody = (problem: Problem, requestId: string): string =>
   JSON.stringify({
     type: `urn:ebonysill:${problem.reason}`,
@@ -70,6 +113,10 @@
 
   readonly #connections = CallerConnections.create();
 
+  readonly #bodies: BodyReceiver;
+
+  readonly #limit: ConnectionLimit;
+
   #exchangeCount = 0;
 
   private constructor(private readonly options: CallerPortOptions) {
@@ -78,6 +125,15 @@
       (request, response) => this.#onRequest(request, response),
     );
     this.#server.on('connection', (socket) => this.#connections.add(socket));
+    const { maxHeldBytes, maxConnectionCount, bodyTimeoutMs } = options.bounds ?? DEFAULT_BOUNDS;
+    const budget = ByteBudget.create({ maxBytes: maxHeldBytes });
+    this.#limit = ConnectionLimit.create({ maxCount: maxConnectionCount });
+    this.#bodies = BodyReceiver.create({ budget, timeoutMs: bodyTimeoutMs });
+    this.#limit.watch(this.#server);
+    setInterval(() => {
+      budget.check();
+      this.#limit.check();
+    }, CHECK_INTERVAL_MS).unref();
     // Node closes idle connections by itself when the listener closes, and by its own notion of idle.
     this.#server.closeIdleConnections = () => this.#connections.closeIdle();
   }
@@ -210,26 +266,31 @@
   }
 
   #readBody(request: IncomingMessage, response: ServerResponse): void {
-    const parts: Buffer[] = [];
-    let sizeBytes = 0;
-    request.on('data', (part: Buffer) => {
-      sizeBytes += part.length;
-      if (sizeBytes <= MAX_BODY_BYTES) {
-        parts.push(part);
-      } else if (!response.headersSent) {
-        const detail = `the body is longer than ${MAX_BODY_BYTES} bytes`;
-        response.setHeader('connection', 'close');
-        CallerPort.#writeProblem(response, notRun(Reason.TooLarge, detail), '');
-      }
-    });
-    request.on('end', () => {
-      if (sizeBytes <= MAX_BODY_BYTES) {
-        this.#dispatch(request, response, Buffer.concat(parts).toString('latin1'));
-      }
+    this.#bodies.receive({
+      request,
+      response,
+      maxBytes: MAX_BODY_BYTES,
+      onComplete: (body) => this.#dispatch(request, response, body.toString('latin1')),
+      onRefused: (cause) => CallerPort.#refuse(request, response, cause),
     });
   }
 
+  /** Answers at once; the connection closes after the rest of the body, or after a while. */
+  static #refuse(request: IncomingMessage, response: ServerResponse, cause: DropCause): void {
+    if (response.headersSent || response.destroyed) {
+      return;
+    }
+    response.setHeader('connection', 'close');
+    CallerPort.#writeProblem(response, problemOf(cause), '');
+    const timer = setTimeout(() => request.socket.destroySoon(), REFUSED_BODY_MS);
+    request.socket.once('close', () => clearTimeout(timer));
+    BodyReceiver.drop(request, () => undefined);
+  }
+
   #dispatch(request: IncomingMessage, response: ServerResponse, body: string): void {
+    const { socket } = request;
+    this.#limit.recordRequest(socket);
+    response.once('close', () => this.#limit.recordAnswer(socket));
     this.#exchangeCount += 1;
     const exchangeId = `exchange-${this.#exchangeCount}`;
     const decoded = decodeCallerRequest(exchangeId, request, body);
--- /dev/null
+++ b/packages/transport/tests/outside-limits.test.ts
@@ -0,0 +1,167 @@
+/** @module Clients of the entry process's and the sidecar's listeners that keep to no limit. */
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { expect } from 'earl';
+import { EventKind, type Event } from '@ebonysill/core';
+import { AdminServer, CallerPort, LinkPort } from '../src/index.js';
+import { FrameReader, frame } from '../src/frame-reader.js';
+
+const HOST = '127.0.0.1';
+
+type After = (fn: () => void) => void;
+
+interface Client {
+  readonly socket: Socket;
+  readonly received: () => string;
+}
+
+const open = async (port: number, after: After): Promise<Client> => {
+  const socket = connect(port, HOST);
+  let text = '';
+  socket.on('data', (data: Buffer) => {
+    text += data.toString('latin1');
+  });
+  socket.on('error', () => socket.destroy());
+  await once(socket, 'connect');
+  after(() => socket.destroy());
+  return { socket, received: () => text };
+};
+
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+  if (!condition()) {
+    await delay(10);
+    await waitUntil(condition);
+  }
+};
+
+const isClosed = ({ socket }: Client): boolean => socket.destroyed || socket.readableEnded;
+
+const listenToCallers = async (
+  after: After,
+  bounds: { maxHeldBytes?: number; maxConnectionCount?: number; bodyTimeoutMs?: number },
+): Promise<{ port: number; events: readonly Event[] }> => {
+  const events: Event[] = [];
+  const callers = CallerPort.create({
+    post: (event) => events.push(event),
+    readPage: () => undefined,
+    bounds: { maxHeldBytes: 1_000_000, maxConnectionCount: 10, bodyTimeoutMs: 10_000, ...bounds },
+  });
+  const port = await callers.listen(HOST, 0);
+  after(() => {
+    callers.stopAccepting();
+    callers.shutdown();
+  });
+  return { port, events };
+};
+
+const HEAD = 'POST /services/x/y HTTP/1.1\r\nHost: a\r\n';
+
+// Guards against bodies that together exceed the memory of an entry process.
+test('the oldest unfinished body goes when bodies have no room', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, { maxHeldBytes: 270_000 });
+  const first = await open(port, after);
+  first.socket.write(`${HEAD}Content-Length: 130001\r\n\r\n${'x'.repeat(130_000)}`);
+  await delay(100);
+  const second = await open(port, after);
+  second.socket.write(`${HEAD}Content-Length: 130000\r\n\r\n${'x'.repeat(130_000)}`);
+  await waitUntil(() => first.received().includes('HTTP/1.1 503') && events.length > 0);
+  expect(first.received()).toInclude('"outcome":"refused-not-run"');
+  expect(events.map(({ kind }) => kind)).toEqual([EventKind.CallerRequest]);
+});
+
+// Guards against bodies that stop and are kept until the timeout of a whole request.
+test('a body without progress ends', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, { bodyTimeoutMs: 300 });
+  const client = await open(port, after);
+  client.socket.write(`${HEAD}Content-Length: 100\r\n\r\nx`);
+  await waitUntil(() => isClosed(client));
+  expect(client.received()).toInclude('no progress');
+  expect(events).toEqual([]);
+});
+
+// Guards against connections without a request that take all descriptors.
+test('connections over the limit are closed', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port } = await listenToCallers(after, { maxConnectionCount: 2 });
+  const first = await open(port, after);
+  await open(port, after);
+  await open(port, after);
+  await waitUntil(() => isClosed(first));
+});
+
+const listenToOperators = async (after: After, bounds: object): Promise<number> => {
+  const admin = AdminServer.create(
+    {
+      readStatus: () => ({ peers: [] }) as never,
+      explain: () => [],
+      readBurn: () => [],
+    },
+    bounds,
+  );
+  const port = await admin.listen(HOST, 0);
+  after(() => admin.shutdown());
+  return port;
+};
+
+// The same for the port of the operators.
+test('operators have a bounded number of connections', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const port = await listenToOperators(after, { maxConnectionCount: 2 });
+  const first = await open(port, after);
+  await open(port, after);
+  await open(port, after);
+  await waitUntil(() => isClosed(first));
+});
+
+// Guards against requests to operators that are never complete.
+test('a call of operators that stops ends', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const port = await listenToOperators(after, { requestTimeoutMs: 300, idleTimeoutMs: 300 });
+  const client = await open(port, after);
+  client.socket.write('POST /status HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nx');
+  await waitUntil(() => isClosed(client));
+});
+
+const listenToLinks = async (after: After, bounds: object): Promise<number> => {
+  const links = LinkPort.create('secret of the listener', () => undefined, bounds);
+  const port = await links.listen(HOST, 0);
+  after(() => links.shutdown());
+  return port;
+};
+
+// Guards against frames of 4 MiB from clients that have proved nothing.
+test('a long frame before the proof closes the link', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const client = await open(await listenToLinks(after, {}), after);
+  client.socket.write(Buffer.from([0, 0, 4, 0]));
+  await waitUntil(() => isClosed(client));
+});
+
+// Guards against clients that prolong a handshake with a byte now and then.
+test('a handshake has a time in all', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const client = await open(await listenToLinks(after, { handshakeTimeoutMs: 300 }), after);
+  client.socket.write(Buffer.from([0, 0, 0, 32]));
+  const timer = setInterval(() => client.socket.write('x'), 50);
+  after(() => clearInterval(timer));
+  await waitUntil(() => isClosed(client));
+});
+
+// Guards against a link that is closed because a message follows its proof in the same packet.
+test('a long frame after the handshake is accepted', () => {
+  const reader = FrameReader.create((index) => (index < 2 ? 64 : 1_000));
+  const frames = reader.push(Buffer.concat([32, 32, 900].map((size) => frame(Buffer.alloc(size)))));
+  expect(frames?.map(({ length }) => length)).toEqual([32, 32, 900]);
+});
+
+// Guards against a frame in small parts that is copied whole for each of them.
+test('an unfinished frame costs about its bytes', () => {
+  const reader = FrameReader.create();
+  const bytes = frame(Buffer.alloc(60_000));
+  Array.from({ length: 59_000 }, (_, index) => reader.push(bytes.subarray(index, index + 1)));
+  expect(reader.pendingBytes).toBeLessThan(120_001);
+});
