--- a/packages/gateway-io/src/parsePeerMessage.ts
+++ b/packages/gateway-io/src/parsePeerMessage.ts
@@ -101,7 +101,11 @@
       .optional(),
     refusals: z.array(refusal).max(MAX_REPORTED_REFUSALS).optional(),
   }),
-  z.object({ kind: z.literal(PeerMessageKind.LoadChange), ...targetCount }),
+  z.object({
+    kind: z.literal(PeerMessageKind.LoadChange),
+    ...targetCount,
+    ended: z.array(z.object(targetCount)).optional(),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.CrashReport),
     fingerprint: z.string(),
@@ -122,10 +126,31 @@
       }),
     ),
     leaving: z.array(z.object({ instanceId: z.string(), startedAtMs: z.number().optional() })),
+    // Gateways of earlier versions report no pauses.
+    pauses: z
+      .array(
+        z.object({
+          gatewayAddress: z.string(),
+          instanceId: z.string(),
+          remainingMs: z.number().nonnegative(),
+        }),
+      )
+      .default([]),
+  }),
+  z.object({ kind: z.literal(PeerMessageKind.QueryStartState) }),
+  z.object({
+    kind: z.literal(PeerMessageKind.StartState),
+    isStarting: z.boolean(),
+    version: z.int().nonnegative(),
+    era: z.number().optional(),
+    spentRetries: z.array(z.object({ serviceName: z.string(), count: z.number().nonnegative() })),
+    coldStarts: z.array(z.object({ instanceId: z.string(), count: z.number().nonnegative() })),
   }),
   z.object({
     kind: z.enum([PeerMessageKind.RankState, PeerMessageKind.HoldConfirmed]),
     report,
+    // Agents of earlier versions report no age.
+    ageMs: z.number().nonnegative().default(0),
     engineAddress: z.string(),
   }),
   z.object({ kind: z.literal(PeerMessageKind.QueryState), groupName: z.string() }),
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -24,9 +24,10 @@
 import { waitingRegistration } from './intake/waiting-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
-import { loadsRegistration } from './loads-service.js';
+import { StartAnnouncement, loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
+import { peerKnowledgeRegistration } from './peer-knowledge-service.js';
 import type { Member } from './peer-message.js';
 import { resultsRegistration } from './results-service.js';
 import { retriesRegistration } from './retries-service.js';
@@ -36,6 +37,7 @@
 import { storeRegistration } from './store-service.js';
 import { suspectsRegistration } from './suspects-service.js';
 import { targetsRegistration } from './targets-service.js';
+import { floorOfLivePeers, type DecideFloor } from './version-floor.js';
 
 /** Settings and dependencies of a gateway. */
 export interface GatewayOptions {
@@ -60,6 +62,10 @@
   readonly isStalled?: IsStalled;
   /** Determines the work of requests at engines; by default they are counted. */
   readonly measureRequest?: MeasureRequest;
+  /** What other gateways are told when a request starts; by default the load of its target. */
+  readonly startAnnouncement?: StartAnnouncement;
+  /** Decides which configuration is too old to serve; by default one below those of live peers. */
+  readonly decideFloor?: DecideFloor;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
   /** Decisions on requests that wait; by default none does. */
@@ -79,13 +85,15 @@
   const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
   const { measureRequest } = options;
   const queueing = queueDecisions === undefined ? {} : { queueDecisions };
+  const { startAnnouncement = StartAnnouncement.Target } = options;
+  const { decideFloor = floorOfLivePeers } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
     targetsRegistration({ runtime, drainTimeoutMs }),
     membersRegistration({ runtime, self, seeds }),
-    loadsRegistration({ runtime }),
+    loadsRegistration({ runtime, startAnnouncement }),
     groupsRegistration({ runtime }),
     suspectsRegistration({ runtime, barUntilMs }),
     engineLimitsRegistration(),
@@ -100,6 +108,7 @@
       chooseTarget,
       ...(measureRequest === undefined ? {} : { measureRequest }),
     }),
+    peerKnowledgeRegistration({ runtime, seeds, decideFloor }),
     retriesRegistration({ runtime }),
     copiesRegistration({ runtime }),
     returnsRegistration({ runtime }),
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -249,7 +249,7 @@
     this.#exchangeOfCall.delete(callId);
     this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
     this.#admission.recordEnd(pool, exchange.id);
-    this.#throughput.recordEnd(pool);
+    this.#throughput.recordEnd(pool, ageMsOf(this.options.runtime, exchange.calledAt));
     exchange.clearCall();
   }
 
--- a/packages/gateway/src/intake/copies-service.ts
+++ b/packages/gateway/src/intake/copies-service.ts
@@ -6,10 +6,12 @@
   type CatalogueApi,
   type FindService,
   type MembersApi,
+  type PeerKnowledgeApi,
   type Registration,
   type StoreApi,
 } from '../directory.js';
 import { EventKind, type Event } from '../event.js';
+import { ageMsOf, momentNow, type Moment } from '../moment.js';
 import { PeerMessageKind, PeerRole } from '../peer-message.js';
 import { MAX_CREDENTIAL_AGE_MS } from '../request-check.js';
 import type { Runtime } from '../runtime.js';
@@ -24,8 +26,7 @@
 
 interface ReportedCopy {
   readonly ageMs: number;
-  readonly receivedAtMs: number;
-  readonly receivedAtSuspendAwareMs: number;
+  readonly receivedAt: Moment;
 }
 
 class CopiesService {
@@ -38,6 +39,8 @@
 
   readonly #catalogue: CatalogueApi;
 
+  readonly #peerKnowledge: PeerKnowledgeApi;
+
   readonly #members: MembersApi;
 
   private constructor(
@@ -46,6 +49,7 @@
   ) {
     this.#store = find(ServiceName.Store);
     this.#catalogue = find(ServiceName.Catalogue);
+    this.#peerKnowledge = find(ServiceName.PeerKnowledge);
     this.#members = find(ServiceName.Members);
   }
 
@@ -55,7 +59,7 @@
 
   readonly ownAgeMs = (): number => {
     const ageMs =
-      this.#catalogue.version() === 0
+      this.#catalogue.version() === 0 || !this.#peerKnowledge.isConfigurationCurrent()
         ? Number.POSITIVE_INFINITY
         : Math.max(this.#store.ageMs(), this.#catalogue.unreadableForMs());
     return Math.min(Math.round(ageMs), Number.MAX_SAFE_INTEGER);
@@ -66,7 +70,9 @@
     this.#hasKnownOthers ||= this.#members.others(PeerRole.Gateway).length > 0;
     return {
       hasOthers: this.#hasKnownOthers,
-      agesMs: [...this.#reported.values()].map((copy) => copy.ageMs + this.#elapsedMs(copy)),
+      agesMs: [...this.#reported.values()].map(
+        ({ ageMs, receivedAt }) => ageMs + ageMsOf(this.runtime, receivedAt),
+      ),
       maxAgeMs: MAX_CREDENTIAL_AGE_MS,
     };
   };
@@ -83,26 +89,18 @@
     if (copyAgeMs !== undefined) {
       this.#reported.set(event.address, {
         ageMs: copyAgeMs,
-        receivedAtMs: this.runtime.nowMs(),
-        receivedAtSuspendAwareMs: this.runtime.suspendAwareMs(),
+        receivedAt: momentNow(this.runtime),
       });
     }
   }
 
   #expire(): void {
-    this.#reported.forEach((copy, address) => {
-      if (this.#elapsedMs(copy) >= REPORT_EXPIRY_MS) {
+    this.#reported.forEach(({ receivedAt }, address) => {
+      if (ageMsOf(this.runtime, receivedAt) >= REPORT_EXPIRY_MS) {
         this.#reported.delete(address);
       }
     });
   }
-
-  #elapsedMs({ receivedAtMs, receivedAtSuspendAwareMs }: ReportedCopy): number {
-    return Math.max(
-      this.runtime.nowMs() - receivedAtMs,
-      this.runtime.suspendAwareMs() - receivedAtSuspendAwareMs,
-    );
-  }
 }
 
 /**
@@ -115,7 +113,12 @@
   runtime,
 }: CopiesOptions): Registration<ServiceName.Copies> => ({
   name: ServiceName.Copies,
-  requires: [ServiceName.Store, ServiceName.Catalogue, ServiceName.Members],
+  requires: [
+    ServiceName.Store,
+    ServiceName.Catalogue,
+    ServiceName.PeerKnowledge,
+    ServiceName.Members,
+  ],
   create: (find) => {
     const service = CopiesService.create(runtime, find);
     return createInstance(
--- a/packages/gateway/src/loads-service.ts
+++ b/packages/gateway/src/loads-service.ts
@@ -15,7 +15,13 @@
 import type { Effect } from './effect.js';
 import { EventKind, type Event, type PeerMessageEvent } from './event.js';
 import LoadSum from './LoadSum.js';
-import { PeerMessageKind, PeerRole, type LoadMessage } from './peer-message.js';
+import {
+  PeerMessageKind,
+  PeerRole,
+  type LoadChangeMessage,
+  type LoadMessage,
+  type TargetCount,
+} from './peer-message.js';
 import PeerTotals from './PeerTotals.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
@@ -34,9 +40,21 @@
 
 const TIMER_KEY = 0;
 
+/** What is announced with a request that starts. */
+export enum StartAnnouncement {
+  /** The load of its target. */
+  Target = 'target',
+  /** The loads that have become less since the last message too. */
+  TargetAndEnds = 'target-and-ends',
+}
+
+/** Loads in one announcement, so that it fits a datagram; the next broadcast reports the others. */
+const MAX_ENDED = 16;
+
 /** Options of the service; it uses the clock of `runtime`. */
 export interface LoadsOptions {
   readonly runtime: Runtime;
+  readonly startAnnouncement: StartAnnouncement;
 }
 
 /** Sums the load of each target over all gateways. */
@@ -44,6 +62,9 @@
   /** By instance identifier. */
   readonly #ownLoads = new Map<string, LoadSum>();
 
+  /** Instance identifiers of targets whose load has become less since the last message. */
+  readonly #endedIds = new Set<string>();
+
   readonly #peerTotals: PeerTotals;
 
   /** Empty when requests have been announced since. */
@@ -64,10 +85,10 @@
   readonly #returns: ReturnsApi;
 
   private constructor(
-    private readonly runtime: Runtime,
+    private readonly options: LoadsOptions,
     find: FindService,
   ) {
-    this.#peerTotals = PeerTotals.create(runtime.nowMs, COUNT_EXPIRY_MS);
+    this.#peerTotals = PeerTotals.create(options.runtime.nowMs, COUNT_EXPIRY_MS);
     this.#members = find(ServiceName.Members);
     this.#admission = find(ServiceName.Admission);
     this.#copies = find(ServiceName.Copies);
@@ -75,8 +96,8 @@
     this.#returns = find(ServiceName.Returns);
   }
 
-  static create(runtime: Runtime, find: FindService): LoadsService {
-    return new LoadsService(runtime, find);
+  static create(options: LoadsOptions, find: FindService): LoadsService {
+    return new LoadsService(options, find);
   }
 
   readonly recordStart = (instanceId: string, work?: RequestWork): readonly Effect[] => {
@@ -85,7 +106,12 @@
     this.#ownLoads.set(instanceId, load);
     this.#changeCount += 1;
     this.#lastBroadcast = '';
-    const message = { kind: PeerMessageKind.LoadChange as const, instanceId, ...load.toReport() };
+    const message = {
+      kind: PeerMessageKind.LoadChange as const,
+      instanceId,
+      ...load.toReport(),
+      ...this.#takeEnded(instanceId),
+    };
     return this.#members
       .others(PeerRole.Gateway)
       .map(({ address }) => sendToPeer(address, message));
@@ -93,12 +119,14 @@
 
   readonly recordPromptRead = (instanceId: string, work: RequestWork): void => {
     this.#ownLoads.get(instanceId)?.removePrompt(work);
+    this.#endedIds.add(instanceId);
     this.#changeCount += 1;
   };
 
   readonly recordEnd = (instanceId: string, work?: RequestWork): void => {
     const load = this.#ownLoads.get(instanceId);
     load?.removeRequest(work);
+    this.#endedIds.add(instanceId);
     this.#changeCount += 1;
     if (load?.count === 0) {
       this.#ownLoads.delete(instanceId);
@@ -116,8 +144,6 @@
   readonly longCountAt = (instanceId: string): number =>
     (this.#ownLoads.get(instanceId)?.longCount ?? 0) + this.#peerTotals.longCountAt(instanceId);
 
-  readonly reportAgeMs = (): number => this.#peerTotals.meanAgeMs();
-
   readonly countAt = (instanceId: string): number =>
     this.ownCountAt(instanceId) + this.#peerTotals.countAt(instanceId);
 
@@ -137,6 +163,7 @@
     }
     if (message.kind === PeerMessageKind.LoadChange) {
       this.#peerTotals.change(address, message);
+      message.ended?.forEach((load) => this.#peerTotals.change(address, load));
     }
   }
 
@@ -144,15 +171,30 @@
     return setTimer(TimerKind.LoadBroadcast, TIMER_KEY, BROADCAST_INTERVAL_MS);
   }
 
+  /** Loads to announce with a start at `startedId`. */
+  #takeEnded(startedId: string): Pick<LoadChangeMessage, 'ended'> {
+    if (this.options.startAnnouncement === StartAnnouncement.Target) {
+      return {};
+    }
+    this.#endedIds.delete(startedId);
+    const taken = [...this.#endedIds].slice(0, MAX_ENDED);
+    taken.forEach((instanceId) => this.#endedIds.delete(instanceId));
+    return taken.length === 0
+      ? {}
+      : { ended: taken.map((instanceId) => this.#reportOf(instanceId)) };
+  }
+
+  #reportOf(instanceId: string): TargetCount {
+    return { instanceId, ...(this.#ownLoads.get(instanceId) ?? LoadSum.create()).toReport() };
+  }
+
   /** Sends less often while no request is in progress and the last broadcast already said so. */
   #broadcast(): readonly Effect[] {
-    const counts = [...this.#ownLoads].map(([instanceId, load]) => ({
-      instanceId,
-      ...load.toReport(),
-    }));
+    this.#endedIds.clear();
+    const counts = [...this.#ownLoads.keys()].map((instanceId) => this.#reportOf(instanceId));
     const refusals = this.#returns.takeNews();
     const text = JSON.stringify(counts);
-    const nowMs = this.runtime.nowMs();
+    const nowMs = this.options.runtime.nowMs();
     const isRecent = nowMs - this.#lastBroadcastAtMs < IDLE_INTERVAL_MS;
     const hasNews = counts.length > 0 || refusals.length > 0 || text !== this.#lastBroadcast;
     if (!hasNews && isRecent) {
@@ -178,9 +220,9 @@
  * Registers the service that sums loads.
  *
  * @example
- * const services = [membersRegistration(options), loadsRegistration({ runtime })];
+ * const services = [membersRegistration(options), loadsRegistration({ runtime, startAnnouncement })];
  */
-export const loadsRegistration = ({ runtime }: LoadsOptions): Registration<ServiceName.Loads> => ({
+export const loadsRegistration = (options: LoadsOptions): Registration<ServiceName.Loads> => ({
   name: ServiceName.Loads,
   requires: [
     ServiceName.Members,
@@ -190,7 +232,7 @@
     ServiceName.Returns,
   ],
   create: (find) => {
-    const service = LoadsService.create(runtime, find);
+    const service = LoadsService.create(options, find);
     return createInstance(service, {
       start: () => [LoadsService.scheduleBroadcast()],
       handle: (event) => service.handle(event),
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -3,8 +3,10 @@
   EffectKind,
   EventKind,
   PeerRole,
+  StoreReadKind,
   type Effect,
   type GatewayOptions,
+  type PeerMessage,
   type SendToPeerEffect,
   type StartCallEffect,
   type StoreItem,
@@ -19,6 +21,8 @@
   readonly gateway: Harness;
   readonly callId: number;
   readonly instanceId: string;
+  /** Body of the request, as text. */
+  readonly body: string;
   readonly atMs: number;
 }
 
@@ -29,13 +33,26 @@
   doneCount: number;
 }
 
+/** Options of one of the gateways at these addresses, each of which has the others as seeds. */
+const memberOptions = (
+  addresses: readonly string[],
+  index: number,
+): Pick<GatewayOptions, 'self' | 'seeds'> => {
+  const address = addresses[index] ?? '';
+  const name = `gateway-${index + 1}`;
+  return {
+    self: { name, role: PeerRole.Gateway, address, availabilityZone: 'zone-a' },
+    seeds: addresses.filter((other) => other !== address),
+  };
+};
+
 interface SentMessage {
   readonly from: string;
   readonly effect: SendToPeerEffect;
 }
 
 /** Whether a message is lost on its way between two addresses. */
-export type IsLost = (from: string, to: string) => boolean;
+export type IsLost = (from: string, to: string, message: PeerMessage) => boolean;
 
 /** Gateways that know each other. */
 export class Fleet {
@@ -70,16 +87,7 @@
     const fleet = new Fleet(
       addresses.map((address, index) => ({
         address,
-        harness: Harness.create(items, {
-          self: {
-            name: `gateway-${index + 1}`,
-            role: PeerRole.Gateway,
-            address,
-            availabilityZone: 'zone-a',
-          },
-          seeds: addresses.filter((other) => other !== address),
-          ...options,
-        }),
+        harness: Harness.create(items, { ...memberOptions(addresses, index), ...options }),
         doneCount: 0,
       })),
       isLost,
@@ -88,6 +96,15 @@
     return fleet;
   }
 
+  /** Ends a gateway and starts another one in its place, which reads these items. */
+  restart(index: number, items: readonly StoreItem[]): Harness {
+    const addresses = this.#gateways.map(({ address }) => address);
+    const harness = Harness.start(memberOptions(addresses, index), this.nowMs);
+    Object.assign(this.#gateways[index] ?? {}, { harness, doneCount: 0 });
+    harness.read(StoreReadKind.Page, items);
+    return harness;
+  }
+
   get harnesses(): readonly Harness[] {
     return this.#gateways.map(({ harness }) => harness);
   }
@@ -120,7 +137,7 @@
 
   #deliver({ from, effect: { address, message } }: SentMessage): void {
     const receiver = this.#gateways.find((gateway) => gateway.address === address);
-    if (receiver !== undefined && !this.isLost(from, address)) {
+    if (receiver !== undefined && !this.isLost(from, address, message)) {
       receiver.harness.post({ kind: EventKind.PeerMessageReceived, address: from, message });
     }
   }
@@ -133,8 +150,14 @@
     this.#inFlight = [...this.#inFlight, ...sent.map((effect) => ({ from: address, effect }))];
     effects
       .filter((effect): effect is StartCallEffect => effect.kind === EffectKind.StartCall)
-      .forEach(({ callId, call: { instanceId } }) =>
-        this.calls.push({ gateway: harness, callId, instanceId, atMs: harness.nowMs }),
+      .forEach(({ callId, call: { instanceId, body } }) =>
+        this.calls.push({
+          gateway: harness,
+          callId,
+          instanceId,
+          body: Buffer.from(body).toString(),
+          atMs: harness.nowMs,
+        }),
       );
   }
 }
