--- a/packages/gateway/src/check-head.ts
+++ b/packages/gateway/src/check-head.ts
@@ -21,7 +21,7 @@
  * that check, since the delay depends on the whole request.
  *
  * @example
- * const checkHead = createHeadCheck({ catalogue, store, random });
+ * const checkHead = createHeadCheck({ catalogue, store, peerKnowledge, random });
  */
 export const createHeadCheck =
   (check: RequestCheck): CheckHead =>
