--- a/packages/gateway-io/src/MetricsRecorder.ts
+++ b/packages/gateway-io/src/MetricsRecorder.ts
@@ -51,6 +51,11 @@
     this.#recordDuration('ebonysill_longest_pause_ms', service, fields.longestPauseMs);
   }
 
+  /** Counts what was given up for a cause. */
+  recordDropped(cause: string): void {
+    this.#increment(`ebonysill_dropped_total{cause="${cause}"}`);
+  }
+
   /** Counts why requests waited and whom the cause of a refusal concerned. */
   #countDecisions({ service = '', reason = '', waitOutcome, scope }: LogFields): void {
     if (waitOutcome !== undefined) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,6 @@
 /** @module Decisions on requests that compete for targets. */
 export * from './choose-by-work.js';
+export * from './decide-evictions.js';
 export * from './decide-fleet-return.js';
 export * from './decide-return.js';
 export * from './decide-start-rate.js';
