--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,5 +1,10 @@
 /** @module The services that make up a gateway. */
-import type { DecidePriority } from '@ebonysill/scheduling';
+import {
+  weighTarget,
+  type DecidePriority,
+  type MeasureRequest,
+  type QueueDecisions,
+} from '@ebonysill/scheduling';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import { catalogueRegistration } from './catalogue-service.js';
@@ -15,13 +20,16 @@
 import { intakeRegistration } from './intake/intake-service.js';
 import { returnsRegistration } from './intake/returns-service.js';
 import { refusalsRegistration } from './intake/refusals-service.js';
+import { throughputRegistration } from './intake/throughput-service.js';
+import { waitingRegistration } from './intake/waiting-service.js';
 import { isStalledBehindGroup, type IsStalled } from './is-stalled.js';
 import { lifecycleRegistration } from './lifecycle-service.js';
-import { loadsRegistration } from './loads-service.js';
+import { StartAnnouncement, loadsRegistration } from './loads-service.js';
 import { membersRegistration } from './members-service.js';
 import { noticesRegistration } from './notices-service.js';
 import { peerKnowledgeRegistration } from './peer-knowledge-service.js';
 import type { Member } from './peer-message.js';
+import { resultsRegistration } from './results-service.js';
 import { retriesRegistration } from './retries-service.js';
 import { retryBudgetRegistration, type RetryBudgetBound } from './retry-budget-service.js';
 import type { Runtime } from './runtime.js';
@@ -54,8 +62,14 @@
   readonly isStalled?: IsStalled;
   /** Decides which configuration is too old to serve; by default one below those of live peers. */
   readonly decideFloor?: DecideFloor;
+  /** Determines the work of requests at engines; by default they are counted. */
+  readonly measureRequest?: MeasureRequest;
+  /** What other gateways are told when a request starts; by default the load of its target. */
+  readonly startAnnouncement?: StartAnnouncement;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
+  /** Decisions on requests that wait; by default none does. */
+  readonly queueDecisions?: QueueDecisions;
 }
 
 /**
@@ -68,15 +82,18 @@
   const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideCall = decideByNotices, decidePriority } = options;
   const { decideFloor = floorOfLivePeers } = options;
+  const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
+  const { measureRequest } = options;
+  const queueing = queueDecisions === undefined ? {} : { queueDecisions };
+  const { startAnnouncement = StartAnnouncement.Target } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
     targetsRegistration({ runtime, drainTimeoutMs }),
     membersRegistration({ runtime, self, seeds }),
-    loadsRegistration({ runtime }),
+    loadsRegistration({ runtime, startAnnouncement }),
     groupsRegistration({ runtime }),
     suspectsRegistration({ runtime, barUntilMs }),
     engineLimitsRegistration(),
@@ -85,11 +102,19 @@
     coldStartsRegistration({ runtime }),
     noticesRegistration({ runtime, decideCall }),
     peerKnowledgeRegistration({ runtime, seeds, decideFloor }),
-    routingRegistration({ runtime, availabilityZone, chooseTarget }),
+    resultsRegistration({ runtime, weighTarget }),
+    routingRegistration({
+      runtime,
+      availabilityZone,
+      chooseTarget,
+      ...(measureRequest === undefined ? {} : { measureRequest }),
+    }),
     retriesRegistration({ runtime }),
     copiesRegistration({ runtime }),
     returnsRegistration({ runtime }),
-    refusalsRegistration({ runtime }),
+    throughputRegistration({ runtime }),
+    refusalsRegistration({ runtime, ...queueing }),
+    waitingRegistration({ runtime, ...queueing }),
     intakeRegistration({ runtime }),
     exchangesRegistration({
       runtime,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,6 +1,8 @@
 /** @module State of one caller's request while this process handles it. */
+import type { RequestWork } from '@ebonysill/scheduling';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import { EventSplitter } from './event-splitter.js';
+import type { WaitTrace } from './intake/wait-trace.js';
 import { NEVER, type Moment } from './moment.js';
 import { CallKind, type Organisation, type PublishedTarget, type Route } from './published.js';
 
@@ -73,6 +75,9 @@
   /** When the current call was sent. */
   calledAt: Moment = NEVER;
 
+  /** Work of the current call that is outstanding; undefined when it is not known. */
+  outstandingWork: RequestWork | undefined;
+
   /** Pool of the current target; before the first call, the service. */
   pool: string;
 
@@ -105,6 +110,9 @@
 
   splitter = EventSplitter.create();
 
+  /** What was known when the request had to wait; undefined if it did not. */
+  wait: WaitTrace | undefined;
+
   readonly triedIds = new Set<string>();
 
   private constructor(
@@ -154,6 +162,11 @@
     return this.resolution.route.kind === CallKind.Streaming;
   }
 
+  /** Records why and how long the request waited. */
+  recordWait(wait: WaitTrace): void {
+    this.wait = wait;
+  }
+
   /** Records the start of a call to a target and discards the answer of the previous call. */
   recordCall(callId: number, target: PublishedTarget, pool: string): void {
     this.callId = callId;
@@ -167,9 +180,19 @@
     this.lastCallEventAtMs = undefined;
   }
 
-  /** Records when the current call was sent. */
-  recordCallMoment(moment: Moment): void {
+  /** Records when the current call was sent and the work that it causes. */
+  recordStart(moment: Moment, work: RequestWork | undefined): void {
     this.calledAt = moment;
+    this.outstandingWork = work;
+  }
+
+  /** Records that the target has read the prompt; returns the work that was outstanding before. */
+  recordPromptRead(): RequestWork | undefined {
+    const work = this.outstandingWork;
+    if (work !== undefined) {
+      this.outstandingWork = { ...work, readTokens: 0, isLong: false };
+    }
+    return work;
   }
 
   /** Records that no call is in progress any more. */
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -21,6 +21,8 @@
   readonly gateway: Harness;
   readonly callId: number;
   readonly instanceId: string;
+  /** Body of the request, as text. */
+  readonly body: string;
   readonly atMs: number;
 }
 
@@ -75,12 +77,17 @@
    * @example
    * const fleet = Fleet.create(10, [targetItem(targetOf('t-1'))]);
    */
-  static create(count: number, items: readonly StoreItem[], isLost: IsLost = () => false): Fleet {
+  static create(
+    count: number,
+    items: readonly StoreItem[],
+    isLost: IsLost = () => false,
+    options: Partial<GatewayOptions> = {},
+  ): Fleet {
     const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}:7000`);
     const fleet = new Fleet(
       addresses.map((address, index) => ({
         address,
-        harness: Harness.create(items, memberOptions(addresses, index)),
+        harness: Harness.create(items, { ...memberOptions(addresses, index), ...options }),
         doneCount: 0,
       })),
       isLost,
@@ -143,8 +150,14 @@
     this.#inFlight = [...this.#inFlight, ...sent.map((effect) => ({ from: address, effect }))];
     effects
       .filter((effect): effect is StartCallEffect => effect.kind === EffectKind.StartCall)
-      .forEach(({ callId, call: { instanceId } }) =>
-        this.calls.push({ gateway: harness, callId, instanceId, atMs: harness.nowMs }),
+      .forEach(({ callId, call: { instanceId, body } }) =>
+        this.calls.push({
+          gateway: harness,
+          callId,
+          instanceId,
+          body: Buffer.from(body).toString(),
+          atMs: harness.nowMs,
+        }),
       );
   }
 }
