test: messages for starting gateways as other versions send them

Guards against state that is lost on receipt, versions that no configuration can reach, and messages of earlier versions that are dropped during an update. Each of the three fails without its part of the schema.

--- a/packages/gateway-io/tests/peer-messages.test.ts
+++ b/packages/gateway-io/tests/peer-messages.test.ts
@@ -70,3 +70,51 @@
   };
   expect(parsePeerMessage(message)).toEqual(message);
 });
+
+// Guards against state that a starting gateway asks for and that is lost on receipt.
+test('the state for a starting gateway is kept', () => {
+  const message = {
+    kind: PeerMessageKind.StartState as const,
+    isStarting: false,
+    version: 9,
+    era: 2,
+    spentRetries: [{ serviceName: 'plain', count: 3 }],
+    coldStarts: [{ instanceId: 'i-1', count: 2 }],
+  };
+  expect(parsePeerMessage(message)).toEqual(message);
+  expect(parsePeerMessage({ kind: PeerMessageKind.QueryStartState })).toEqual({
+    kind: PeerMessageKind.QueryStartState,
+  });
+});
+
+// Guards against a floor that no configuration can reach.
+test('a state whose version is no whole number is dropped', () => {
+  const state = { isStarting: false, spentRetries: [], coldStarts: [] };
+  [-1, 0.5, NaN, Infinity, 1e300, '9'].forEach((version) => {
+    const message = { kind: PeerMessageKind.StartState, version, ...state };
+    expect(parsePeerMessage(message)).toEqual(undefined);
+  });
+});
+
+// Guards against mixed versions: notices and reports that are dropped during an update.
+test('notices and reports of an earlier version have no pauses and no age', () => {
+  const notices = { kind: PeerMessageKind.TargetNotices as const, limits: [], leaving: [] };
+  expect(parsePeerMessage(notices)).toEqual({ ...notices, pauses: [] });
+  const report = {
+    groupName: 'group-1',
+    epoch: 1,
+    rank: 0,
+    rankCount: 2,
+    isOpen: true,
+    step: 10,
+    mapVersion: 0,
+    preparedVersion: 0,
+    armedVersion: 0,
+    heldStep: 0,
+    runningCount: 0,
+    waitingCount: 0,
+    pace: 1,
+  };
+  const state = { kind: PeerMessageKind.RankState as const, report, engineAddress: '10.0.0.1:80' };
+  expect(parsePeerMessage(state)).toEqual({ ...state, ageMs: 0 });
+});
