--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -60,12 +60,12 @@
   readonly barUntilMs?: BarUntilMs;
   /** Decides whether a stream is resumed elsewhere; by default when its group goes on without it. */
   readonly isStalled?: IsStalled;
-  /** Decides which configuration is too old to serve; by default one below those of live peers. */
-  readonly decideFloor?: DecideFloor;
   /** Determines the work of requests at engines; by default they are counted. */
   readonly measureRequest?: MeasureRequest;
   /** What other gateways are told when a request starts; by default the load of its target. */
   readonly startAnnouncement?: StartAnnouncement;
+  /** Decides which configuration is too old to serve; by default one below those of live peers. */
+  readonly decideFloor?: DecideFloor;
   /** Decides the priority of calls to targets; by default targets use their own. */
   readonly decidePriority?: DecidePriority;
   /** Decisions on requests that wait; by default none does. */
@@ -82,11 +82,11 @@
   const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideFloor = floorOfLivePeers } = options;
   const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
   const { measureRequest } = options;
   const queueing = queueDecisions === undefined ? {} : { queueDecisions };
   const { startAnnouncement = StartAnnouncement.Target } = options;
+  const { decideFloor = floorOfLivePeers } = options;
   const { availabilityZone } = self;
   return [
     storeRegistration({ runtime }),
@@ -101,7 +101,6 @@
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
     noticesRegistration({ runtime, decideCall }),
-    peerKnowledgeRegistration({ runtime, seeds, decideFloor }),
     resultsRegistration({ runtime, weighTarget }),
     routingRegistration({
       runtime,
@@ -109,6 +108,7 @@
       chooseTarget,
       ...(measureRequest === undefined ? {} : { measureRequest }),
     }),
+    peerKnowledgeRegistration({ runtime, seeds, decideFloor }),
     retriesRegistration({ runtime }),
     copiesRegistration({ runtime }),
     returnsRegistration({ runtime }),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -47,8 +47,8 @@
   Retries = 'retries',
   ColdStarts = 'cold-starts',
   Notices = 'notices',
-  PeerKnowledge = 'peer-knowledge',
   Results = 'results',
+  PeerKnowledge = 'peer-knowledge',
   Routing = 'routing',
   Copies = 'copies',
   Returns = 'returns',
@@ -433,8 +433,8 @@
   readonly [ServiceName.Retries]: RetriesApi;
   readonly [ServiceName.ColdStarts]: ColdStartsApi;
   readonly [ServiceName.Notices]: NoticesApi;
-  readonly [ServiceName.PeerKnowledge]: PeerKnowledgeApi;
   readonly [ServiceName.Results]: ResultsApi;
+  readonly [ServiceName.PeerKnowledge]: PeerKnowledgeApi;
   readonly [ServiceName.Routing]: RoutingApi;
   readonly [ServiceName.Copies]: CopiesApi;
   readonly [ServiceName.Returns]: ReturnsApi;
