fix: gateways that all start wait less for one that knows more

Every gateway waited 1 s for a peer that was not starting itself. Change: when every gateway that is known has answered that it is starting, the bound is 0.6 s, as one that goes on running sends its hellos within half a second.

--- a/packages/gateway/src/peer-knowledge-service.ts
+++ b/packages/gateway/src/peer-knowledge-service.ts
@@ -36,6 +36,12 @@
 /** Time after the first answer of the store for which a gateway waits for its peers. */
 const ANSWER_BOUND_MS = 1_000;
 
+/**
+ * The same when every gateway that is known has answered that it is starting itself, as after a loss
+ * of power. One that goes on running sends its hellos within half a second.
+ */
+const ALL_STARTING_BOUND_MS = 600;
+
 /**
  * Time after the first answer of a peer for which those of the others are awaited: the first peer
  * may itself lack what another one knows.
@@ -190,12 +196,19 @@
     const nowMs = this.#nowMs();
     return (
       this.#hasSettled ||
-      nowMs - this.#firstReadAtMs >= ANSWER_BOUND_MS ||
+      nowMs - this.#firstReadAtMs >= this.#answerBoundMs() ||
       nowMs - this.#firstAnswerAtMs >= SETTLE_MS ||
       (this.#firstAnswerAtMs <= nowMs && [...this.#peers.values()].every(isEstablished))
     );
   }
 
+  #answerBoundMs(): number {
+    const peers = [...this.#peers.values()];
+    const areAllStarting =
+      peers.length > 0 && peers.every(({ answer }) => answer?.isStarting === true);
+    return areAllStarting ? ALL_STARTING_BOUND_MS : ANSWER_BOUND_MS;
+  }
+
   #settle(): readonly Effect[] {
     if (this.#hasSettled || !this.#isSettled()) {
       return [];
--- a/packages/gateway/tests/peer-knowledge.test.ts
+++ b/packages/gateway/tests/peer-knowledge.test.ts
@@ -181,6 +181,16 @@
   ]);
 });
 
+// Guards against a loss of power after which all gateways wait for one that knows more.
+test('gateways that all start wait less than for one that is silent', () => {
+  const fleet = Fleet.create(3, IN_FORCE);
+  const harnesses = [0, 1, 2].map((index) => fleet.restart(index, OLD));
+  fleet.run(500);
+  expect(harnesses.map((harness) => harness.isReady())).toEqual([false, false, false]);
+  fleet.run(200);
+  expect(harnesses.map((harness) => harness.isReady())).toEqual([true, true, true]);
+});
+
 // Guards against a gateway that trusts another one that has just started too.
 test('the answer of a gateway that starts too is no answer', () => {
   const harness = Harness.start(START);
