perf: a longer gap between two watches while the store changes

The gap grows from 60 to 300 ms; the bounds on changes (drain 2 s, configuration 2 s, zones and credentials 5 s) leave room for it. Not measured yet.

--- a/packages/gateway/src/store-service.ts
+++ b/packages/gateway/src/store-service.ts
@@ -45,8 +45,11 @@
 /** Jitter on the delay after a failure, so that processes do not retry at the same time. */
 const RETRY_JITTER_MS = 200;
 
-/** Minimum time between two watches; bounds the number of calls while many items change. */
-const MIN_WATCH_GAP_MS = 60;
+/**
+ * Minimum time between two watches; bounds the number of calls while many items change. Every bound on
+ * changes is two seconds or more.
+ */
+const MIN_WATCH_GAP_MS = 300;
 
 const TIMER_KEY = 0;
 
