refactor: the accounts of calls are a module of their own

The exchanges service told eight services of each call's start, progress and end besides forwarding the answer.

--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -12,22 +12,18 @@
 } from './answer-status.js';
 import { clearTimer, setTimer } from './build-effects.js';
 import buildTargetCall from './buildTargetCall.js';
+import CallAccounting, { ACCOUNTING_SERVICES } from './CallAccounting.js';
 import {
   ServiceName,
   type AdmissionApi,
-  type ColdStartsApi,
   type FindService,
   type LifecycleApi,
-  type LoadsApi,
-  type NoticesApi,
   type RefusalsApi,
   type Registration,
-  type ResultsApi,
   type RetriesApi,
   type RoutingApi,
   type StoreApi,
   type SuspectsApi,
-  type ThroughputApi,
 } from './directory.js';
 import { EffectKind, type Effect } from './effect.js';
 import {
@@ -50,7 +46,6 @@
 import { endStateOf } from './intake/end-state.js';
 import type { IsStalled } from './is-stalled.js';
 import { LocalStatus, localAnswer } from './local-answers.js';
-import { ageMsOf, momentNow } from './moment.js';
 import type { PublishedTarget } from './published.js';
 import type { Runtime } from './runtime.js';
 import { TargetResultKind } from './target-result.js';
@@ -89,24 +84,16 @@
 
   readonly #refusals: RefusalsApi;
 
-  readonly #loads: LoadsApi;
-
   readonly #suspects: SuspectsApi;
 
   readonly #admission: AdmissionApi;
 
   readonly #retries: RetriesApi;
 
-  readonly #coldStarts: ColdStartsApi;
-
-  readonly #notices: NoticesApi;
-
-  readonly #throughput: ThroughputApi;
-
-  readonly #results: ResultsApi;
-
   readonly #lifecycle: LifecycleApi;
 
+  readonly #accounting: CallAccounting;
+
   private constructor(
     private readonly options: ExchangesOptions,
     find: FindService,
@@ -114,15 +101,11 @@
     this.#store = find(ServiceName.Store);
     this.#routing = find(ServiceName.Routing);
     this.#refusals = find(ServiceName.Refusals);
-    this.#loads = find(ServiceName.Loads);
     this.#suspects = find(ServiceName.Suspects);
     this.#admission = find(ServiceName.Admission);
     this.#retries = find(ServiceName.Retries);
-    this.#coldStarts = find(ServiceName.ColdStarts);
-    this.#notices = find(ServiceName.Notices);
-    this.#throughput = find(ServiceName.Throughput);
-    this.#results = find(ServiceName.Results);
     this.#lifecycle = find(ServiceName.Lifecycle);
+    this.#accounting = CallAccounting.create(options.runtime, find);
   }
 
   static create(options: ExchangesOptions, find: FindService): ExchangesService {
@@ -218,17 +201,7 @@
     this.#nextCallId += 1;
     exchange.recordCall(callId, target, this.#routing.poolOf(target));
     this.#exchangeOfCall.set(callId, exchange);
-    const work = this.#routing.workOf(exchange);
-    exchange.recordStart(momentNow(this.options.runtime), work);
-    const announcements = this.#loads.recordStart(target.instanceId, work);
-    this.#coldStarts.recordStart(target);
-    this.#notices.recordStart(target);
-    this.#suspects.recordSent(exchange);
-    const { service, organisation } = exchange.resolution;
-    this.#throughput.recordStart(service, organisation?.name ?? '');
-    if (exchange.isStream) {
-      this.#admission.recordStart(exchange.pool, exchange.id);
-    }
+    const announcements = this.#accounting.recordStart(exchange, target);
     const { decidePriority } = this.options;
     const call = buildTargetCall({
       exchange,
@@ -241,15 +214,13 @@
 
   /** Detaches the exchange from its call, which no longer counts as load or as a running stream. */
   #endCall(exchange: Exchange): void {
-    const { callId, target, pool } = exchange;
+    const { callId, target } = exchange;
     this.#buffers.remove(exchange.id);
     if (callId === undefined || target === undefined) {
       return;
     }
     this.#exchangeOfCall.delete(callId);
-    this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
-    this.#admission.recordEnd(pool, exchange.id);
-    this.#throughput.recordEnd(pool, ageMsOf(this.options.runtime, exchange.calledAt));
+    this.#accounting.recordEnd(exchange, target);
     exchange.clearCall();
   }
 
@@ -268,8 +239,7 @@
       return this.#interrupt(exchange, `the answer has status ${head.status}`);
     }
     exchange.recordHead(head);
-    const { target, calledAt } = exchange;
-    return target === undefined ? [] : this.#notices.recordHead(target, head, calledAt);
+    return this.#accounting.recordHead(exchange, head);
   }
 
   #onData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
@@ -324,51 +294,11 @@
     if (isRepeated || !event.hasContent) {
       exchange.recordIdleBytes(event.data.length);
     } else {
-      this.#recordProgress(exchange, event);
+      this.#accounting.recordProgress(exchange, event);
     }
     return !isRepeated;
   }
 
-  #recordProgress(exchange: Exchange, event: StreamEvent): void {
-    if (exchange.firstEventMs === undefined) {
-      this.#recordAnswerTime(exchange);
-    }
-    const pauseMs = exchange.recordEvent(this.options.runtime.nowMs(), event.id);
-    if (pauseMs === undefined) {
-      this.#recordAnswered(exchange);
-    }
-    this.#admission.recordEvent(exchange.pool, exchange.id, pauseMs);
-    exchange.recordGroupEvents(this.#admission.eventCountOf(exchange.pool));
-  }
-
-  /** Times of requests that were called more than once are not usual. */
-  #recordAnswerTime({ resolution, receivedAtMs, wait, triedIds }: Exchange): void {
-    if (triedIds.size === 1) {
-      const timeMs = this.options.runtime.nowMs() - receivedAtMs - (wait?.waitedMs ?? 0);
-      this.#throughput.recordAnswer(resolution.route.name, timeMs);
-    }
-  }
-
-  /** Records that the answer of the current call has begun, or has arrived if it is no stream. */
-  #recordAnswered(exchange: Exchange): void {
-    const { target, calledAt } = exchange;
-    if (target === undefined) {
-      return;
-    }
-    const latencyMs = ageMsOf(this.options.runtime, calledAt);
-    this.#results.recordResult(target, { kind: TargetResultKind.Answered, latencyMs });
-    const work = exchange.callId === undefined ? undefined : exchange.recordPromptRead();
-    if (work !== undefined) {
-      this.#loads.recordPromptRead(target.instanceId, work);
-    }
-  }
-
-  #recordResult({ target }: Exchange, kind: TargetResultKind.Failed | TargetResultKind.Full): void {
-    if (target !== undefined) {
-      this.#results.recordResult(target, { kind });
-    }
-  }
-
   /** A stream that is resumed at another target keeps the head sent for the first one. */
   static #beginAnswer(exchange: Exchange, { status, headers }: TargetHead): readonly Effect[] {
     return exchange.markAnswerBegun()
@@ -421,9 +351,9 @@
     }
     exchange.recordAttempt();
     if (isFailure(status)) {
-      this.#recordResult(exchange, TargetResultKind.Failed);
+      this.#accounting.recordFailure(exchange, TargetResultKind.Failed);
     } else {
-      this.#recordAnswered(exchange);
+      this.#accounting.recordAnswered(exchange);
     }
     const retried = isFailure(status) ? this.#retry(exchange) : undefined;
     if (retried !== undefined) {
@@ -435,7 +365,7 @@
     if (promisesNotRun(status)) {
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
-    this.#recordAnswerTime(exchange);
+    this.#accounting.recordAnswerTime(exchange);
     return [
       ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
@@ -453,7 +383,7 @@
   #onNotRun(exchange: Exchange, head: TargetHead): readonly Effect[] {
     exchange.recordRejection();
     if (isFull(head)) {
-      this.#recordResult(exchange, TargetResultKind.Full);
+      this.#accounting.recordFailure(exchange, TargetResultKind.Full);
     }
     const target = this.#retries.takeAfterRejection(exchange);
     return [
@@ -475,7 +405,7 @@
       return this.#onConnectionLost(exchange, detail);
     }
     this.#avoid(exchange);
-    this.#recordResult(exchange, TargetResultKind.Failed);
+    this.#accounting.recordFailure(exchange, TargetResultKind.Failed);
     exchange.recordUnreachable();
     const lines = [
       callFailedLine(exchange, ExchangeReason.TargetUnreachable, detail),
@@ -550,7 +480,7 @@
   ): readonly Effect[] {
     exchange.recordAttempt();
     this.#avoid(exchange);
-    this.#recordResult(exchange, TargetResultKind.Failed);
+    this.#accounting.recordFailure(exchange, TargetResultKind.Failed);
     return [callFailedLine(exchange, reason, detail)];
   }
 
@@ -591,7 +521,7 @@
     }
     const line = callFailedLine(exchange, ExchangeReason.Stalled, 'others of its group go on');
     exchange.recordAttempt();
-    this.#recordResult(exchange, TargetResultKind.Failed);
+    this.#accounting.recordFailure(exchange, TargetResultKind.Failed);
     return [line, ...this.#cancelCall(exchange), ...this.#call(exchange, target)];
   }
 
@@ -602,7 +532,7 @@
     }
     exchange.markAbandoned();
     if (exchange.callId !== undefined && exchange.progress === AnswerProgress.None) {
-      this.#recordResult(exchange, TargetResultKind.Failed);
+      this.#accounting.recordFailure(exchange, TargetResultKind.Failed);
     }
     return [
       ...this.#cancelCall(exchange),
@@ -683,16 +613,9 @@
   name: ServiceName.Exchanges,
   requires: [
     ServiceName.Store,
-    ServiceName.Routing,
+    ...ACCOUNTING_SERVICES,
     ServiceName.Refusals,
-    ServiceName.Loads,
-    ServiceName.Suspects,
-    ServiceName.Admission,
     ServiceName.Retries,
-    ServiceName.ColdStarts,
-    ServiceName.Notices,
-    ServiceName.Throughput,
-    ServiceName.Results,
     ServiceName.Lifecycle,
   ],
   create: (find) => {
