fix: a store that was never restored is served from at once

Change: the store says in each answer how often it was restored. While that is its first era, its configuration is the one in force and a gateway that starts serves from it at once. After a restore it waits as before.

--- a/packages/gateway/src/peer-knowledge-service.ts
+++ b/packages/gateway/src/peer-knowledge-service.ts
@@ -3,7 +3,7 @@
  *
  * Until a gateway has answered that is not itself starting, or a bound has passed, the configuration
  * counts as unknown: the store may have been restored from a copy that is older than the one in
- * force. Afterwards it counts as too old for as long as a live peer names a later one.
+ * force, unless it says that it never was. Afterwards it counts as too old for as long as a live peer names a later one.
  */
 import { createInstance } from '@ebonysill/kernel';
 import { log, sendToPeer, setTimer } from './build-effects.js';
@@ -36,6 +36,12 @@
 /** Time after the first answer of the store for which a gateway waits for its peers. */
 const ANSWER_BOUND_MS = 1_000;
 
+/**
+ * Era of a store that was never restored. Its configuration is the one in force, so that no peer can
+ * know a later one.
+ */
+const FIRST_ERA = 1;
+
 /**
  * The same when every gateway that is known has answered that it is starting itself, as after a loss
  * of power. One that goes on running sends its hellos within half a second.
@@ -196,6 +202,7 @@
     const nowMs = this.#nowMs();
     return (
       this.#hasSettled ||
+      (this.#firstReadAtMs <= nowMs && this.#era === FIRST_ERA) ||
       nowMs - this.#firstReadAtMs >= this.#answerBoundMs() ||
       nowMs - this.#firstAnswerAtMs >= SETTLE_MS ||
       (this.#firstAnswerAtMs <= nowMs && [...this.#peers.values()].every(isEstablished))
--- a/packages/gateway/tests/peer-knowledge.test.ts
+++ b/packages/gateway/tests/peer-knowledge.test.ts
@@ -191,6 +191,21 @@
   expect(harnesses.map((harness) => harness.isReady())).toEqual([true, true, true]);
 });
 
+// Guards against a loss of power after which all gateways wait although there is nothing to learn.
+test('a store that was never restored is served from at once', () => {
+  const harness = Harness.start(START);
+  const page = { kind: EventKind.StoreRead as const, read: StoreReadKind.Page, items: OLD };
+  harness.post({ ...page, revision: 50, era: 1 });
+  expect(harness.isReady()).toEqual(true);
+});
+
+test('a store that was restored is not served from before peers have answered', () => {
+  const harness = Harness.start(START);
+  const page = { kind: EventKind.StoreRead as const, read: StoreReadKind.Page, items: OLD };
+  harness.post({ ...page, revision: 50, era: 2 });
+  expect(harness.isReady()).toEqual(false);
+});
+
 // Guards against a gateway that trusts another one that has just started too.
 test('the answer of a gateway that starts too is no answer', () => {
   const harness = Harness.start(START);
