fix: queueing and placement are on only where a deployment asks for them by name

Change: the word scheduling switches them on; the word for a pool only has targets told the published priority of each call.

--- a/packages/gateway/src/feature.ts
+++ b/packages/gateway/src/feature.ts
@@ -5,6 +5,8 @@
 
 /** Something that a gateway does only where its deployment asks for it. */
 export enum Feature {
+  /** Targets are told the published priority of each call. */
+  Priorities = 'priorities',
   /** Requests are queued, refused and placed by priority, size and what all gateways know. */
   Scheduling = 'scheduling',
 }
@@ -24,13 +26,15 @@
  * @example
  * createGatewayServices({ ...options, ...decisionsOf([Feature.Scheduling]) });
  */
-export const decisionsOf: DecisionsOf = (features) =>
-  features.includes(Feature.Scheduling)
-    ? {
-        decidePriority: priorityOf,
-        queueDecisions: QUEUE_BY_RATE,
-        chooseTarget: chooseByWork,
-        measureRequest,
-        startAnnouncement: StartAnnouncement.TargetAndEnds,
-      }
-    : {};
+export const decisionsOf: DecisionsOf = (features) => {
+  if (features.includes(Feature.Scheduling)) {
+    return {
+      decidePriority: priorityOf,
+      queueDecisions: QUEUE_BY_RATE,
+      chooseTarget: chooseByWork,
+      measureRequest,
+      startAnnouncement: StartAnnouncement.TargetAndEnds,
+    };
+  }
+  return features.includes(Feature.Priorities) ? { decidePriority: priorityOf } : {};
+};
