--- a/packages/gateway-io/tests/bind-errors.test.ts
+++ b/packages/gateway-io/tests/bind-errors.test.ts
@@ -4,27 +4,26 @@
 import { createServer, type AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { expect } from 'earl';
+import { LOOPBACK_HOST } from '@ebonysill/stand-ins';
 import { CallerServer, DatagramPort, StatusServer, type ListenAddress } from '../src/index.js';
 
-const HOST = '127.0.0.1';
-
 /** Long enough for an error of the system to arrive. */
 const WAIT_MS = 1_000;
 
 const takeTcpPort = async (context: TestContext): Promise<ListenAddress> => {
   const server = createServer();
-  server.listen(0, HOST);
+  server.listen(0, LOOPBACK_HOST);
   await once(server, 'listening');
   context.after(() => server.close());
-  return { host: HOST, port: (server.address() as AddressInfo).port };
+  return { host: LOOPBACK_HOST, port: (server.address() as AddressInfo).port };
 };
 
 const takeUdpPort = async (context: TestContext): Promise<ListenAddress> => {
   const socket = createSocket('udp4');
-  socket.bind(0, HOST);
+  socket.bind(0, LOOPBACK_HOST);
   await once(socket, 'listening');
   context.after(() => socket.close());
-  return { host: HOST, port: socket.address().port };
+  return { host: LOOPBACK_HOST, port: socket.address().port };
 };
 
 /** Code of the error with which a promise rejects within a time; otherwise what it did. */
--- a/packages/gateway-io/tests/caller-server.test.ts
+++ b/packages/gateway-io/tests/caller-server.test.ts
@@ -4,11 +4,10 @@
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
+import { LOOPBACK_HOST } from '@ebonysill/stand-ins';
 import { EffectKind, EventKind, type Event } from '@ebonysill/gateway';
 import { CallerServer, type CallerServerOptions } from '../src/index.js';
 
-const HOST = '127.0.0.1';
-
 const LIMITS = {
   maxHeaderBytes: 16_384,
   maxBodyBytes: 1_000,
@@ -26,7 +25,7 @@
 }
 
 const freePort = async (): Promise<number> => {
-  const server = createServer().listen(0, HOST);
+  const server = createServer().listen(0, LOOPBACK_HOST);
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   server.close();
@@ -57,9 +56,9 @@
     ...options,
   });
   const port = await freePort();
-  await server.listen({ host: HOST, port });
+  await server.listen({ host: LOOPBACK_HOST, port });
   server.applyLimits(LIMITS);
-  const caller = connect(port, HOST);
+  const caller = connect(port, LOOPBACK_HOST);
   let text = '';
   caller.on('data', (data: Buffer) => {
     text += data.toString();
--- a/packages/gateway-io/tests/status-server.test.ts
+++ b/packages/gateway-io/tests/status-server.test.ts
@@ -4,16 +4,15 @@
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
+import { LOOPBACK_HOST } from '@ebonysill/stand-ins';
 import { StatusServer } from '../src/index.js';
 
-const HOST = '127.0.0.1';
-
 const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
 type After = (fn: () => void) => void;
 
 const freePort = async (): Promise<number> => {
-  const server = createServer().listen(0, HOST);
+  const server = createServer().listen(0, LOOPBACK_HOST);
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   server.close();
@@ -24,7 +23,7 @@
 const listen = async (after: After, bounds: object, body = 'ready'): Promise<number> => {
   const port = await freePort();
   const server = await StatusServer.create({
-    listen: { host: HOST, port },
+    listen: { host: LOOPBACK_HOST, port },
     answer: () => ({ status: 200, contentType: 'text/plain', body }),
     onError: () => undefined,
     bounds,
@@ -34,7 +33,7 @@
 };
 
 const open = async (port: number, after: After): Promise<Socket> => {
-  const socket = connect(port, HOST);
+  const socket = connect(port, LOOPBACK_HOST);
   socket.on('error', () => socket.destroy());
   await once(socket, 'connect');
   after(() => socket.destroy());
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,4 +3,5 @@
 export { EngineStandIn, type EngineOptions } from './engine-stand-in.js';
 export { completionChunk, completionEnd } from './completion.js';
 export { listen, readBody } from './http-util.js';
+export { LOOPBACK_HOST, loopbackHostOf } from './loopback-host.js';
 export { PlainStandIn, type PlainOptions } from './plain-stand-in.js';
