feat: less urgent kinds of a service give way while passes are long

Callers of the most urgent kind were served worst where routes of one service have different priorities: all kinds were admitted until passes were long, and the kind with the shortest objective was late most often.

While passes are long, and for 2 s after, a kind is admitted only to passes shorter by 0.1 of the allowed pause for each more urgent level of priority. A kind without a start for a second is admitted as before, so that none starves. Services whose routes share one priority are served as before.

--- a/packages/gateway/src/CallAccounting.ts
+++ b/packages/gateway/src/CallAccounting.ts
@@ -82,10 +82,10 @@
     this.#coldStarts.recordStart(target);
     this.#notices.recordStart(target);
     this.#suspects.recordSent(exchange);
-    const { service, organisation } = exchange.resolution;
+    const { service, organisation, moreUrgentLevels } = exchange.resolution;
     this.#throughput.recordStart(service, organisation?.name ?? '');
     if (exchange.isStream) {
-      this.#admission.recordStart(exchange.pool, exchange.id);
+      this.#admission.recordStart(exchange.pool, exchange.id, moreUrgentLevels);
     }
     return announcements;
   }
--- a/packages/gateway/src/admission-service.ts
+++ b/packages/gateway/src/admission-service.ts
@@ -5,6 +5,7 @@
  * that a gateway without streams in a group knows the group's passes too.
  */
 import { createInstance } from '@ebonysill/kernel';
+import type { DecideLongPassShare } from '@ebonysill/scheduling';
 import { arePassesLong, type DecideAdmission } from './decide-admission.js';
 import {
   ServiceName,
@@ -15,6 +16,7 @@
 import { EventKind, type Event } from './event.js';
 import PassMeter from './PassMeter.js';
 import { PeerMessageKind, type PassEstimate } from './peer-message.js';
+import type { Route } from './published.js';
 import type { Runtime } from './runtime.js';
 
 /** Retry delay of a refused caller: about the time in which the first running streams end. */
@@ -30,6 +32,7 @@
 export interface AdmissionOptions {
   readonly runtime: Runtime;
   readonly decide: DecideAdmission;
+  readonly decideLongPassShare: DecideLongPassShare;
 }
 
 interface PeerEstimate {
@@ -44,6 +47,10 @@
   readonly meter: PassMeter;
   /** Since when passes have been long; undefined while they are not, or are unknown. */
   longSinceMs: number | undefined;
+  /** When passes were long for the last time. */
+  longAtMs: number;
+  /** By number of more urgent levels: when a stream started for the last time. */
+  readonly startedAtMs: Map<number, number>;
   /** Events of all streams of this gateway so far. */
   eventCount: number;
   /** By address of the gateway that measured. */
@@ -61,13 +68,15 @@
   }
 
   readonly evaluate = (request: AdmissionRequest): AdmissionResult => {
-    const { route, pool, runningCount, placeCount } = request;
+    const { pool, moreUrgentLevels, runningCount, placeCount } = request;
+    const { maxPauseMs } = request.route;
     const passMs = this.passMsOf(pool);
-    const { maxPauseMs } = route;
+    const longForMs = this.#longForMs(pool, passMs, maxPauseMs);
     const verdict = this.options.decide({
       maxPauseMs,
+      longPassShare: this.#longPassShareOf(pool, moreUrgentLevels),
       passMs,
-      longForMs: this.#longForMs(pool, passMs, maxPauseMs),
+      longForMs,
       ownCount: this.#activeCountOf(pool),
       runningCount,
       placeCount,
@@ -75,6 +84,9 @@
     return { verdict, retryAfterMs: RETRY_AFTER_MS, passMs, runningCount };
   };
 
+  readonly longPassMsOf = (pool: string, { maxPauseMs }: Route): number =>
+    maxPauseMs * this.#longPassShareOf(pool, 0);
+
   readonly passMsOf = (name: string): number => {
     const pool = this.#pools.get(name);
     if (pool === undefined) {
@@ -92,8 +104,11 @@
       return passMs > 0 ? [{ pool, passMs }] : [];
     });
 
-  readonly recordStart = (pool: string, exchangeId: number): void => {
-    this.#poolOf(pool).lastSignsMs.set(exchangeId, this.options.runtime.nowMs());
+  readonly recordStart = (pool: string, exchangeId: number, moreUrgentLevels: number): void => {
+    const nowMs = this.options.runtime.nowMs();
+    const known = this.#poolOf(pool);
+    known.lastSignsMs.set(exchangeId, nowMs);
+    known.startedAtMs.set(moreUrgentLevels, nowMs);
   };
 
   readonly recordEnd = (pool: string, exchangeId: number): void => {
@@ -130,6 +145,8 @@
       lastSignsMs: new Map(),
       meter: PassMeter.create(this.options.runtime.nowMs),
       longSinceMs: undefined,
+      longAtMs: Number.NEGATIVE_INFINITY,
+      startedAtMs: new Map(),
       eventCount: 0,
       peerEstimates: new Map(),
     };
@@ -141,14 +158,26 @@
   #longForMs(name: string, passMs: number, maxPauseMs: number): number {
     const pool = this.#poolOf(name);
     const nowMs = this.options.runtime.nowMs();
-    if (arePassesLong(passMs, maxPauseMs)) {
+    const longPassShare = this.#longPassShareOf(name, 0);
+    if (arePassesLong({ passMs, maxPauseMs, longPassShare })) {
       pool.longSinceMs ??= nowMs;
+      pool.longAtMs = nowMs;
     } else if (passMs > 0) {
       pool.longSinceMs = undefined;
     }
     return pool.longSinceMs === undefined ? 0 : nowMs - pool.longSinceMs;
   }
 
+  #longPassShareOf(name: string, moreUrgentLevels: number): number {
+    const { longAtMs, startedAtMs } = this.#poolOf(name);
+    const nowMs = this.options.runtime.nowMs();
+    return this.options.decideLongPassShare({
+      moreUrgentLevels,
+      sinceLongMs: nowMs - longAtMs,
+      sinceOwnStartMs: nowMs - (startedAtMs.get(moreUrgentLevels) ?? Number.NEGATIVE_INFINITY),
+    });
+  }
+
   #activeCountOf(pool: string): number {
     const sinceMs = this.options.runtime.nowMs() - SILENT_STREAM_MS;
     return [...(this.#pools.get(pool)?.lastSignsMs.values() ?? [])].filter((atMs) => atMs > sinceMs)
@@ -169,7 +198,7 @@
  * Registers the service that limits streams.
  *
  * @example
- * const services = [admissionRegistration({ runtime, decide: admitByPass })];
+ * admissionRegistration({ runtime, decide: admitByPass, decideLongPassShare: longPassShareOf });
  */
 export const admissionRegistration = (
   options: AdmissionOptions,
@@ -178,10 +207,19 @@
   requires: [],
   create: () => {
     const service = AdmissionService.create(options);
-    const { evaluate, passMsOf, eventCountOf, ownEstimates } = service;
+    const { evaluate, longPassMsOf, passMsOf, eventCountOf, ownEstimates } = service;
     const { recordStart, recordEnd, recordEvent } = service;
     return createInstance(
-      { evaluate, passMsOf, eventCountOf, ownEstimates, recordStart, recordEnd, recordEvent },
+      {
+        evaluate,
+        longPassMsOf,
+        passMsOf,
+        eventCountOf,
+        ownEstimates,
+        recordStart,
+        recordEnd,
+        recordEvent,
+      },
       {
         handle: (event) => {
           service.handle(event);
--- a/packages/gateway/src/buildTargetCall.ts
+++ b/packages/gateway/src/buildTargetCall.ts
@@ -1,7 +1,7 @@
 /** @module Builds the call of an exchange to a target. */
 import type { DecidePriority } from '@ebonysill/scheduling';
 import type { TargetCall } from './exchange-data.js';
-import type { Exchange } from './exchange.js';
+import { publishedPrioritiesOf, type Exchange } from './exchange.js';
 import type { PublishedTarget } from './published.js';
 
 /** An exchange that is sent to a target now. */
@@ -17,18 +17,13 @@
 type BuildTargetCall = (start: CallStart) => TargetCall;
 
 const priorityOfCall = (
-  { resolution: { route, organisation } }: Exchange,
+  { resolution }: Exchange,
   decidePriority: DecidePriority | undefined,
 ): Pick<TargetCall, 'priority'> =>
   decidePriority === undefined
     ? {}
     : {
-        priority: decidePriority({
-          routePriority: route.priority,
-          ...(organisation?.priority === undefined
-            ? {}
-            : { organisationPriority: organisation.priority }),
-        }),
+        priority: decidePriority(publishedPrioritiesOf(resolution)),
       };
 
 /**
--- a/packages/gateway/src/catalogue-service.ts
+++ b/packages/gateway/src/catalogue-service.ts
@@ -35,6 +35,8 @@
 
   readonly #services = new Map<string, PublishedService>();
 
+  readonly #levelsByService = new Map<string, readonly number[]>();
+
   private constructor(
     private readonly runtime: Runtime,
     private readonly store: StoreApi,
@@ -58,6 +60,9 @@
 
   readonly serviceOf = (name: string): PublishedService | undefined => this.#services.get(name);
 
+  readonly priorityLevelsOf = (service: string): readonly number[] =>
+    this.#levelsByService.get(service) ?? [];
+
   readonly routeOf = (host: string, path: string): Route | undefined =>
     this.#routesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
 
@@ -85,6 +90,7 @@
     this.#version = configuration.version;
     this.#limits = configuration.limits;
     this.#indexRoutes(configuration.routes);
+    this.#indexLevels(configuration.routes);
     this.#needsCredentials = configuration.needsCredentials;
     this.#indexOrganisations(configuration.organisations);
     this.#services.clear();
@@ -109,6 +115,16 @@
     );
   }
 
+  #indexLevels(routes: readonly Route[]): void {
+    this.#levelsByService.clear();
+    routes.forEach(({ services, priority }) =>
+      services.forEach(({ service }) => {
+        const levels = new Set([...this.priorityLevelsOf(service), priority]);
+        this.#levelsByService.set(service, [...levels]);
+      }),
+    );
+  }
+
   /** Longest prefix first, so that the first match is the longest. */
   #indexRoutes(routes: readonly Route[]): void {
     this.#routesByHost.clear();
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -1,6 +1,8 @@
 /** @module The services that make up a gateway. */
 import {
+  longPassShareOf,
   weighTarget,
+  type DecideLongPassShare,
   type DecidePriority,
   type MeasureRequest,
   type QueueDecisions,
@@ -54,6 +56,8 @@
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
   readonly decideAdmission?: DecideAdmission;
+  /** Decides from which passes on they are long for a kind; by default by the published priorities. */
+  readonly decideLongPassShare?: DecideLongPassShare;
   /** Decides whether a target may be called by what it said; by default does what it asks for. */
   readonly decideCall?: DecideCall;
   /** Decides how long requests are refused that may crash targets; by default by the evidence. */
@@ -82,7 +86,7 @@
   const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
-  const { decideFloor = floorOfLivePeers } = options;
+  const { decideFloor = floorOfLivePeers, decideLongPassShare = longPassShareOf } = options;
   const { decideCall = decideByNotices, decidePriority, queueDecisions } = options;
   const { measureRequest } = options;
   const queueing = queueDecisions === undefined ? {} : { queueDecisions };
@@ -97,7 +101,7 @@
     groupsRegistration({ runtime }),
     suspectsRegistration({ runtime, barUntilMs }),
     engineLimitsRegistration(),
-    admissionRegistration({ runtime, decide: decideAdmission }),
+    admissionRegistration({ runtime, decide: decideAdmission, decideLongPassShare }),
     retryBudgetRegistration(runtime, retryBudget),
     coldStartsRegistration({ runtime }),
     noticesRegistration({ runtime, decideCall }),
--- a/packages/gateway/src/decide-admission.ts
+++ b/packages/gateway/src/decide-admission.ts
@@ -12,6 +12,8 @@
 export interface AdmissionQuestion {
   /** Longest pause between events that the route allows; 0 without an objective. */
   readonly maxPauseMs: number;
+  /** Share of that pause from which passes are long for this stream. */
+  readonly longPassShare: number;
   /** Estimated duration of a pass; 0 when no gateway knows it. */
   readonly passMs: number;
   /** Time for which passes have been long. */
@@ -24,12 +26,12 @@
   readonly placeCount: number;
 }
 
+/** Duration of the passes of a group, and what a stream allows. */
+export type PassQuestion = Pick<AdmissionQuestion, 'maxPauseMs' | 'longPassShare' | 'passMs'>;
+
 /** Decides whether a stream may start. */
 export type DecideAdmission = (question: AdmissionQuestion) => AdmissionVerdict;
 
-/** Fraction of the pause objective from which passes are long; some passes take a third more. */
-const LONG_PASS_FRACTION = 0.7;
-
 /** Streams that a gateway may always run, however long passes take, so that it can measure them. */
 const MIN_STREAMS = 1;
 
@@ -42,43 +44,29 @@
 /** Share of a group's places that is used while passes are persistently long. */
 const PERSISTENT_PLACE_SHARE = 0.3;
 
-/**
- * Duration from which passes are long; 0 without an objective.
- *
- * @example
- * longPassMsOf(120); // 84
- */
-export const longPassMsOf = (maxPauseMs: number): number => maxPauseMs * LONG_PASS_FRACTION;
-
 /**
  * Whether passes are so long that more streams would wait too long for their events.
  *
  * @example
- * arePassesLong(90, 120); // true
+ * arePassesLong({ passMs: 90, maxPauseMs: 120, longPassShare: 0.7 }); // true
  */
-export const arePassesLong = (passMs: number, maxPauseMs: number): boolean =>
-  maxPauseMs > 0 && passMs >= longPassMsOf(maxPauseMs);
+export const arePassesLong = ({ passMs, maxPauseMs, longPassShare }: PassQuestion): boolean =>
+  maxPauseMs > 0 && passMs >= maxPauseMs * longPassShare;
 
 /**
  * Admits a stream while passes are short, and to part of the places while they stay long anyway.
  *
  * @example
- * admitByPass({ maxPauseMs: 120, passMs: 90, longForMs: 400, ownCount: 3, runningCount: 30, placeCount: 96 });
- * // AdmissionVerdict.Refused
+ * const load = { longForMs: 400, ownCount: 3, runningCount: 30, placeCount: 96 };
+ * admitByPass({ maxPauseMs: 120, longPassShare: 0.7, passMs: 90, ...load }); // AdmissionVerdict.Refused
  */
-export const admitByPass: DecideAdmission = ({
-  maxPauseMs,
-  passMs,
-  longForMs,
-  ownCount,
-  runningCount,
-  placeCount,
-}) => {
+export const admitByPass: DecideAdmission = (question) => {
+  const { maxPauseMs, passMs, longForMs, ownCount, runningCount, placeCount } = question;
   const isKnown = passMs > 0;
   const isAdmitted =
     maxPauseMs === 0 ||
     ownCount < (isKnown ? MIN_STREAMS : MAX_STREAMS_WITHOUT_ESTIMATE) ||
-    (isKnown && !arePassesLong(passMs, maxPauseMs)) ||
+    (isKnown && !arePassesLong(question)) ||
     (isKnown && longForMs >= PERSISTENT_MS && runningCount < placeCount * PERSISTENT_PLACE_SHARE);
   return isAdmitted ? AdmissionVerdict.Admitted : AdmissionVerdict.Refused;
 };
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -86,6 +86,8 @@
   /** How long the store has held a configuration that cannot be decoded; 0 while it can be. */
   readonly unreadableForMs: () => number;
   readonly serviceOf: (name: string) => PublishedService | undefined;
+  /** Different priorities of the routes that lead to a service. */
+  readonly priorityLevelsOf: (service: string) => readonly number[];
   readonly limits: () => CallerLimits | undefined;
 }
 
@@ -155,6 +157,8 @@
 export interface AdmissionRequest {
   readonly route: Route;
   readonly pool: string;
+  /** Levels of priority of the service that are more urgent than the request. */
+  readonly moreUrgentLevels: number;
   /** Requests of all gateways at the targets of the pool. */
   readonly runningCount: number;
   /** Requests that the targets of the pool run at once. */
@@ -165,13 +169,15 @@
 export interface AdmissionApi {
   /** Checks whether a pool admits one more stream. */
   readonly evaluate: (request: AdmissionRequest) => AdmissionResult;
+  /** Duration of passes from which they are long for the most urgent streams of a route. */
+  readonly longPassMsOf: (pool: string, route: Route) => number;
   /** Estimated duration of a pass; 0 when no gateway knows it. */
   readonly passMsOf: (pool: string) => number;
   /** Events of this gateway's streams in a pool so far. */
   readonly eventCountOf: (pool: string) => number;
   /** What this gateway measures itself, for the other gateways. */
   readonly ownEstimates: () => readonly PassEstimate[];
-  readonly recordStart: (pool: string, exchangeId: number) => void;
+  readonly recordStart: (pool: string, exchangeId: number, moreUrgentLevels: number) => void;
   readonly recordEnd: (pool: string, exchangeId: number) => void;
   /** Records an event of a running stream and the pause before it, from its second event on. */
   readonly recordEvent: (pool: string, exchangeId: number, pauseMs?: number) => void;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,5 @@
 /** @module State of one caller's request while this process handles it. */
-import type { RequestWork } from '@ebonysill/scheduling';
+import type { PublishedPriorities, RequestWork } from '@ebonysill/scheduling';
 import type { CallerRequest, TargetHead } from './exchange-data.js';
 import { EventSplitter } from './event-splitter.js';
 import type { WaitTrace } from './intake/wait-trace.js';
@@ -54,8 +54,24 @@
   readonly route: Route;
   readonly service: string;
   readonly organisation?: Organisation;
+  /** Levels of priority of the service that are more urgent than the request. */
+  readonly moreUrgentLevels: number;
 }
 
+/**
+ * Priorities that operators published for the route and the organisation of a request.
+ *
+ * @example
+ * priorityOf(publishedPrioritiesOf(exchange.resolution)); // 1
+ */
+export const publishedPrioritiesOf = ({
+  route,
+  organisation,
+}: Pick<Resolution, 'route' | 'organisation'>): PublishedPriorities => ({
+  routePriority: route.priority,
+  ...(organisation?.priority === undefined ? {} : { organisationPriority: organisation.priority }),
+});
+
 /** Whether a call may be sent to a second target after it may have run at the first. */
 export const isRetryable = ({ kind, isResumable }: Route): boolean =>
   kind === CallKind.Idempotent || (kind === CallKind.Streaming && isResumable);
--- a/packages/gateway/src/intake/waiting-service.ts
+++ b/packages/gateway/src/intake/waiting-service.ts
@@ -23,7 +23,12 @@
 import type { Effect } from '../effect.js';
 import { EventKind, type Event } from '../event.js';
 import { endedLine, internalErrorLine } from '../exchange-log.js';
-import { ExchangeOutcome, ExchangeReason, type Exchange } from '../exchange.js';
+import {
+  ExchangeOutcome,
+  ExchangeReason,
+  publishedPrioritiesOf,
+  type Exchange,
+} from '../exchange.js';
 import { LocalStatus, localAnswer } from '../local-answers.js';
 import type { PublishedTarget } from '../published.js';
 import type { Runtime } from '../runtime.js';
@@ -176,12 +181,7 @@
     return {
       id,
       organisation: organisation?.name ?? '',
-      priority: decisions.decidePriority({
-        routePriority: route.priority,
-        ...(organisation?.priority === undefined
-          ? {}
-          : { organisationPriority: organisation.priority }),
-      }),
+      priority: decisions.decidePriority(publishedPrioritiesOf(resolution)),
       returnKind: this.#returns.takeReturn(request),
       receivedAtMs,
       latestStartMs: receivedAtMs + slackMs,
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -1,7 +1,8 @@
 /** @module Checks callers' requests and resolves each to a route, a service and an organisation. */
+import { countMoreUrgent, priorityOf } from '@ebonysill/scheduling';
 import type { CatalogueApi, PeerKnowledgeApi, StoreApi } from './directory.js';
 import type { CallerRequest } from './exchange-data.js';
-import { ExchangeReason, type Resolution } from './exchange.js';
+import { ExchangeReason, publishedPrioritiesOf, type Resolution } from './exchange.js';
 import { LocalStatus } from './local-answers.js';
 import type { Organisation, Route } from './published.js';
 
@@ -65,17 +66,21 @@
 };
 
 const allow = (
-  { random }: RequestCheck,
+  { catalogue, random }: RequestCheck,
   route: Route,
   organisation: Organisation | undefined,
 ): CheckResult => {
   const service = pickService(route, random);
-  return service === undefined
-    ? deny(LocalStatus.NotRun, ExchangeReason.NoTarget)
-    : {
-        verdict: CheckVerdict.Allowed,
-        resolution: { route, service, ...(organisation === undefined ? {} : { organisation }) },
-      };
+  if (service === undefined) {
+    return deny(LocalStatus.NotRun, ExchangeReason.NoTarget);
+  }
+  const published = { route, ...(organisation === undefined ? {} : { organisation }) };
+  const priority = priorityOf(publishedPrioritiesOf(published));
+  const moreUrgentLevels = countMoreUrgent(catalogue.priorityLevelsOf(service), priority);
+  return {
+    verdict: CheckVerdict.Allowed,
+    resolution: { ...published, service, moreUrgentLevels },
+  };
 };
 
 /** Age of what is known of the configuration in force: one that cannot be decoded adds nothing. */
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -213,11 +213,11 @@
       known.placeCount += target.slots;
       places.set(pool, known);
     });
-    const { route } = resolution;
+    const { route, moreUrgentLevels } = resolution;
     return new Map(
       [...places].map(([pool, counts]) => [
         pool,
-        this.#admission.evaluate({ route, pool, ...counts }),
+        this.#admission.evaluate({ route, pool, moreUrgentLevels, ...counts }),
       ]),
     );
   }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,5 +10,6 @@
 export * from './order-demands.js';
 export * from './queue-decisions.js';
 export * from './request-work.js';
+export * from './shed-by-urgency.js';
 export * from './urgency.js';
 export * from './weigh-target.js';
