--- a/packages/gateway/src/admission-service.ts
+++ b/packages/gateway/src/admission-service.ts
@@ -16,7 +16,6 @@
 import { EventKind, type Event } from './event.js';
 import PassMeter from './PassMeter.js';
 import { PeerMessageKind, type PassEstimate } from './peer-message.js';
-import type { Route } from './published.js';
 import type { Runtime } from './runtime.js';
 
 /** Retry delay of a refused caller: about the time in which the first running streams end. */
@@ -84,9 +83,6 @@
     return { verdict, retryAfterMs: RETRY_AFTER_MS, passMs, runningCount };
   };
 
-  readonly longPassMsOf = (pool: string, { maxPauseMs }: Route): number =>
-    maxPauseMs * this.#longPassShareOf(pool, 0);
-
   readonly passMsOf = (name: string): number => {
     const pool = this.#pools.get(name);
     if (pool === undefined) {
@@ -207,12 +203,11 @@
   requires: [],
   create: () => {
     const service = AdmissionService.create(options);
-    const { evaluate, longPassMsOf, passMsOf, eventCountOf, ownEstimates } = service;
+    const { evaluate, passMsOf, eventCountOf, ownEstimates } = service;
     const { recordStart, recordEnd, recordEvent } = service;
     return createInstance(
       {
         evaluate,
-        longPassMsOf,
         passMsOf,
         eventCountOf,
         ownEstimates,
--- a/packages/gateway/src/decide-admission.ts
+++ b/packages/gateway/src/decide-admission.ts
@@ -6,6 +6,7 @@
  * of them, so further streams are refused before the pauses exceed the objective. With a slow or
  * cold rank, passes stay long however few streams run: then a late answer is better than none.
  */
+import { LONG_PASS_SHARE } from '@ebonysill/scheduling';
 import { AdmissionVerdict } from './directory.js';
 
 /** State of a group of targets that is asked to take one more stream. */
@@ -44,6 +45,14 @@
 /** Share of a group's places that is used while passes are persistently long. */
 const PERSISTENT_PLACE_SHARE = 0.3;
 
+/**
+ * Duration from which passes are long for the most urgent streams; 0 without an objective.
+ *
+ * @example
+ * longPassMsOf(120); // 84
+ */
+export const longPassMsOf = (maxPauseMs: number): number => maxPauseMs * LONG_PASS_SHARE;
+
 /**
  * Whether passes are so long that more streams would wait too long for their events.
  *
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -169,8 +169,6 @@
 export interface AdmissionApi {
   /** Checks whether a pool admits one more stream. */
   readonly evaluate: (request: AdmissionRequest) => AdmissionResult;
-  /** Duration of passes from which they are long for the most urgent streams of a route. */
-  readonly longPassMsOf: (pool: string, route: Route) => number;
   /** Estimated duration of a pass; 0 when no gateway knows it. */
   readonly passMsOf: (pool: string) => number;
   /** Events of this gateway's streams in a pool so far. */
--- a/packages/gateway/src/intake/PlaceFinder.ts
+++ b/packages/gateway/src/intake/PlaceFinder.ts
@@ -1,5 +1,6 @@
 /** @module Finds places for requests at the targets of a service, within this gateway's share. */
 import type { QueueDecisions } from '@ebonysill/scheduling';
+import { longPassMsOf } from '../decide-admission.js';
 import {
   ServiceName,
   type AdmissionApi,
@@ -180,11 +181,11 @@
     target: PublishedTarget,
     { decideShare, decideStartRate }: QueueDecisions,
   ): boolean {
-    const pool = this.#routing.poolOf(target);
-    const longPassMs = isStream ? this.#admission.longPassMsOf(pool, route) : 0;
+    const longPassMs = isStream ? longPassMsOf(route.maxPauseMs) : 0;
     if (longPassMs === 0) {
       return true;
     }
+    const pool = this.#routing.poolOf(target);
     const targets = this.#targets
       .usable(service)
       .filter((other) => this.#routing.poolOf(other) === pool);
--- a/packages/scheduling/src/shed-by-urgency.ts
+++ b/packages/scheduling/src/shed-by-urgency.ts
@@ -20,8 +20,8 @@
 /** Returns the share of the longest pause allowed by the route from which passes count as long. */
 export type DecideLongPassShare = (question: SheddingQuestion) => number;
 
-/** Some passes take a third more than the mean one. */
-const LONG_PASS_SHARE = 0.7;
+/** Share for the most urgent requests; some passes take a third more than the mean one. */
+export const LONG_PASS_SHARE = 0.7;
 
 /** Room between two levels: the streams of one level lengthen passes by about this share. */
 const SHARE_PER_LEVEL = 0.1;
