feat(cli): ebonysill config check

Operators had no way to check a configuration before they publish it: gateways ignore unknown fields and routes that never match, and refuse a configuration that they cannot decode.

--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -1,8 +1,12 @@
 /** @module Output and exit codes of the command line. */
 
-/** Exit codes, after sysexits. */
+/** Exit codes: after sysexits, and for `config check` those of linters. */
 export enum ExitCode {
   Ok = 0,
+  /** `config check` found errors or warnings. */
+  Findings = 1,
+  /** `config check` was called wrongly, or could not read or parse a file. */
+  NotChecked = 2,
   /** Invalid arguments. */
   Usage = 64,
   /** A file that cannot be read. */
