fix(cli): warn of each route that a new version opens

A new route of a configuration without organisations was not reported as open, and the finding for all routes counted new ones as routes that had needed a credential. An empty service in a split was reported as a route without any service.

--- a/packages/cli/src/config-check/match-rules.ts
+++ b/packages/cli/src/config-check/match-rules.ts
@@ -72,8 +72,7 @@
   });
 };
 
-const hasService = ({ services }: Route): boolean =>
-  services.length > 0 && services.every(({ service }) => service !== '');
+const hasService = ({ services }: Route): boolean => services.some(({ service }) => service !== '');
 
 /** Reports routes that name no service: their requests are refused with 503. */
 export const findRoutesWithoutService: ConfigurationRule = ({ next: { routes } }) =>
@@ -93,7 +92,7 @@
   const names = new Set(services.map(({ name }) => name));
   return routes.flatMap((route, index) =>
     route.services.flatMap(({ service }, position) =>
-      service === '' || names.has(service)
+      !hasService(route) || names.has(service)
         ? []
         : [
             findingsOf(Severity.Warning, RuleName.UnknownService)(
@@ -173,7 +172,7 @@
 export const findRepeatedNames: ConfigurationRule = ({ next }) => [
   ...findRepeatedIn('routes', next.routes, Severity.Warning, 'their measurements are mixed'),
   ...findRepeatedIn('services', next.services, Severity.Error, 'gateways use the last one'),
-  ...findRepeatedIn('organisations', next.organisations, Severity.Warning, 'they share one share'),
+  ...findRepeatedIn('organisations', next.organisations, Severity.Warning, 'they count as one'),
 ];
 
 /** Reports fields that take effect only on streaming routes. */
--- a/packages/cli/src/config-check/route-differences.ts
+++ b/packages/cli/src/config-check/route-differences.ts
@@ -178,41 +178,62 @@
 
 const countRoutes = (count: number): string => (count === 1 ? '1 route' : `${count} routes`);
 
+interface OpenedRoute {
+  readonly route: Route;
+  readonly index: number;
+  readonly before: Access;
+}
+
+/** Routes that anyone can call, of hosts and paths that were closed or not served before. */
+const listOpened = (
+  next: PublishedConfiguration,
+  base: PublishedConfiguration,
+): readonly OpenedRoute[] => {
+  const findBefore = createFindRoute(base);
+  return [...indexRoutes(next).values()].flatMap((index) => {
+    const route = next.routes[index];
+    if (route === undefined || accessOf(next, route) !== Access.Open) {
+      return [];
+    }
+    const before = accessOf(base, findBefore(route.host, route.pathPrefix));
+    return before === Access.Open ? [] : [{ route, index, before }];
+  });
+};
+
+/** Whether a route is open only because the new version lists no organisations. */
+const isOpenedWithAll = ({ route, before }: OpenedRoute): boolean =>
+  !route.isPublic && before === Access.Closed;
+
 /** Warns of credentials that are no longer needed at all, by one finding for all routes. */
 const findAllOpened: Compare = (next, base) => {
-  const count = next.routes.filter(({ isPublic }) => !isPublic).length;
-  return base.needsCredentials && !next.needsCredentials && count > 0
-    ? [
+  const count = listOpened(next, base).filter(isOpenedWithAll).length;
+  return count === 0
+    ? []
+    : [
         findingsOf(Severity.Warning, RuleName.RouteOpened)(
           ['needsCredentials'],
-          `${countRoutes(count)} that needed a credential can be called by anyone, since no organisations are listed`,
+          `anyone can call ${countRoutes(count)} that needed a credential, since no organisations are listed`,
         ),
-      ]
-    : [];
+      ];
 };
 
 /**
- * Warns of hosts and paths that anyone can call and that were closed or not served before. A route
- * that is gone may open its paths too, if a shorter prefix matches them.
+ * Warns of single hosts and paths that anyone can call from now on. A route that is gone may open its
+ * paths too, if a shorter prefix matches them.
  */
 const findOpenedPlaces: Compare = (next, base) => {
-  const findBefore = createFindRoute(base);
   const findAfter = createFindRoute(next);
   const create = findingsOf(Severity.Warning, RuleName.RouteOpened);
-  const indices = indexRoutes(next);
-  const opened = next.routes.flatMap((route, index) => {
-    const before = accessOf(base, findBefore(route.host, route.pathPrefix));
-    return indices.get(keyOfRoute(route)) === index && route.isPublic && before !== Access.Open
-      ? [
-          create(
-            ['routes', index, 'isPublic'],
-            `anyone can call ${describePlace(route)}; before, ${
-              before === Access.None ? 'requests got 404' : 'callers needed a credential'
-            }`,
-          ),
-        ]
-      : [];
-  });
+  const opened = listOpened(next, base)
+    .filter((place) => !isOpenedWithAll(place))
+    .map(({ route, index, before }) =>
+      create(
+        ['routes', index, ...(route.isPublic ? ['isPublic'] : [])],
+        `anyone can call ${describePlace(route)}; before, ${
+          before === Access.None ? 'requests got 404' : 'callers needed a credential'
+        }`,
+      ),
+    );
   const exposed = listMissing(base, next).flatMap(({ route, index }) => {
     const after = findAfter(route.host, route.pathPrefix);
     return accessOf(base, route) === Access.Closed && after?.isPublic === true
--- a/packages/cli/tests/config-check.test.ts
+++ b/packages/cli/tests/config-check.test.ts
@@ -187,6 +187,16 @@
   );
 });
 
+test('split with an empty service', () => {
+  const split = [
+    { service: 'plain', weight: 1 },
+    { service: '', weight: 1 },
+  ];
+  expect(check(withLookup({ service: undefined, 'traffic-split': split }))).toEqual([
+    'warning unknown-service routes[0].traffic-split[1].service',
+  ]);
+});
+
 test('service that is not listed', () => {
   expect(check(withLookup({ service: 'plane' }))).toEqual([
     'warning unknown-service routes[0].service',
@@ -423,6 +433,15 @@
   expect(compare(withoutTenants(), SOUND)).toEqual(['warning route-opened tenants']);
 });
 
+test('new route without organisations', () => {
+  const added = { ...LOOKUP, name: 'new', 'path-prefix': '/new/' };
+  const base = withoutTenants();
+  expect(compare({ ...base, routes: [LOOKUP, STREAM, added] }, base)).toEqual([
+    'difference route-added routes[2]',
+    'warning route-opened routes[2]',
+  ]);
+});
+
 test('route that needs a credential from now on', () => {
   expect(compare(SOUND, withLookup({ public: true }))).toEqual([
     'difference route-closed routes[0].public',
