docs: how to check a configuration before it is published

The property-based test now also compares arbitrary values with a sound configuration in both directions.

--- a/packages/cli/tests/config-command.test.ts
+++ b/packages/cli/tests/config-command.test.ts
@@ -1,11 +1,12 @@
 /** @module Exit status and output of `ebonysill config check`, run as a program. */
 import { execFile } from 'node:child_process';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'earl';
+import { RuleName } from '../src/index.js';
 
 const PROGRAM = fileURLToPath(new URL('../src/bin/ebonysill.js', import.meta.url));
 
@@ -163,3 +164,8 @@
   expect(runs.map(({ status }) => status)).toEqual([2, 2, 2, 2]);
   expect(runs.filter(({ errors }) => errors === '' || /^ +at /m.test(errors))).toEqual([]);
 });
+
+test('the documentation shows each rule', async () => {
+  const page = await readFile(new URL('../../../../docs/OPERATIONS.md', import.meta.url), 'utf8');
+  expect(Object.values(RuleName).filter((rule) => !page.includes(` [${rule}]\n`))).toEqual([]);
+});
--- a/packages/cli/tests/config-input.test.ts
+++ b/packages/cli/tests/config-input.test.ts
@@ -51,7 +51,8 @@
 
 const checkAnything = (text: string): void => {
   if (refusalOf(text) === undefined) {
-    const report = checkText(text, text);
+    checkText(CONFIGURATION, text);
+    const report = checkText(text, CONFIGURATION);
     formatJson(report, { file: 'new.json' });
     expect(formatText(report, { file: 'new.json' }).split('\n').length).toEqual(
       report.findings.length + 2,
