http: bound the time that one turn of the event loop reads from callers

Callers saw 503 knowledge-too-old while a crowd sent bodies in chunks of one byte: the gateway's copy of the store was over 4 s old.

Cause, measured in both processes with a log of the gaps between timers and of the processor time within them: the gateway. The parser takes 25 to 40 ms for a block of 64 KiB in such chunks (over 100 ms for the first ones, before the code is compiled), and one turn read every connection that had bytes. Connections were handed over one in a turn, but that helps only while their bytes arrive with them; where the bytes came later, one turn read them all.

The server now pauses its connections once a turn has read for 10 ms, and resumes them in the next turns, the least recently read first. A block that has begun is parsed to its end, so that a turn takes one block longer.

What an ordinary caller pays: two readings of the clock per chunk of a body, and, while a turn is over its 10 ms, a wait of the turns that the other connections take.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -17,6 +17,7 @@
   CHECK_INTERVAL_MS,
   ConnectionLimit,
   DropCause,
+  ReadTurns,
   spreadConnections,
   type Holding,
 } from '@ebonysill/http';
@@ -167,8 +168,10 @@
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
 
   private constructor(private readonly options: CallerServerOptions) {
+    const turns = ReadTurns.create();
     this.#server = createServer(
       {
+        IncomingMessage: turns.createMessageClass(),
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       },
@@ -176,6 +179,7 @@
     );
     this.#server.requestTimeout = 0;
     this.#server.on('connection', (socket) => this.#connections.add(socket));
+    turns.watch(this.#server);
     spreadConnections(this.#server);
     this.#server.on('connection', () => {
       this.#acceptedCount += 1;
--- /dev/null
+++ b/packages/http/src/ReadTurns.ts
@@ -0,0 +1,128 @@
+/**
+ * @module Bounds the time for which one turn of the event loop reads from callers.
+ *
+ * Load pattern: many open connections each send a block of very small chunks at once. The parser takes
+ * some 25 ms for a block of 64 KiB and cannot stop within it, and a turn reads every connection that has
+ * bytes, some of them several times. Without a bound a turn takes seconds, and answers of the store and
+ * timers wait for its end.
+ */
+import type { IncomingMessage, Server } from 'node:http';
+import type { Socket } from 'node:net';
+import createPacedMessage from './createPacedMessage.js';
+
+/** Options of read turns. */
+export interface ReadTurnsOptions {
+  /** Monotonic clock. */
+  readonly nowMs?: () => number;
+  /** Calls a function in the next turn of the event loop, after the reads of this one. */
+  readonly onTurnEnd?: (fn: () => void) => void;
+}
+
+/** Time after which a turn reads no further connection. */
+const MAX_READ_MS = 10;
+
+/** Connections that are read again in one turn; a turn takes the rest of them later. */
+const MAX_RESUMED_COUNT = 64;
+
+/** Pauses the connections of a server when a turn has read for long enough, and resumes them in order. */
+export default class ReadTurns {
+  /** Open connections, the least recently read first. */
+  readonly #sockets = new Set<Socket>();
+
+  /** Connections that wait to be read again, in the order in which they are resumed. */
+  readonly #waiting = new Set<Socket>();
+
+  readonly #options: Required<ReadTurnsOptions>;
+
+  #lastRead: Socket | undefined;
+
+  /** Start of the reads of this turn; undefined before the first. */
+  #startedAtMs: number | undefined;
+
+  /** Whether this turn has read for long enough. */
+  #isOver = false;
+
+  #isEndScheduled = false;
+
+  private constructor({
+    nowMs = () => performance.now(),
+    onTurnEnd = (fn) => {
+      setImmediate(fn);
+    },
+  }: ReadTurnsOptions) {
+    this.#options = { nowMs, onTurnEnd };
+  }
+
+  /**
+   * Creates turns that watch no server yet.
+   *
+   * @example
+   * const turns = ReadTurns.create();
+   * const server = createServer({ IncomingMessage: turns.createMessageClass() }, receive);
+   * turns.watch(server);
+   */
+  static create(options: ReadTurnsOptions = {}): ReadTurns {
+    return new ReadTurns(options);
+  }
+
+  /** Watches the connections that a server accepts from now on. */
+  watch(server: Server): void {
+    server.on('connection', (socket: Socket) => {
+      this.#sockets.add(socket);
+      socket.once('close', () => {
+        this.#sockets.delete(socket);
+        this.#waiting.delete(socket);
+      });
+    });
+  }
+
+  /** Creates the class of the server's requests, which record what is read. */
+  createMessageClass(): typeof IncomingMessage {
+    return createPacedMessage({
+      recordRead: (socket) => this.#recordRead(socket),
+      isWaiting: (socket) => this.#waiting.has(socket),
+    });
+  }
+
+  #recordRead(socket: Socket): void {
+    if (socket !== this.#lastRead && this.#sockets.delete(socket)) {
+      this.#sockets.add(socket);
+      this.#lastRead = socket;
+    }
+    const nowMs = this.#options.nowMs();
+    this.#startedAtMs ??= nowMs;
+    this.#scheduleEnd();
+    if (!this.#isOver && nowMs - this.#startedAtMs > MAX_READ_MS) {
+      this.#isOver = true;
+      this.#sockets.forEach((open) => this.#pause(open));
+    }
+  }
+
+  /** Leaves alone what is paused for another reason. */
+  #pause(socket: Socket): void {
+    if (!socket.isPaused()) {
+      this.#waiting.add(socket);
+      socket.pause();
+    }
+  }
+
+  #scheduleEnd(): void {
+    if (!this.#isEndScheduled) {
+      this.#isEndScheduled = true;
+      this.#options.onTurnEnd(() => this.#onTurnEnd());
+    }
+  }
+
+  #onTurnEnd(): void {
+    this.#startedAtMs = undefined;
+    this.#isOver = false;
+    this.#isEndScheduled = false;
+    [...this.#waiting].slice(0, MAX_RESUMED_COUNT).forEach((socket) => {
+      this.#waiting.delete(socket);
+      socket.resume();
+    });
+    if (this.#waiting.size > 0) {
+      this.#scheduleEnd();
+    }
+  }
+}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -10,5 +10,6 @@
   type HoldingOptions,
 } from './ByteBudget.js';
 export { default as ConnectionLimit } from './ConnectionLimit.js';
+export { default as ReadTurns, type ReadTurnsOptions } from './ReadTurns.js';
 export { default as spreadConnections } from './spreadConnections.js';
 export { MAX_STATUS_CONNECTIONS, guardServer, type ServerBounds } from './guard-server.js';
