Check the head before 100 Continue is sent

Callers that sent Expect: 100-continue got 100 Continue from Node before the head was checked, sent their body, and were refused then.

The listeners of the gateway and of the entry now handle the expectation themselves: a head that is refused for its credential, its route, its fields or the room that its body needs is answered at once, without 100 Continue and with Connection: close; an accepted one gets 100 Continue as before. The entry checks the path and the fields of such a head before the body, which it otherwise does after it. The listeners for health checks, metrics and operators read no bodies and ask for none any more. The sidecar's links are not HTTP.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -177,6 +177,10 @@
       },
       (request, response) => this.#receive(request, response),
     );
+    // Without this, Node writes `100 Continue` before the head is checked.
+    this.#server.on('checkContinue', (request, response) =>
+      this.#receive(request, response, () => response.writeContinue()),
+    );
     this.#server.requestTimeout = 0;
     this.#server.on('connection', (socket) => this.#connections.add(socket));
     turns.watch(this.#server);
@@ -328,7 +332,8 @@
     return exchange;
   }
 
-  #receive(request: IncomingMessage, response: ServerResponse): void {
+  /** `askForBody` is given when the caller sends the body only after `100 Continue`. */
+  #receive(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
     request.on('error', () => response.destroy());
     response.on('error', this.options.onError);
     if (this.#brokenSockets.has(request.socket)) {
@@ -342,26 +347,41 @@
       request.on('end', () => this.#acceptOrHold(request, response, this.#decode(request)));
       return;
     }
-    this.#receiveBody(request, response);
+    this.#receiveBody(request, response, askForBody);
   }
 
   /** Decides what can be decided from the head, and reads the body of what is left. */
-  #receiveBody(request: IncomingMessage, response: ServerResponse): void {
+  #receiveBody(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
     const decoded = this.#decode(request);
     const refusal = decoded === undefined ? MALFORMED : this.options.checkHead?.(decoded);
     if (decoded === undefined || refusal !== undefined) {
-      this.#refuseAfterBody(request, response, refusal ?? MALFORMED);
+      this.#refuseHead(request, response, refusal ?? MALFORMED, askForBody !== undefined);
       return;
     }
     this.#bodies.receive({
       request,
       response,
       maxBytes: this.#maxBodyBytes,
+      onHeadAccepted: askForBody,
       onComplete: (body) => this.#acceptOrHold(request, response, { ...decoded, body }),
       onRefused: (cause) => this.#refuse(request, response, refusalOf(cause)),
     });
   }
 
+  /** A caller that waits for `100 Continue` is answered at once: its body will not come. */
+  #refuseHead(
+    request: IncomingMessage,
+    response: ServerResponse,
+    refusal: RefusalAnswer,
+    isBodyHeldBack: boolean,
+  ): void {
+    if (isBodyHeldBack) {
+      this.#refuse(request, response, refusal);
+    } else {
+      this.#refuseAfterBody(request, response, refusal);
+    }
+  }
+
   /** Answers once the rest of the body has come, or after a short time. */
   #refuseAfterBody(
     request: IncomingMessage,
--- a/packages/gateway-io/tests/caller-server.test.ts
+++ b/packages/gateway-io/tests/caller-server.test.ts
@@ -295,3 +295,38 @@
   await once(opened.caller, 'close');
   expect(opened.received().length).toBeLessThan(LARGE_ANSWER_BYTES);
 });
+
+const EXPECTANT = head('Content-Length: 900\r\nExpect: 100-continue\r\n');
+
+// Guards against a caller that is asked for a body which is refused by its head.
+test('a refused head gets no 100 Continue', async (context) => {
+  const { caller, events, received } = await open((fn) => context.after(fn), {
+    checkHead: () => ({ status: 401, headers: [], body: [Buffer.from('no')] }),
+  });
+  caller.write(EXPECTANT);
+  await waitUntil(() => received().includes('no'));
+  expect(received().startsWith('HTTP/1.1 401')).toEqual(true);
+  expect(received()).toInclude('Connection: close');
+  expect(events).toEqual([]);
+});
+
+// The same for a body that the limits refuse.
+test('an announced body over the limit gets no 100 Continue', async (context) => {
+  const { caller, received } = await open((fn) => context.after(fn));
+  caller.write(head('Content-Length: 10000000\r\nExpect: 100-continue\r\n'));
+  await waitUntil(() => received().includes('\r\n\r\n'));
+  expect(received().startsWith('HTTP/1.1 413')).toEqual(true);
+});
+
+// Guards against a caller that waits for 100 Continue in vain.
+test('an accepted head gets 100 Continue', async (context) => {
+  const opened = await open((fn) => context.after(fn));
+  const { caller, events, received } = opened;
+  caller.write(EXPECTANT);
+  await waitUntil(() => received().startsWith('HTTP/1.1 100 Continue\r\n\r\n'));
+  expect(events).toEqual([]);
+  caller.write('x'.repeat(900));
+  await waitUntil(() => events.length > 0);
+  sendShort(opened);
+  await waitUntil(() => received().includes('HTTP/1.1 200'));
+});
--- a/packages/http/src/BodyReceiver.ts
+++ b/packages/http/src/BodyReceiver.ts
@@ -18,6 +18,8 @@
   readonly response: ServerResponse;
   /** Limit on this body. */
   readonly maxBytes: number;
+  /** Called when the head is accepted, before a byte of the body is awaited. */
+  readonly onHeadAccepted?: (() => void) | undefined;
   /** Called with the whole body, which counts in the budget until the response is closed. */
   readonly onComplete: (body: Buffer) => void;
   /** Called instead when the body is not received; its bytes are kept no longer. */
@@ -63,7 +65,14 @@
   }
 
   /** Receives the body of one request; refuses it at once when there is no room for it. */
-  receive({ request, response, maxBytes, onComplete, onRefused }: BodyRequest): void {
+  receive({
+    request,
+    response,
+    maxBytes,
+    onHeadAccepted = () => undefined,
+    onComplete,
+    onRefused,
+  }: BodyRequest): void {
     const { budget, timeoutMs, onDropped = () => undefined } = this.options;
     const announcedBytes = Number(request.headers['content-length'] ?? 0);
     const overheadBytes = REQUEST_OVERHEAD_BYTES + headBytesOf(request);
@@ -105,6 +114,10 @@
       holding.release();
     });
     holding.setSize(overheadBytes);
+    // The head itself may have had no room.
+    if (isReading) {
+      onHeadAccepted();
+    }
     request.on('data', (chunk: Buffer) => {
       if (!isReading) {
         return;
--- a/packages/http/src/guard-server.ts
+++ b/packages/http/src/guard-server.ts
@@ -46,6 +46,8 @@
     timeout: idleTimeoutMs,
     maxRequestsPerSocket: MAX_REQUESTS_PER_SOCKET,
   });
+  // Without this, Node asks the caller for a body that nobody reads.
+  server.on('checkContinue', (request, response) => server.emit('request', request, response));
   server.on('request', ({ socket }, response) => {
     limit.recordRequest(socket);
     response.on('close', () => limit.recordAnswer(socket));
--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -24,7 +24,7 @@
   DropCause,
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
-import { decodeCallerRequest, isProblem } from './caller-request.js';
+import { checkCallerHead, decodeCallerRequest, isProblem } from './caller-request.js';
 import { statusOf } from './problem-status.js';
 
 const MAX_BODY_BYTES = 1_048_576;
@@ -124,6 +124,10 @@
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
       (request, response) => this.#onRequest(request, response),
     );
+    // Without this, Node writes `100 Continue` before the head is checked.
+    this.#server.on('checkContinue', (request, response) =>
+      this.#onRequest(request, response, () => response.writeContinue()),
+    );
     this.#server.on('connection', (socket) => this.#connections.add(socket));
     const { maxHeldBytes, maxConnectionCount, bodyTimeoutMs } = options.bounds ?? DEFAULT_BOUNDS;
     const budget = ByteBudget.create({ maxBytes: maxHeldBytes });
@@ -254,7 +258,8 @@
     response.destroy();
   }
 
-  #onRequest(request: IncomingMessage, response: ServerResponse): void {
+  /** `askForBody` is given when the caller sends the body only after `100 Continue`. */
+  #onRequest(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
     this.#connections.recordRequest(request, response);
     const page = request.method === 'GET' ? this.options.readPage(request.url ?? '') : undefined;
     if (page !== undefined) {
@@ -262,26 +267,32 @@
       response.end(page.body);
       return;
     }
-    this.#readBody(request, response);
+    const problem = askForBody === undefined ? undefined : checkCallerHead(request);
+    if (problem === undefined) {
+      this.#readBody(request, response, askForBody);
+    } else {
+      CallerPort.#refuse(request, response, problem);
+    }
   }
 
-  #readBody(request: IncomingMessage, response: ServerResponse): void {
+  #readBody(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
     this.#bodies.receive({
       request,
       response,
       maxBytes: MAX_BODY_BYTES,
+      onHeadAccepted: askForBody,
       onComplete: (body) => this.#dispatch(request, response, body.toString('latin1')),
-      onRefused: (cause) => CallerPort.#refuse(request, response, cause),
+      onRefused: (cause) => CallerPort.#refuse(request, response, problemOf(cause)),
     });
   }
 
   /** Answers at once; the connection closes after the rest of the body, or after a while. */
-  static #refuse(request: IncomingMessage, response: ServerResponse, cause: DropCause): void {
+  static #refuse(request: IncomingMessage, response: ServerResponse, problem: Problem): void {
     if (response.headersSent || response.destroyed) {
       return;
     }
     response.setHeader('connection', 'close');
-    CallerPort.#writeProblem(response, problemOf(cause), '');
+    CallerPort.#writeProblem(response, problem, '');
     const timer = setTimeout(() => request.socket.destroySoon(), REFUSED_BODY_MS);
     request.socket.once('close', () => clearTimeout(timer));
     BodyReceiver.drop(request, () => undefined);
--- a/packages/transport/src/caller-request.ts
+++ b/packages/transport/src/caller-request.ts
@@ -61,6 +61,14 @@
   readonly path: string;
 }
 
+/** Whether anything is served there, as far as the head shows. */
+const isServedAt = (method: string, url: string): boolean =>
+  SERVICES_PATTERN.test(url) ||
+  (method === 'POST' && (url === COMPLETIONS_PATH || url === KEYS_PATH));
+
+const unknownService = (method: string, url: string): Problem =>
+  notRun(Reason.UnknownService, `nothing is served at ${method} ${url}`);
+
 const destinationOf = (method: string, url: string, body: string): Destination | Problem => {
   const [, service, path] = SERVICES_PATTERN.exec(url) ?? [];
   if (service !== undefined && path !== undefined) {
@@ -78,26 +86,15 @@
       ? { intent: CallerIntent.MintKey, service: parsed.data.service, path: url }
       : malformed('expected a JSON object with the field "service"');
   }
-  return notRun(Reason.UnknownService, `nothing is served at ${method} ${url}`);
+  return unknownService(method, url);
 };
 
-/**
- * Decodes a caller's request. The body holds one character per byte, so that binary data is
- * preserved.
- *
- * @example
- * const decoded = decodeCallerRequest('x1', request, body);
- */
-export const decodeCallerRequest = (
-  exchangeId: string,
-  request: IncomingMessage,
-  body: string,
-): DecodedRequest => {
-  const { headers, method = '', url = '' } = request;
-  const destination = destinationOf(method, url, body);
-  if ('outcome' in destination) {
-    return destination;
-  }
+type HeadFields = Pick<
+  CallerRequestEvent,
+  'contentType' | 'credential' | 'priority' | 'idempotencyKey' | 'deadlineMs'
+>;
+
+const decodeFields = (headers: IncomingHttpHeaders): HeadFields | Problem => {
   const [, credential] = /^Bearer (\S{1,512})$/.exec(headers.authorization ?? '') ?? [];
   const deadlineText = headerOf(headers, 'ebonysill-deadline-ms');
   const deadline = deadlineSchema.optional().safeParse(deadlineText);
@@ -112,15 +109,51 @@
     return malformed('expected 0 to 9 in Ebonysill-Priority');
   }
   return {
-    kind: EventKind.CallerRequest,
-    exchangeId,
-    ...destination,
-    method,
     contentType: headers['content-type'] ?? '',
-    body,
     credential: credential ?? '',
     priority: priority.data,
     ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
     ...(deadline.data === undefined ? {} : { deadlineMs: deadline.data }),
   };
 };
+
+/**
+ * Returns why a request is refused by its head alone; undefined if its body decides.
+ *
+ * @example
+ * const problem = checkCallerHead(request);
+ */
+export const checkCallerHead = ({
+  headers,
+  method = '',
+  url = '',
+}: IncomingMessage): Problem | undefined => {
+  if (!isServedAt(method, url)) {
+    return unknownService(method, url);
+  }
+  const fields = decodeFields(headers);
+  return 'outcome' in fields ? fields : undefined;
+};
+
+/**
+ * Decodes a caller's request. The body holds one character per byte, so that binary data is
+ * preserved.
+ *
+ * @example
+ * const decoded = decodeCallerRequest('x1', request, body);
+ */
+export const decodeCallerRequest = (
+  exchangeId: string,
+  request: IncomingMessage,
+  body: string,
+): DecodedRequest => {
+  const { headers, method = '', url = '' } = request;
+  const destination = destinationOf(method, url, body);
+  if ('outcome' in destination) {
+    return destination;
+  }
+  const fields = decodeFields(headers);
+  return 'outcome' in fields
+    ? fields
+    : { kind: EventKind.CallerRequest, exchangeId, ...destination, method, body, ...fields };
+};
--- a/packages/transport/tests/outside-limits.test.ts
+++ b/packages/transport/tests/outside-limits.test.ts
@@ -93,6 +93,51 @@
   await waitUntil(() => isClosed(first));
 });
 
+const EXPECTANT = 'Content-Length: 5\r\nExpect: 100-continue\r\n\r\n';
+
+const statusOf = ({ received }: Client): string => received().split(' ')[1] ?? '';
+
+/** Status of the first answer to a head whose caller waits for `100 Continue`. */
+const firstStatus = async (port: number, lines: string, after: After): Promise<string> => {
+  const client = await open(port, after);
+  client.socket.write(`${lines}${EXPECTANT}`);
+  await waitUntil(() => client.received().includes('\r\n\r\n'));
+  return statusOf(client);
+};
+
+// Guards against a caller that is asked for a body which is refused by its head.
+test('a refused head gets no 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, {});
+  const statuses = await Promise.all(
+    [
+      'POST /nothing HTTP/1.1\r\nHost: a\r\n',
+      `${HEAD}Ebonysill-Priority: 10\r\n`,
+      `${HEAD}Ebonysill-Deadline-Ms: 0\r\n`,
+    ].map((lines) => firstStatus(port, lines, after)),
+  );
+  expect(statuses).toEqual(['404', '400', '400']);
+  expect(events).toEqual([]);
+});
+
+// The same for a body that the limits refuse.
+test('a body without room gets no 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port } = await listenToCallers(after, { maxHeldBytes: 1_000 });
+  expect(await firstStatus(port, HEAD, after)).toEqual('503');
+});
+
+// Guards against a caller that waits for 100 Continue in vain.
+test('an accepted head gets 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, {});
+  const client = await open(port, after);
+  client.socket.write(`${HEAD}${EXPECTANT}`);
+  await waitUntil(() => client.received() === 'HTTP/1.1 100 Continue\r\n\r\n');
+  client.socket.write('whole');
+  await waitUntil(() => events.length > 0);
+});
+
 const listenToOperators = async (after: After, bounds: object): Promise<number> => {
   const admin = AdminServer.create(
     {
@@ -126,6 +171,14 @@
   await waitUntil(() => isClosed(client));
 });
 
+// Guards against a body that operators are asked for and nobody reads.
+test('a call of operators gets no 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const port = await listenToOperators(after, {});
+  const status = await firstStatus(port, 'POST /status HTTP/1.1\r\nHost: a\r\n', after);
+  expect(status).not.toEqual('100');
+});
+
 const listenToLinks = async (after: After, bounds: object): Promise<number> => {
   const links = LinkPort.create('secret of the listener', () => undefined, bounds);
   const port = await links.listen(HOST, 0);
