--- a/packages/http/src/ReadTurns.ts
+++ b/packages/http/src/ReadTurns.ts
@@ -89,10 +89,13 @@
       this.#sockets.add(socket);
       this.#lastRead = socket;
     }
+    if (this.#isOver) {
+      return;
+    }
     const nowMs = this.#options.nowMs();
     this.#startedAtMs ??= nowMs;
     this.#scheduleEnd();
-    if (!this.#isOver && nowMs - this.#startedAtMs > MAX_READ_MS) {
+    if (nowMs - this.#startedAtMs > MAX_READ_MS) {
       this.#isOver = true;
       this.#sockets.forEach((open) => this.#pause(open));
     }
