gateway-io: split the caller server by responsibility

- RequestReceiver: what is decided from the head, bodies, and refusals of requests that are not complete;
- RunningRequests: complete requests by connection, and connections that cannot be read any further;
- QuietClose: the end of the listener, and the requests held until then;
- AnswerWriter: heads and complete answers;
- holdAnswer: the bytes of an answer that wait for its caller.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -9,33 +9,24 @@
   type CallerRequest,
   type ContinueAnswerEffect,
   type Event,
-  type HeaderField,
 } from '@ebonysill/gateway';
 import {
   BodyReceiver,
   ByteBudget,
   CHECK_INTERVAL_MS,
   ConnectionLimit,
-  DropCause,
   ReadTurns,
   spreadConnections,
-  type Holding,
+  type DropCause,
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
-import { MALFORMED, refusalOf, type RefusalAnswer } from './caller-answers.js';
+import AnswerWriter from './AnswerWriter.js';
+import { MALFORMED } from './caller-answers.js';
 import { deriveCallerBounds, type CallerBounds } from './derive-caller-bounds.js';
-
-/** Request line, header fields and body of a request, before decoding. */
-export interface EncodedRequest {
-  readonly method: string;
-  readonly url: string;
-  /** Alternating names and values, as in `IncomingMessage.rawHeaders`. */
-  readonly rawHeaders: readonly string[];
-  readonly body: Uint8Array;
-}
-
-/** Decodes a request; returns undefined when it is malformed. */
-export type DecodeRequest = (request: EncodedRequest) => CallerRequest | undefined;
+import holdAnswer from './holdAnswer.js';
+import QuietClose from './QuietClose.js';
+import RequestReceiver, { type CheckHead, type DecodeRequest } from './RequestReceiver.js';
+import RunningRequests from './RunningRequests.js';
 
 /** Options of a caller server. */
 export interface CallerServerOptions {
@@ -48,7 +39,7 @@
    * Checks a decoded request with a body before the body is received; returns the answer to one that
    * is refused. Every request goes on by default.
    */
-  readonly checkHead?: (request: CallerRequest) => RefusalAnswer | undefined;
+  readonly checkHead?: CheckHead;
   /** By default those of the smallest host. */
   readonly bounds?: CallerBounds;
   /** Time in which an unfinished body must make progress. */
@@ -66,9 +57,6 @@
 /** Fixed when the server is created; the configured limit is expected to be no higher. */
 const MAX_HEADER_BYTES = 16_384;
 
-/** Applies until a configuration sets the limit. */
-const DEFAULT_MAX_BODY_BYTES = 4_194_304;
-
 /** A caller that does not read its answer is disconnected when more bytes are buffered for it. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 
@@ -78,12 +66,6 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
-/** Time within which the listener closes, however many connections arrive. */
-const MAX_CLOSE_DELAY_MS = 350;
-
-/** Connections hardly arrive within a turn of the event loop that is shorter. */
-const MAX_QUIET_TURN_MS = 0.3;
-
 /** Node takes 0 for no limit at all. */
 const MIN_HEADER_TIMEOUT_MS = 1;
 
@@ -93,48 +75,17 @@
 /** Interval at which connections are checked for heads that take too long. */
 const CONNECTION_CHECK_INTERVAL_MS = 250;
 
-/**
- * Time for which the rest of a refused body is read and dropped. Closing earlier would reset the
- * connection, and the caller might lose the answer.
- */
-const REFUSED_BODY_MS = 1_000;
-
-/**
- * Time for which a refusal waits for the rest of a body, most of which arrive with their head. The
- * connection can be used again then.
- */
-const REFUSAL_DELAY_MS = 20;
-
 /** Bounds when no host is given: those of the smallest one. */
 const SMALLEST_HOST = { memoryMb: 202, fileDescriptors: 2_069 };
 
 const DEFAULT_BODY_TIMEOUT_MS = 10_000;
 
-/** Time for which an answer may wait without being read while it is not complete. */
-const ANSWER_TIMEOUT_MS = 30_000;
-
-const EMPTY_BODY = new Uint8Array(0);
-
-/** Answers to errors of the parser by their code; other errors are malformed requests. */
-const STATUS_LINE_OF: Readonly<Record<string, string>> = {
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
-};
-
-const BAD_REQUEST_LINE = '400 Bad Request';
-
-const MS_PER_SECOND = 1_000;
-
 interface OpenExchange {
   readonly response: ServerResponse;
   /** Brings the bytes that wait for the caller up to date. */
   readonly refreshWaiting: () => void;
 }
 
-const hasBody = ({ headers }: IncomingMessage): boolean =>
-  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-
 /** Posts callers' requests as events and writes the answers that the services decide on. */
 export default class CallerServer {
   readonly #server: Server;
@@ -145,28 +96,18 @@
 
   readonly #budget: ByteBudget;
 
-  readonly #bodies: BodyReceiver;
+  readonly #writer: AnswerWriter;
 
-  readonly #limit: ConnectionLimit;
+  readonly #receiver: RequestReceiver;
 
-  /** By connection: the responses to complete requests, in the order of the requests. */
-  readonly #running = new WeakMap<Socket, Set<ServerResponse>>();
+  readonly #limit: ConnectionLimit;
 
-  /** Connections on which a request was answered before it was complete. */
-  readonly #refusedSockets = new WeakSet<Socket>();
+  readonly #running = RunningRequests.create();
 
-  /** Connections whose further bytes cannot be read as requests. */
-  readonly #brokenSockets = new WeakSet<Socket>();
+  readonly #quietClose: QuietClose;
 
   #nextExchangeId = 1;
 
-  #acceptedCount = 0;
-
-  /** Requests received while the listener closes; undefined at other times. */
-  #heldRequests: (() => void)[] | undefined;
-
-  #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
-
   private constructor(private readonly options: CallerServerOptions) {
     const turns = ReadTurns.create();
     this.#server = createServer(
@@ -185,21 +126,28 @@
     this.#server.on('connection', (socket) => this.#connections.add(socket));
     turns.watch(this.#server);
     spreadConnections(this.#server);
-    this.#server.on('connection', () => {
-      this.#acceptedCount += 1;
-    });
+    this.#quietClose = QuietClose.create(this.#server);
     const { bounds = deriveCallerBounds(SMALLEST_HOST), onDropped = () => undefined } = options;
     this.#budget = ByteBudget.create({ maxBytes: bounds.maxHeldBytes, onDropped });
-    this.#bodies = BodyReceiver.create({
-      budget: this.#budget,
-      timeoutMs: options.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
-      onDropped,
+    this.#writer = AnswerWriter.create(options.isClosing);
+    this.#receiver = RequestReceiver.create({
+      decode: options.decode,
+      checkHead: options.checkHead,
+      bodies: BodyReceiver.create({
+        budget: this.#budget,
+        timeoutMs: options.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
+        onDropped,
+      }),
+      writer: this.#writer,
+      accept: (request, response, decoded) =>
+        this.#quietClose.acceptOrHold(() => this.#accept(request, response, decoded)),
     });
     this.#limit = ConnectionLimit.create({ maxCount: bounds.maxConnectionCount, onDropped });
     this.#limit.watch(this.#server);
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
-      this.#onClientError(error, socket as Socket),
-    );
+    this.#server.on('clientError', (error, stream) => {
+      const socket = stream as Socket;
+      this.#running.refuseUnreadable(error, socket, this.#receiver.hasRefused(socket));
+    });
     setInterval(() => {
       this.#budget.check();
       this.#limit.check();
@@ -232,7 +180,7 @@
 
   /** Applies the configured body limit and timeouts. */
   applyLimits({ maxBodyBytes, headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
-    this.#maxBodyBytes = maxBodyBytes;
+    this.#receiver.setMaxBodyBytes(maxBodyBytes);
     this.#server.headersTimeout = Math.max(MIN_HEADER_TIMEOUT_MS, headerTimeoutMs);
     this.#server.keepAliveTimeout = idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
   }
@@ -241,7 +189,7 @@
   sendAnswer(effect: SendAnswerEffect): void {
     const exchange = this.#removeExchange(effect.exchangeId);
     if (exchange !== undefined) {
-      this.#writeWhole(exchange.response, effect);
+      this.#writer.writeWhole(exchange.response, effect);
       exchange.response.end();
       exchange.refreshWaiting();
     }
@@ -251,7 +199,7 @@
   beginAnswer({ exchangeId, status, headers }: BeginAnswerEffect): void {
     const response = this.#openExchanges.get(exchangeId)?.response;
     if (response !== undefined) {
-      this.#writeHead(response, status, headers);
+      this.#writer.writeHead(response, status, headers);
     }
   }
 
@@ -290,34 +238,7 @@
    * open no further connections meanwhile.
    */
   stopAccepting(): void {
-    this.#heldRequests = [];
-    this.#closeAfterQuietTurn(performance.now() + MAX_CLOSE_DELAY_MS);
-  }
-
-  /**
-   * Closes the listener at the end of a short turn of the event loop in which no connection arrived:
-   * those that wait to be accepted when it closes are reset.
-   */
-  #closeAfterQuietTurn(latestAtMs: number): void {
-    const acceptedCount = this.#acceptedCount;
-    const startedAtMs = performance.now();
-    setImmediate(() => {
-      const nowMs = performance.now();
-      const isQuiet =
-        this.#acceptedCount === acceptedCount && nowMs - startedAtMs < MAX_QUIET_TURN_MS;
-      if (isQuiet || nowMs > latestAtMs) {
-        this.#server.close(() => this.options.post({ kind: EventKind.CallersDisconnected }));
-        this.#releaseHeld();
-      } else {
-        this.#closeAfterQuietTurn(latestAtMs);
-      }
-    });
-  }
-
-  #releaseHeld(): void {
-    const held = this.#heldRequests ?? [];
-    this.#heldRequests = undefined;
-    held.forEach((accept) => accept());
+    this.#quietClose.begin(() => this.options.post({ kind: EventKind.CallersDisconnected }));
   }
 
   /** Refuses new connections and closes all open ones. */
@@ -332,110 +253,16 @@
     return exchange;
   }
 
-  /** `askForBody` is given when the caller sends the body only after `100 Continue`. */
   #receive(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
     request.on('error', () => response.destroy());
     response.on('error', this.options.onError);
-    if (this.#brokenSockets.has(request.socket)) {
+    if (this.#running.isBroken(request.socket)) {
       // The connection ends with the answer before; this request must not run.
       request.resume();
       return;
     }
     this.#connections.recordRequest(request, response);
-    if (!hasBody(request)) {
-      request.resume();
-      request.on('end', () => this.#acceptOrHold(request, response, this.#decode(request)));
-      return;
-    }
-    this.#receiveBody(request, response, askForBody);
-  }
-
-  /** Decides what can be decided from the head, and reads the body of what is left. */
-  #receiveBody(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
-    const decoded = this.#decode(request);
-    const refusal = decoded === undefined ? MALFORMED : this.options.checkHead?.(decoded);
-    if (decoded === undefined || refusal !== undefined) {
-      this.#refuseHead(request, response, refusal ?? MALFORMED, askForBody !== undefined);
-      return;
-    }
-    this.#bodies.receive({
-      request,
-      response,
-      maxBytes: this.#maxBodyBytes,
-      onHeadAccepted: askForBody,
-      onComplete: (body) => this.#acceptOrHold(request, response, { ...decoded, body }),
-      onRefused: (cause) => this.#refuse(request, response, refusalOf(cause)),
-    });
-  }
-
-  /** A caller that waits for `100 Continue` is answered at once: its body will not come. */
-  #refuseHead(
-    request: IncomingMessage,
-    response: ServerResponse,
-    refusal: RefusalAnswer,
-    isBodyHeldBack: boolean,
-  ): void {
-    if (isBodyHeldBack) {
-      this.#refuse(request, response, refusal);
-    } else {
-      this.#refuseAfterBody(request, response, refusal);
-    }
-  }
-
-  /** Answers once the rest of the body has come, or after a short time. */
-  #refuseAfterBody(
-    request: IncomingMessage,
-    response: ServerResponse,
-    refusal: RefusalAnswer,
-  ): void {
-    const timer = setTimeout(() => this.#refuse(request, response, refusal), REFUSAL_DELAY_MS);
-    response.on('close', () => clearTimeout(timer));
-    request.on('end', () => {
-      clearTimeout(timer);
-      if (!response.headersSent) {
-        this.#writeWhole(response, refusal);
-        response.end();
-      }
-    });
-    BodyReceiver.drop(request, () => this.#refuse(request, response, refusal));
-  }
-
-  /** Answers at once; the connection closes after the rest of the body, or after a while. */
-  #refuse(request: IncomingMessage, response: ServerResponse, refusal: RefusalAnswer): void {
-    if (response.headersSent || response.destroyed) {
-      return;
-    }
-    this.#refusedSockets.add(request.socket);
-    response.shouldKeepAlive = false;
-    this.#writeWhole(response, refusal);
-    const timer = setTimeout(() => response.end(), REFUSED_BODY_MS);
-    request.on('end', () => response.end());
-    response.on('close', () => clearTimeout(timer));
-    BodyReceiver.drop(request, () => {
-      response.end();
-    });
-  }
-
-  #decode(request: IncomingMessage): CallerRequest | undefined {
-    return this.options.decode({
-      method: request.method ?? '',
-      url: request.url ?? '',
-      rawHeaders: request.rawHeaders,
-      body: EMPTY_BODY,
-    });
-  }
-
-  #acceptOrHold(
-    request: IncomingMessage,
-    response: ServerResponse,
-    decoded: CallerRequest | undefined,
-  ): void {
-    const accept = (): void => this.#accept(request, response, decoded);
-    if (this.#heldRequests === undefined) {
-      accept();
-    } else {
-      this.#heldRequests.push(accept);
-    }
+    this.#receiver.receive(request, response, askForBody);
   }
 
   #accept(
@@ -445,99 +272,22 @@
   ): void {
     if (decoded === undefined) {
       response.shouldKeepAlive = false;
-      this.#writeWhole(response, MALFORMED);
+      this.#writer.writeWhole(response, MALFORMED);
       response.end();
       return;
     }
     const exchangeId = this.#nextExchangeId;
     this.#nextExchangeId += 1;
-    const waiting = this.#holdAnswer(socket, response);
-    const running = this.#running.get(socket) ?? new Set();
-    this.#running.set(socket, running.add(response));
+    const refreshWaiting = holdAnswer(this.#budget, socket, response);
     this.#limit.recordRequest(socket);
-    this.#openExchanges.set(exchangeId, { response, refreshWaiting: waiting });
+    this.#openExchanges.set(exchangeId, { response, refreshWaiting });
     response.on('close', () => {
-      running.delete(response);
       this.#limit.recordAnswer(socket);
       if (this.#openExchanges.delete(exchangeId)) {
         this.options.post({ kind: EventKind.CallerDisconnected, exchangeId });
       }
-      if (running.size === 0 && this.#brokenSockets.has(socket)) {
-        socket.destroySoon();
-      }
     });
+    this.#running.add(socket, response);
     this.options.post({ kind: EventKind.RequestReceived, exchangeId, request: decoded });
   }
-
-  /** Counts the bytes of an answer that wait for the caller; returns how to count them again. */
-  #holdAnswer(socket: Socket, response: ServerResponse): () => void {
-    let takenBytes = 0;
-    const refresh = (holding: Holding): void => {
-      const takenNowBytes = socket.bytesWritten - socket.writableLength;
-      if (takenNowBytes > takenBytes || response.writableLength === 0) {
-        takenBytes = takenNowBytes;
-        holding.recordProgress();
-      }
-      holding.setSize(response.writableLength);
-    };
-    const holding = this.#budget.open({
-      stallTimeoutMs: ANSWER_TIMEOUT_MS,
-      stallCause: DropCause.AnswerStalled,
-      drop: () => response.destroy(),
-      refresh: () => refresh(holding),
-    });
-    response.on('close', () => holding.release());
-    return () => refresh(holding);
-  }
-
-  /**
-   * Answers what cannot be read as a request. While an earlier request of the connection runs, its
-   * answer comes first and ends the connection.
-   */
-  #onClientError({ code = '' }: NodeJS.ErrnoException, socket: Socket): void {
-    const last = [...(this.#running.get(socket) ?? [])].at(-1);
-    if (last !== undefined && !socket.destroyed) {
-      this.#brokenSockets.add(socket);
-      last.shouldKeepAlive = false;
-      return;
-    }
-    const isAnswered = this.#refusedSockets.has(socket);
-    if (socket.writable && !isAnswered) {
-      const statusLine = STATUS_LINE_OF[code] ?? BAD_REQUEST_LINE;
-      socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
-    }
-    socket.destroy();
-  }
-
-  /** Writes a complete answer without ending it. */
-  #writeWhole(response: ServerResponse, answer: RefusalAnswer): void {
-    const body = Buffer.concat(answer.body);
-    const length: HeaderField = { name: 'content-length', value: String(body.length) };
-    this.#writeHead(response, answer.status, [
-      ...answer.headers,
-      length,
-      ...CallerServer.#retryAfter(answer.retryAfterMs),
-    ]);
-    if (body.length > 0) {
-      response.write(body);
-    } else {
-      response.flushHeaders();
-    }
-  }
-
-  #writeHead(response: ServerResponse, status: number, headers: readonly HeaderField[]): void {
-    if (this.options.isClosing()) {
-      response.shouldKeepAlive = false;
-    }
-    response.writeHead(
-      status,
-      headers.flatMap(({ name, value }) => [name, value]),
-    );
-  }
-
-  static #retryAfter(retryAfterMs: number | undefined): readonly HeaderField[] {
-    return retryAfterMs === undefined
-      ? []
-      : [{ name: 'retry-after', value: String(retryAfterMs / MS_PER_SECOND) }];
-  }
 }
--- a/packages/gateway-io/src/index.ts
+++ b/packages/gateway-io/src/index.ts
@@ -2,8 +2,6 @@
 export {
   default as CallerServer,
   type CallerServerOptions,
-  type DecodeRequest,
-  type EncodedRequest,
   type ListenAddress,
 } from './CallerServer.js';
 export { default as createLatencyHistogram } from './createLatencyHistogram.js';
@@ -15,5 +13,6 @@
 export { default as MetricsRecorder } from './MetricsRecorder.js';
 export { default as parsePeerMessage } from './parsePeerMessage.js';
 export { default as ProcessHost, type ProcessPorts, type RankPort } from './ProcessHost.js';
+export type { DecodeRequest, EncodedRequest } from './RequestReceiver.js';
 export { default as StatusServer, type StatusAnswer } from './StatusServer.js';
 export { default as TargetClient, type DecodeTargetHead, type EncodeCall } from './TargetClient.js';
