Count and log what the entry and the sidecar drop

The listeners of the entry and the sidecar bound what clients make them keep, but operators could not see what was dropped, nor why.

The collection of drops into one line per cause and 5 s moves from gateway-io to the http package as CauseReporter; the gateway's lines and counters are unchanged. The transport package counts by listener (callers, links, operators) and cause, in ebonysill_dropped_total{listener,cause} on the metrics page and in a line 'clients dropped'. Links have two more causes: a handshake that stalls, and a peer that does not read; links refused over the limit and frames over their length are counted too.

A wrong proof and an unreadable message close a link as before and are not counted: they are no bound.

--- a/packages/binaries/src/running-process.ts
+++ b/packages/binaries/src/running-process.ts
@@ -4,6 +4,8 @@
   AdminServer,
   BurnMeter,
   DecisionLog,
+  DropCounters,
+  Listener,
   LogPort,
   ProcessHost,
   systemRuntime,
@@ -52,21 +54,27 @@
   process: ProcessHost,
   decisionLog: DecisionLog,
   burnMeter: BurnMeter,
+  drops: DropCounters,
 ): AdminServer =>
-  AdminServer.create({
-    readStatus: () => ({
-      processId: options.processId,
-      role: options.role,
-      availabilityZone: options.availabilityZone,
-      revision: process.find(ServiceName.Configuration).revision(),
-      load: loadOf(options.role, process.find),
-      peers: process.find(ServiceName.Links).peers(),
-      residentBytes: globalThis.process.memoryUsage.rss(),
-      uptimeMs: globalThis.process.uptime() * 1_000,
-    }),
-    explain: (requestId) => decisionLog.explain(requestId),
-    readBurn: () => burnMeter.report(),
-  });
+  AdminServer.create(
+    {
+      readStatus: () => ({
+        processId: options.processId,
+        role: options.role,
+        availabilityZone: options.availabilityZone,
+        revision: process.find(ServiceName.Configuration).revision(),
+        load: loadOf(options.role, process.find),
+        peers: process.find(ServiceName.Links).peers(),
+        residentBytes: globalThis.process.memoryUsage.rss(),
+        uptimeMs: globalThis.process.uptime() * 1_000,
+      }),
+      explain: (requestId) => decisionLog.explain(requestId),
+      readBurn: () => burnMeter.report(),
+      readDrops: () => drops.report(),
+    },
+    undefined,
+    drops.recorderOf(Listener.Operators),
+  );
 
 /**
  * Starts a process of one role.
@@ -80,6 +88,7 @@
   const logPort = LogPort.create(options.processId, options.logLevel);
   const decisionLog = DecisionLog.create(systemRuntime.nowMs);
   const burnMeter = BurnMeter.create(systemRuntime.nowMs);
+  const drops = DropCounters.create((line) => logPort.writeDropped(line));
   let onDrained = (): void => undefined;
   const drained = new Promise<void>((resolve) => {
     onDrained = resolve;
@@ -92,6 +101,7 @@
       decisionLog.record(effect);
       burnMeter.record(effect);
     },
+    recorderOf: (listener) => drops.recorderOf(listener),
     onDrained: () => onDrained(),
     onFatalError: (error) => {
       logPort.fatal(error);
@@ -100,7 +110,7 @@
     },
   });
   process.start();
-  const admin = createAdminServer(options, process, decisionLog, burnMeter);
+  const admin = createAdminServer(options, process, decisionLog, burnMeter, drops);
   const servingPort = await options.listen(process);
   const adminPort = await admin.listen(options.host, options.adminPort);
   const stop = async (): Promise<void> => {
--- a/packages/binaries/src/start-entry.ts
+++ b/packages/binaries/src/start-entry.ts
@@ -39,8 +39,8 @@
           maxInProgress,
           seeds: seedSidecars,
         }),
-      createCallerPort: (post, find) =>
-        CallerPort.create({ post, readPage: (path) => readPage(path, find()) }),
+      createCallerPort: (post, find, onDropped) =>
+        CallerPort.create({ post, readPage: (path) => readPage(path, find()), onDropped }),
       createConfigurationPort: (post) => ConfigurationPort.create(configurationUrl, post),
     },
     listen: (process) => listenToCallers(settings, process),
--- a/packages/gateway-io/src/DropReporter.ts
+++ b/packages/gateway-io/src/DropReporter.ts
@@ -1,5 +1,6 @@
-/** @module Reports what is given up for a cause: counters, and a line at most every few seconds. */
+/** @module Log lines of the gateway about what it gives up for callers. */
 import { LogLevel, LogTopic, log, type LogEffect } from '@ebonysill/gateway';
+import { CauseReporter } from '@ebonysill/http';
 
 /** Options of a reporter. */
 export interface DropReporterOptions {
@@ -9,53 +10,20 @@
   readonly count: (cause: string) => void;
 }
 
-/** Time for which drops of one cause are collected into one line. */
-export const REPORT_INTERVAL_MS = 5_000;
-
-/** Collects drops by cause; a flood writes no line for each connection. */
-export default class DropReporter {
-  /** By cause: drops since its last line, while its interval runs. */
-  readonly #pending = new Map<string, number>();
-
-  private constructor(private readonly options: DropReporterOptions) {}
-
+/** Reporters that write lines of the gateway. */
+const DropReporter = {
   /**
    * Creates a reporter.
    *
    * @example
    * const drops = DropReporter.create({ write: processHost.perform, count: metrics.recordDropped });
    */
-  static create(options: DropReporterOptions): DropReporter {
-    return new DropReporter(options);
-  }
-
-  /** Counts a drop; the first of a cause is written at once, later ones together. */
-  readonly record = (cause: string): void => {
-    this.options.count(cause);
-    const pendingCount = this.#pending.get(cause);
-    if (pendingCount !== undefined) {
-      this.#pending.set(cause, pendingCount + 1);
-      return;
-    }
-    this.#write(cause, 1);
-    this.#startInterval(cause);
-  };
-
-  #startInterval(cause: string): void {
-    this.#pending.set(cause, 0);
-    setTimeout(() => this.#onIntervalEnd(cause), REPORT_INTERVAL_MS).unref();
-  }
-
-  #onIntervalEnd(cause: string): void {
-    const count = this.#pending.get(cause) ?? 0;
-    this.#pending.delete(cause);
-    if (count > 0) {
-      this.#write(cause, count);
-      this.#startInterval(cause);
-    }
-  }
-
-  #write(reason: string, count: number): void {
-    this.options.write(log(LogLevel.Warn, LogTopic.CallersDropped, { reason, count }));
-  }
-}
+  create: ({ write, count }: DropReporterOptions): CauseReporter =>
+    CauseReporter.create({
+      count,
+      write: (reason, dropCount) =>
+        write(log(LogLevel.Warn, LogTopic.CallersDropped, { reason, count: dropCount })),
+    }),
+};
+
+export default DropReporter;
--- a/packages/gateway-io/src/index.ts
+++ b/packages/gateway-io/src/index.ts
@@ -7,7 +7,8 @@
 export { default as createLatencyHistogram } from './createLatencyHistogram.js';
 export * from './derive-caller-bounds.js';
 export { default as DatagramPort } from './DatagramPort.js';
-export { default as DropReporter, REPORT_INTERVAL_MS } from './DropReporter.js';
+export { REPORT_INTERVAL_MS } from '@ebonysill/http';
+export { default as DropReporter } from './DropReporter.js';
 export { default as HttpClient, type HttpAnswer } from './HttpClient.js';
 export { default as LogPort } from './LogPort.js';
 export { default as MetricsRecorder } from './MetricsRecorder.js';
--- a/packages/http/src/ByteBudget.ts
+++ b/packages/http/src/ByteBudget.ts
@@ -15,6 +15,10 @@
   Fragmented = 'small-chunks',
   /** The budget of connections was used up. */
   TooManyConnections = 'too-many-connections',
+  /** A link was not authenticated in its time. */
+  HandshakeStalled = 'handshake-stalled',
+  /** Too many bytes waited for a peer that does not read. */
+  NotRead = 'not-read',
 }
 
 /** What is kept for one body or one answer. */
--- a/packages/http/src/guard-server.ts
+++ b/packages/http/src/guard-server.ts
@@ -1,6 +1,6 @@
 /** @module Bounds for HTTP servers whose requests have no bodies, such as health checks and metrics. */
 import type { Server } from 'node:http';
-import { CHECK_INTERVAL_MS } from './ByteBudget.js';
+import { CHECK_INTERVAL_MS, type DropCause } from './ByteBudget.js';
 import ConnectionLimit from './ConnectionLimit.js';
 
 /** Connections of one such server. */
@@ -34,8 +34,9 @@
     requestTimeoutMs = REQUEST_TIMEOUT_MS,
     idleTimeoutMs = IDLE_TIMEOUT_MS,
   }: ServerBounds = {},
+  onDropped: (cause: DropCause) => void = () => undefined,
 ): void => {
-  const limit = ConnectionLimit.create({ maxCount: maxConnectionCount });
+  const limit = ConnectionLimit.create({ maxCount: maxConnectionCount, onDropped });
   limit.watch(server);
   const timer = setInterval(() => limit.check(), CHECK_INTERVAL_MS).unref();
   server.on('close', () => clearInterval(timer));
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -9,6 +9,11 @@
   type Holding,
   type HoldingOptions,
 } from './ByteBudget.js';
+export {
+  default as CauseReporter,
+  REPORT_INTERVAL_MS,
+  type CauseReporterOptions,
+} from './CauseReporter.js';
 export { default as ConnectionLimit } from './ConnectionLimit.js';
 export { default as ReadTurns, type ReadTurnsOptions } from './ReadTurns.js';
 export { default as spreadConnections } from './spreadConnections.js';
--- a/packages/transport/src/AdminServer.ts
+++ b/packages/transport/src/AdminServer.ts
@@ -4,6 +4,7 @@
 import { guardServer, type ServerBounds } from '@ebonysill/http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { adminRouter, type AdminFunctions } from './admin-router.js';
+import type { RecordDrop } from './DropCounters.js';
 import { formatMetrics } from './metrics-page.js';
 
 const METRICS_PATH = '/metrics';
@@ -21,9 +22,13 @@
    * Creates the server, not yet listening.
    *
    * @example
-   * const admin = AdminServer.create({ readStatus, explain, readBurn });
+   * const admin = AdminServer.create({ readStatus, explain, readBurn, readDrops });
    */
-  static create(functions: AdminFunctions, bounds?: ServerBounds): AdminServer {
+  static create(
+    functions: AdminFunctions,
+    bounds?: ServerBounds,
+    onDropped?: RecordDrop,
+  ): AdminServer {
     const handleCall = createHTTPHandler({
       router: adminRouter(functions),
       maxBodySize: MAX_BODY_BYTES,
@@ -31,12 +36,14 @@
     const server = createServer((request, response) => {
       if (request.url === METRICS_PATH) {
         response.writeHead(200, { 'content-type': METRICS_TYPE });
-        response.end(formatMetrics(functions.readStatus(), functions.readBurn()));
+        response.end(
+          formatMetrics(functions.readStatus(), functions.readBurn(), functions.readDrops()),
+        );
       } else {
         handleCall(request, response);
       }
     });
-    guardServer(server, bounds);
+    guardServer(server, bounds, onDropped);
     return new AdminServer(server);
   }
 
--- a/packages/transport/src/LinkPort.ts
+++ b/packages/transport/src/LinkPort.ts
@@ -2,6 +2,7 @@
 import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
 import { ByteBudget, CHECK_INTERVAL_MS, DropCause } from '@ebonysill/http';
 import { EventKind, type Event, type Message, type OpenLinkEffect } from '@ebonysill/core';
+import type { RecordDrop } from './DropCounters.js';
 import { FrameReader, MAX_FRAME_BYTES, frame } from './frame-reader.js';
 import { HandshakeStep, LinkEnd, LinkHandshake } from './link-handshake.js';
 import { decodeMessage, encodeMessage } from './message-codec.js';
@@ -55,8 +56,12 @@
     private readonly secret: string,
     private readonly post: (event: Event) => void,
     private readonly bounds: LinkBounds,
+    private readonly onDropped: RecordDrop,
   ) {
-    this.#budget = ByteBudget.create({ maxBytes: bounds.maxPendingBytes ?? MAX_PENDING_BYTES });
+    this.#budget = ByteBudget.create({
+      maxBytes: bounds.maxPendingBytes ?? MAX_PENDING_BYTES,
+      onDropped,
+    });
     setInterval(() => this.#budget.check(), CHECK_INTERVAL_MS).unref();
   }
 
@@ -66,14 +71,20 @@
    * @example
    * const links = LinkPort.create(secret, (event) => kernel.post(event));
    */
-  static create(secret: string, post: (event: Event) => void, bounds: LinkBounds = {}): LinkPort {
-    return new LinkPort(secret, post, bounds);
+  static create(
+    secret: string,
+    post: (event: Event) => void,
+    bounds: LinkBounds = {},
+    onDropped: RecordDrop = () => undefined,
+  ): LinkPort {
+    return new LinkPort(secret, post, bounds, onDropped);
   }
 
   /** Starts listening; resolves with the port in use, which the system chooses for port 0. */
   listen(host: string, port: number): Promise<number> {
     const server = createServer((socket) => this.#accept(socket));
     server.maxConnections = this.bounds.maxInboundCount ?? MAX_INBOUND_LINKS;
+    server.on('drop', () => this.onDropped(DropCause.TooManyConnections));
     this.#server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
@@ -97,7 +108,7 @@
     }
     socket.write(frame(encodeMessage(message)));
     if (socket.writableLength > MAX_UNSENT_BYTES) {
-      socket.destroy();
+      this.#drop(socket, DropCause.NotRead);
     }
   }
 
@@ -112,6 +123,13 @@
     this.#sockets.forEach((socket) => socket.destroySoon());
   }
 
+  #drop(socket: Socket, cause: DropCause): void {
+    if (!socket.destroyed) {
+      socket.destroy();
+      this.onDropped(cause);
+    }
+  }
+
   #accept(socket: Socket): void {
     this.#inboundCount += 1;
     this.#attach(`inbound#${this.#inboundCount}`, socket, LinkEnd.Listener);
@@ -131,7 +149,7 @@
       drop: () => socket.destroy(),
     });
     const handshakeTimer = setTimeout(
-      () => socket.destroy(),
+      () => this.#drop(socket, DropCause.HandshakeStalled),
       handshakeTimeoutMs ?? HANDSHAKE_TIMEOUT_MS,
     );
     let progressBytes = 0;
@@ -147,7 +165,7 @@
     socket.on('data', (bytes) => {
       const frames = reader.push(bytes);
       if (frames === undefined) {
-        socket.destroy();
+        this.#drop(socket, DropCause.TooLarge);
         return;
       }
       if (frames.length > 0 || reader.pendingBytes >= progressBytes) {
--- a/packages/transport/src/LogPort.ts
+++ b/packages/transport/src/LogPort.ts
@@ -1,6 +1,7 @@
 /** @module Structured log on standard output. */
 import { LogLevel, type LogEffect } from '@ebonysill/core';
 import { pino, type Logger } from 'pino';
+import type { DropCount } from './DropCounters.js';
 
 /** Writes log lines as JSON. */
 export default class LogPort {
@@ -32,6 +33,11 @@
     }
   }
 
+  /** Logs what a listener has dropped for a cause since the last such line. */
+  writeDropped({ listener, cause, count }: DropCount): void {
+    this.logger.warn({ listener, reason: cause, count }, 'clients dropped');
+  }
+
   /** Logs the error that stops the process. */
   fatal(error: unknown): void {
     this.logger.fatal({ err: error }, 'broken invariant');
--- a/packages/transport/src/admin-router.ts
+++ b/packages/transport/src/admin-router.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import type { ServiceBurn } from './burn-meter.js';
 import type { LoggedDecision } from './decision-log.js';
+import type { DropCount } from './DropCounters.js';
 
 /** Answer to `status`. */
 export interface ProcessStatus {
@@ -23,6 +24,7 @@
   readonly readStatus: () => ProcessStatus;
   readonly explain: (requestId: string) => readonly LoggedDecision[];
   readonly readBurn: () => readonly ServiceBurn[];
+  readonly readDrops: () => readonly DropCount[];
 }
 
 const trpc = initTRPC.create();
@@ -35,7 +37,7 @@
  * @example
  * const router = adminRouter({ readStatus, explain, readBurn });
  */
-export const adminRouter = ({ readStatus, explain, readBurn }: AdminFunctions) =>
+export const adminRouter = ({ readStatus, explain, readBurn }: Omit<AdminFunctions, 'readDrops'>) =>
   trpc.router({
     status: trpc.procedure.query(() => readStatus()),
     burn: trpc.procedure.query(() => readBurn()),
--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -25,6 +25,7 @@
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
 import { checkCallerHead, decodeCallerRequest, isProblem } from './caller-request.js';
+import type { RecordDrop } from './DropCounters.js';
 import { statusOf } from './problem-status.js';
 
 const MAX_BODY_BYTES = 1_048_576;
@@ -58,6 +59,8 @@
   /** Page for a GET request, such as `/readyz`; undefined if the request goes to a service. */
   readonly readPage: (path: string) => Page | undefined;
   readonly bounds?: CallerPortBounds;
+  /** Called for each body or connection that is dropped. */
+  readonly onDropped?: RecordDrop;
 }
 
 /** Bounds on what all callers together may make the process keep. */
@@ -130,9 +133,10 @@
     );
     this.#server.on('connection', (socket) => this.#connections.add(socket));
     const { maxHeldBytes, maxConnectionCount, bodyTimeoutMs } = options.bounds ?? DEFAULT_BOUNDS;
-    const budget = ByteBudget.create({ maxBytes: maxHeldBytes });
-    this.#limit = ConnectionLimit.create({ maxCount: maxConnectionCount });
-    this.#bodies = BodyReceiver.create({ budget, timeoutMs: bodyTimeoutMs });
+    const { onDropped = () => undefined } = options;
+    const budget = ByteBudget.create({ maxBytes: maxHeldBytes, onDropped });
+    this.#limit = ConnectionLimit.create({ maxCount: maxConnectionCount, onDropped });
+    this.#bodies = BodyReceiver.create({ budget, timeoutMs: bodyTimeoutMs, onDropped });
     this.#limit.watch(this.#server);
     setInterval(() => {
       budget.check();
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,6 +8,7 @@
 } from './admin-router.js';
 export { CallerPort, type CallerPortOptions, type Page } from './caller-port.js';
 export { default as ConfigurationPort } from './ConfigurationPort.js';
+export { DropCounters, Listener, type DropCount, type RecordDrop } from './DropCounters.js';
 export { FrameReader, frame } from './frame-reader.js';
 export { DecisionLog, type LoggedDecision } from './decision-log.js';
 export { default as LinkPort } from './LinkPort.js';
--- a/packages/transport/src/metrics-page.ts
+++ b/packages/transport/src/metrics-page.ts
@@ -1,6 +1,7 @@
 /** @module Metrics of a process in the Prometheus text format. */
 import type { ProcessStatus } from './admin-router.js';
 import type { ServiceBurn } from './burn-meter.js';
+import type { DropCount } from './DropCounters.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -13,6 +14,11 @@
 
 const NOT_SERVED_METRIC = 'ebonysill_requests_not_served_last_six_hours';
 
+const DROPPED_METRIC = 'ebonysill_dropped_total';
+
+const dropLine = ({ listener, cause, count }: DropCount): string =>
+  `${DROPPED_METRIC}{listener="${listener}",cause="${cause}"} ${count}\n`;
+
 const serviceLines = ({ service, windows, p50Ms, p99Ms }: ServiceBurn): string => {
   const longest = windows.at(-1);
   return [
@@ -27,15 +33,19 @@
 };
 
 /** Formats the metrics page of a process. */
-export type FormatMetrics = (status: ProcessStatus, burn: readonly ServiceBurn[]) => string;
+export type FormatMetrics = (
+  status: ProcessStatus,
+  burn: readonly ServiceBurn[],
+  drops: readonly DropCount[],
+) => string;
 
 /**
  * Formats the metrics page; its size is bounded by the number of services and reasons.
  *
  * @example
- * formatMetrics(status, burnMeter.report());
+ * formatMetrics(status, burnMeter.report(), drops.report());
  */
-export const formatMetrics: FormatMetrics = (status, burn) =>
+export const formatMetrics: FormatMetrics = (status, burn, drops) =>
   [
     gauge('ebonysill_configuration_revision', 'Accepted revision.', status.revision),
     gauge('ebonysill_links', 'Links that are up.', status.peers.length),
@@ -44,4 +54,5 @@
     gauge('ebonysill_running', 'Requests on the target.', status.load?.runningCount ?? 0),
     gauge('ebonysill_waiting', 'Requests that wait.', status.load?.waitingCount ?? 0),
     ...burn.map((serviceBurn) => `${serviceLines(serviceBurn)}\n`),
+    ...drops.map(dropLine),
   ].join('');
--- a/packages/transport/src/process-host.ts
+++ b/packages/transport/src/process-host.ts
@@ -15,6 +15,7 @@
 import { Kernel } from '@ebonysill/kernel';
 import type { CallerPort } from './caller-port.js';
 import type ConfigurationPort from './ConfigurationPort.js';
+import { Listener, type RecordDrop } from './DropCounters.js';
 import LinkPort from './LinkPort.js';
 import type TargetPort from './TargetPort.js';
 import TimerPort from './TimerPort.js';
@@ -25,7 +26,11 @@
   readonly linkSecret: string;
   readonly createServices: (runtime: Runtime) => readonly AnyRegistration[];
   /** Called before the services are created; `find` works once the process is created. */
-  readonly createCallerPort?: (post: (event: Event) => void, find: () => FindService) => CallerPort;
+  readonly createCallerPort?: (
+    post: (event: Event) => void,
+    find: () => FindService,
+    onDropped: RecordDrop,
+  ) => CallerPort;
   readonly createTargetPort?: (post: (event: Event) => void) => TargetPort;
   readonly createConfigurationPort?: (post: (event: Event) => void) => ConfigurationPort;
   /** Called to let the rank beside this process begin a step. */
@@ -33,6 +38,8 @@
   /** Called to make the rank beside this process load an expert map. */
   readonly onLoadMap?: (effect: LoadMapEffect) => void;
   readonly onLog: (effect: LogEffect) => void;
+  /** Returns the function that records the drops of a listener; they are ignored by default. */
+  readonly recorderOf?: (listener: Listener) => RecordDrop;
   /** Called once all services have drained. */
   readonly onDrained: () => void;
   /** Called when an invariant is broken; the process must stop. */
@@ -66,9 +73,10 @@
 
   private constructor(private readonly options: ProcessHostOptions) {
     const post = (event: Event): void => this.#kernel.post(event);
-    this.links = LinkPort.create(options.linkSecret, post);
+    const { recorderOf = () => () => undefined } = options;
+    this.links = LinkPort.create(options.linkSecret, post, {}, recorderOf(Listener.Links));
     this.#timerPort = TimerPort.create(post);
-    this.callers = options.createCallerPort?.(post, () => this.find);
+    this.callers = options.createCallerPort?.(post, () => this.find, recorderOf(Listener.Callers));
     this.#targetPort = options.createTargetPort?.(post);
     this.#configurationPort = options.createConfigurationPort?.(post);
     this.#kernel = Kernel.create<Directory, Event, Effect>({
--- a/packages/transport/tests/outside-limits.test.ts
+++ b/packages/transport/tests/outside-limits.test.ts
@@ -5,7 +5,15 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
 import { EventKind, type Event } from '@ebonysill/core';
-import { AdminServer, CallerPort, LinkPort } from '../src/index.js';
+import { REPORT_INTERVAL_MS } from '@ebonysill/http';
+import {
+  AdminServer,
+  CallerPort,
+  DropCounters,
+  LinkPort,
+  Listener,
+  type DropCount,
+} from '../src/index.js';
 import { FrameReader, frame } from '../src/frame-reader.js';
 
 const HOST = '127.0.0.1';
@@ -41,12 +49,14 @@
 const listenToCallers = async (
   after: After,
   bounds: { maxHeldBytes?: number; maxConnectionCount?: number; bodyTimeoutMs?: number },
+  drops = DropCounters.create(() => undefined),
 ): Promise<{ port: number; events: readonly Event[] }> => {
   const events: Event[] = [];
   const callers = CallerPort.create({
     post: (event) => events.push(event),
     readPage: () => undefined,
     bounds: { maxHeldBytes: 1_000_000, maxConnectionCount: 10, bodyTimeoutMs: 10_000, ...bounds },
+    onDropped: drops.recorderOf(Listener.Callers),
   });
   const port = await callers.listen(HOST, 0);
   after(() => {
@@ -138,14 +148,20 @@
   await waitUntil(() => events.length > 0);
 });
 
-const listenToOperators = async (after: After, bounds: object): Promise<number> => {
+const listenToOperators = async (
+  after: After,
+  bounds: object,
+  drops = DropCounters.create(() => undefined),
+): Promise<number> => {
   const admin = AdminServer.create(
     {
       readStatus: () => ({ peers: [] }) as never,
       explain: () => [],
       readBurn: () => [],
+      readDrops: () => drops.report(),
     },
     bounds,
+    drops.recorderOf(Listener.Operators),
   );
   const port = await admin.listen(HOST, 0);
   after(() => admin.shutdown());
@@ -179,8 +195,17 @@
   expect(status).not.toEqual('100');
 });
 
-const listenToLinks = async (after: After, bounds: object): Promise<number> => {
-  const links = LinkPort.create('secret of the listener', () => undefined, bounds);
+const listenToLinks = async (
+  after: After,
+  bounds: object,
+  drops = DropCounters.create(() => undefined),
+): Promise<number> => {
+  const links = LinkPort.create(
+    'secret of the listener',
+    () => undefined,
+    bounds,
+    drops.recorderOf(Listener.Links),
+  );
   const port = await links.listen(HOST, 0);
   after(() => links.shutdown());
   return port;
@@ -218,3 +243,58 @@
   Array.from({ length: 59_000 }, (_, index) => reader.push(bytes.subarray(index, index + 1)));
   expect(reader.pendingBytes).toBeLessThan(120_001);
 });
+
+// Guards against drops that operators cannot see.
+test('drops are counted by listener and cause', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const lines: DropCount[] = [];
+  const drops = DropCounters.create((line) => lines.push(line));
+  const { port } = await listenToCallers(after, { bodyTimeoutMs: 300 }, drops);
+  const stalled = await open(port, after);
+  stalled.socket.write(`${HEAD}Content-Length: 100\r\n\r\nx`);
+  const links = await listenToLinks(after, { handshakeTimeoutMs: 300, maxInboundCount: 1 }, drops);
+  const silent = await open(links, after);
+  const excess = await open(links, after);
+  await waitUntil(() => [stalled, silent, excess].every(isClosed));
+  const long = await open(links, after);
+  long.socket.write(Buffer.from([0, 0, 4, 0]));
+  await waitUntil(() => isClosed(long));
+  const operators = await listenToOperators(after, { maxConnectionCount: 1 }, drops);
+  const first = await open(operators, after);
+  await open(operators, after);
+  await waitUntil(() => isClosed(first));
+  const expected = [
+    [Listener.Callers, 'body-stalled', 1],
+    [Listener.Links, 'too-many-connections', 1],
+    [Listener.Links, 'handshake-stalled', 1],
+    [Listener.Links, 'too-large', 1],
+    [Listener.Operators, 'too-many-connections', 1],
+  ];
+  const valuesOf = (counts: readonly DropCount[]): readonly unknown[] =>
+    counts.map(({ listener, cause, count }) => [listener, cause, count]);
+  expect(valuesOf(drops.report())).toEqual(expected);
+  expect(valuesOf(lines).length).toEqual(expected.length);
+});
+
+// Guards against a line for each connection of a flood.
+test('a flood writes one line for a listener and cause in an interval', (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] });
+  const lines: DropCount[] = [];
+  const drops = DropCounters.create((line) => lines.push(line));
+  const record = drops.recorderOf(Listener.Links);
+  Array.from({ length: 1_000 }, () => record('no-room'));
+  context.mock.timers.tick(REPORT_INTERVAL_MS);
+  expect(lines.map(({ count }) => count)).toEqual([1, 999]);
+  expect(drops.report()).toEqual([{ listener: Listener.Links, cause: 'no-room', count: 1_000 }]);
+});
+
+// Guards against counters that monitoring does not get.
+test('the metrics page has the drops', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const drops = DropCounters.create(() => undefined);
+  drops.recorderOf(Listener.Callers)('no-room');
+  const client = await open(await listenToOperators(after, {}, drops), after);
+  client.socket.write('GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n');
+  const line = 'ebonysill_dropped_total{listener="callers",cause="no-room"} 1';
+  await waitUntil(() => client.received().includes(line));
+});
