transport: bound the time that a turn of the entry reads from callers

The entry's listener parsed the small chunks of all callers in one turn of the event loop, like the gateway's. It uses the same bounded turns now.

--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -22,6 +22,7 @@
   CHECK_INTERVAL_MS,
   ConnectionLimit,
   DropCause,
+  ReadTurns,
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
 import { checkCallerHead, decodeCallerRequest, isProblem } from './caller-request.js';
@@ -123,10 +124,16 @@
   #exchangeCount = 0;
 
   private constructor(private readonly options: CallerPortOptions) {
+    const turns = ReadTurns.create();
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
+      {
+        IncomingMessage: turns.createMessageClass(),
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+      },
       (request, response) => this.#onRequest(request, response),
     );
+    turns.watch(this.#server);
     // Without this, Node writes `100 Continue` before the head is checked.
     this.#server.on('checkContinue', (request, response) =>
       this.#onRequest(request, response, () => response.writeContinue()),
--- a/packages/transport/tests/outside-limits.test.ts
+++ b/packages/transport/tests/outside-limits.test.ts
@@ -103,6 +103,32 @@
   await waitUntil(() => isClosed(first));
 });
 
+const SMALL_CHUNK_CALLER_COUNT = 10;
+
+/** Just short of the number from which a body counts as fragmented; takes about 10 ms to parse. */
+const SMALL_CHUNKS = `${'1\r\nx\r\n'.repeat(4_000)}0\r\n\r\n`;
+
+// Guards against a turn of the event loop that parses the small chunks of all callers.
+test('bodies in small chunks take several turns', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, {});
+  const callers = await Promise.all(
+    Array.from({ length: SMALL_CHUNK_CALLER_COUNT }, () => open(port, after)),
+  );
+  // The head first, so that each connection is accepted when the chunks arrive.
+  callers.forEach(({ socket }) => socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n`));
+  await delay(100);
+  callers.forEach(({ socket }) => socket.write(SMALL_CHUNKS));
+  const countTurns = async (turnCount: number): Promise<number> => {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    const nowCount = events.length > 0 ? turnCount + 1 : 0;
+    return events.length < SMALL_CHUNK_CALLER_COUNT ? countTurns(nowCount) : nowCount;
+  };
+  expect(await countTurns(0)).toBeGreaterThan(2);
+});
+
 const EXPECTANT = 'Content-Length: 5\r\nExpect: 100-continue\r\n\r\n';
 
 const statusOf = ({ received }: Client): string => received().split(' ')[1] ?? '';
