--- a/packages/gateway-io/src/index.ts
+++ b/packages/gateway-io/src/index.ts
@@ -2,18 +2,18 @@
 export {
   default as CallerServer,
   type CallerServerOptions,
-  type DecodeRequest,
-  type EncodedRequest,
   type ListenAddress,
 } from './CallerServer.js';
 export { default as createLatencyHistogram } from './createLatencyHistogram.js';
 export * from './derive-caller-bounds.js';
 export { default as DatagramPort } from './DatagramPort.js';
-export { default as DropReporter, REPORT_INTERVAL_MS } from './DropReporter.js';
+export { REPORT_INTERVAL_MS } from '@ebonysill/http';
+export { default as DropReporter } from './DropReporter.js';
 export { default as HttpClient, type HttpAnswer } from './HttpClient.js';
 export { default as LogPort } from './LogPort.js';
 export { default as MetricsRecorder } from './MetricsRecorder.js';
 export { default as parsePeerMessage } from './parsePeerMessage.js';
 export { default as ProcessHost, type ProcessPorts, type RankPort } from './ProcessHost.js';
+export type { DecodeRequest, EncodedRequest } from './RequestReceiver.js';
 export { default as StatusServer, type StatusAnswer } from './StatusServer.js';
 export { default as TargetClient, type DecodeTargetHead, type EncodeCall } from './TargetClient.js';
--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -22,9 +22,11 @@
   CHECK_INTERVAL_MS,
   ConnectionLimit,
   DropCause,
+  ReadTurns,
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
-import { decodeCallerRequest, isProblem } from './caller-request.js';
+import { checkCallerHead, decodeCallerRequest, isProblem } from './caller-request.js';
+import type { RecordDrop } from './DropCounters.js';
 import { statusOf } from './problem-status.js';
 
 const MAX_BODY_BYTES = 1_048_576;
@@ -58,6 +60,8 @@
   /** Page for a GET request, such as `/readyz`; undefined if the request goes to a service. */
   readonly readPage: (path: string) => Page | undefined;
   readonly bounds?: CallerPortBounds;
+  /** Called for each body or connection that is dropped. */
+  readonly onDropped?: RecordDrop;
 }
 
 /** Bounds on what all callers together may make the process keep. */
@@ -120,15 +124,26 @@
   #exchangeCount = 0;
 
   private constructor(private readonly options: CallerPortOptions) {
+    const turns = ReadTurns.create();
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
+      {
+        IncomingMessage: turns.createMessageClass(),
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+      },
       (request, response) => this.#onRequest(request, response),
     );
+    turns.watch(this.#server);
+    // Without this, Node writes `100 Continue` before the head is checked.
+    this.#server.on('checkContinue', (request, response) =>
+      this.#onRequest(request, response, () => response.writeContinue()),
+    );
     this.#server.on('connection', (socket) => this.#connections.add(socket));
     const { maxHeldBytes, maxConnectionCount, bodyTimeoutMs } = options.bounds ?? DEFAULT_BOUNDS;
-    const budget = ByteBudget.create({ maxBytes: maxHeldBytes });
-    this.#limit = ConnectionLimit.create({ maxCount: maxConnectionCount });
-    this.#bodies = BodyReceiver.create({ budget, timeoutMs: bodyTimeoutMs });
+    const { onDropped = () => undefined } = options;
+    const budget = ByteBudget.create({ maxBytes: maxHeldBytes, onDropped });
+    this.#limit = ConnectionLimit.create({ maxCount: maxConnectionCount, onDropped });
+    this.#bodies = BodyReceiver.create({ budget, timeoutMs: bodyTimeoutMs, onDropped });
     this.#limit.watch(this.#server);
     setInterval(() => {
       budget.check();
@@ -254,7 +269,8 @@
     response.destroy();
   }
 
-  #onRequest(request: IncomingMessage, response: ServerResponse): void {
+  /** `askForBody` is given when the caller sends the body only after `100 Continue`. */
+  #onRequest(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
     this.#connections.recordRequest(request, response);
     const page = request.method === 'GET' ? this.options.readPage(request.url ?? '') : undefined;
     if (page !== undefined) {
@@ -262,26 +278,32 @@
       response.end(page.body);
       return;
     }
-    this.#readBody(request, response);
+    const problem = askForBody === undefined ? undefined : checkCallerHead(request);
+    if (problem === undefined) {
+      this.#readBody(request, response, askForBody);
+    } else {
+      CallerPort.#refuse(request, response, problem);
+    }
   }
 
-  #readBody(request: IncomingMessage, response: ServerResponse): void {
+  #readBody(request: IncomingMessage, response: ServerResponse, askForBody?: () => void): void {
     this.#bodies.receive({
       request,
       response,
       maxBytes: MAX_BODY_BYTES,
+      onHeadAccepted: askForBody,
       onComplete: (body) => this.#dispatch(request, response, body.toString('latin1')),
-      onRefused: (cause) => CallerPort.#refuse(request, response, cause),
+      onRefused: (cause) => CallerPort.#refuse(request, response, problemOf(cause)),
     });
   }
 
   /** Answers at once; the connection closes after the rest of the body, or after a while. */
-  static #refuse(request: IncomingMessage, response: ServerResponse, cause: DropCause): void {
+  static #refuse(request: IncomingMessage, response: ServerResponse, problem: Problem): void {
     if (response.headersSent || response.destroyed) {
       return;
     }
     response.setHeader('connection', 'close');
-    CallerPort.#writeProblem(response, problemOf(cause), '');
+    CallerPort.#writeProblem(response, problem, '');
     const timer = setTimeout(() => request.socket.destroySoon(), REFUSED_BODY_MS);
     request.socket.once('close', () => clearTimeout(timer));
     BodyReceiver.drop(request, () => undefined);
--- a/packages/transport/tests/outside-limits.test.ts
+++ b/packages/transport/tests/outside-limits.test.ts
@@ -5,7 +5,15 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
 import { EventKind, type Event } from '@ebonysill/core';
-import { AdminServer, CallerPort, LinkPort } from '../src/index.js';
+import { REPORT_INTERVAL_MS } from '@ebonysill/http';
+import {
+  AdminServer,
+  CallerPort,
+  DropCounters,
+  LinkPort,
+  Listener,
+  type DropCount,
+} from '../src/index.js';
 import { FrameReader, frame } from '../src/frame-reader.js';
 
 const HOST = '127.0.0.1';
@@ -41,12 +49,14 @@
 const listenToCallers = async (
   after: After,
   bounds: { maxHeldBytes?: number; maxConnectionCount?: number; bodyTimeoutMs?: number },
+  drops = DropCounters.create(() => undefined),
 ): Promise<{ port: number; events: readonly Event[] }> => {
   const events: Event[] = [];
   const callers = CallerPort.create({
     post: (event) => events.push(event),
     readPage: () => undefined,
     bounds: { maxHeldBytes: 1_000_000, maxConnectionCount: 10, bodyTimeoutMs: 10_000, ...bounds },
+    onDropped: drops.recorderOf(Listener.Callers),
   });
   const port = await callers.listen(HOST, 0);
   after(() => {
@@ -93,14 +103,91 @@
   await waitUntil(() => isClosed(first));
 });
 
-const listenToOperators = async (after: After, bounds: object): Promise<number> => {
+const SMALL_CHUNK_CALLER_COUNT = 10;
+
+/** Just short of the number from which a body counts as fragmented; takes about 10 ms to parse. */
+const SMALL_CHUNKS = `${'1\r\nx\r\n'.repeat(4_000)}0\r\n\r\n`;
+
+// Guards against a turn of the event loop that parses the small chunks of all callers.
+test('bodies in small chunks take several turns', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, {});
+  const callers = await Promise.all(
+    Array.from({ length: SMALL_CHUNK_CALLER_COUNT }, () => open(port, after)),
+  );
+  // The head first, so that each connection is accepted when the chunks arrive.
+  callers.forEach(({ socket }) => socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n`));
+  await delay(100);
+  callers.forEach(({ socket }) => socket.write(SMALL_CHUNKS));
+  const countTurns = async (turnCount: number): Promise<number> => {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    const nowCount = events.length > 0 ? turnCount + 1 : 0;
+    return events.length < SMALL_CHUNK_CALLER_COUNT ? countTurns(nowCount) : nowCount;
+  };
+  expect(await countTurns(0)).toBeGreaterThan(2);
+});
+
+const EXPECTANT = 'Content-Length: 5\r\nExpect: 100-continue\r\n\r\n';
+
+const statusOf = ({ received }: Client): string => received().split(' ')[1] ?? '';
+
+/** Status of the first answer to a head whose caller waits for `100 Continue`. */
+const firstStatus = async (port: number, lines: string, after: After): Promise<string> => {
+  const client = await open(port, after);
+  client.socket.write(`${lines}${EXPECTANT}`);
+  await waitUntil(() => client.received().includes('\r\n\r\n'));
+  return statusOf(client);
+};
+
+// Guards against a caller that is asked for a body which is refused by its head.
+test('a refused head gets no 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, {});
+  const statuses = await Promise.all(
+    [
+      'POST /nothing HTTP/1.1\r\nHost: a\r\n',
+      `${HEAD}Ebonysill-Priority: 10\r\n`,
+      `${HEAD}Ebonysill-Deadline-Ms: 0\r\n`,
+    ].map((lines) => firstStatus(port, lines, after)),
+  );
+  expect(statuses).toEqual(['404', '400', '400']);
+  expect(events).toEqual([]);
+});
+
+// The same for a body that the limits refuse.
+test('a body without room gets no 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port } = await listenToCallers(after, { maxHeldBytes: 1_000 });
+  expect(await firstStatus(port, HEAD, after)).toEqual('503');
+});
+
+// Guards against a caller that waits for 100 Continue in vain.
+test('an accepted head gets 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const { port, events } = await listenToCallers(after, {});
+  const client = await open(port, after);
+  client.socket.write(`${HEAD}${EXPECTANT}`);
+  await waitUntil(() => client.received() === 'HTTP/1.1 100 Continue\r\n\r\n');
+  client.socket.write('whole');
+  await waitUntil(() => events.length > 0);
+});
+
+const listenToOperators = async (
+  after: After,
+  bounds: object,
+  drops = DropCounters.create(() => undefined),
+): Promise<number> => {
   const admin = AdminServer.create(
     {
       readStatus: () => ({ peers: [] }) as never,
       explain: () => [],
       readBurn: () => [],
+      readDrops: () => drops.report(),
     },
     bounds,
+    drops.recorderOf(Listener.Operators),
   );
   const port = await admin.listen(HOST, 0);
   after(() => admin.shutdown());
@@ -126,8 +213,25 @@
   await waitUntil(() => isClosed(client));
 });
 
-const listenToLinks = async (after: After, bounds: object): Promise<number> => {
-  const links = LinkPort.create('secret of the listener', () => undefined, bounds);
+// Guards against a body that operators are asked for and nobody reads.
+test('a call of operators gets no 100 Continue', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const port = await listenToOperators(after, {});
+  const status = await firstStatus(port, 'POST /status HTTP/1.1\r\nHost: a\r\n', after);
+  expect(status).not.toEqual('100');
+});
+
+const listenToLinks = async (
+  after: After,
+  bounds: object,
+  drops = DropCounters.create(() => undefined),
+): Promise<number> => {
+  const links = LinkPort.create(
+    'secret of the listener',
+    () => undefined,
+    bounds,
+    drops.recorderOf(Listener.Links),
+  );
   const port = await links.listen(HOST, 0);
   after(() => links.shutdown());
   return port;
@@ -165,3 +269,58 @@
   Array.from({ length: 59_000 }, (_, index) => reader.push(bytes.subarray(index, index + 1)));
   expect(reader.pendingBytes).toBeLessThan(120_001);
 });
+
+// Guards against drops that operators cannot see.
+test('drops are counted by listener and cause', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const lines: DropCount[] = [];
+  const drops = DropCounters.create((line) => lines.push(line));
+  const { port } = await listenToCallers(after, { bodyTimeoutMs: 300 }, drops);
+  const stalled = await open(port, after);
+  stalled.socket.write(`${HEAD}Content-Length: 100\r\n\r\nx`);
+  const links = await listenToLinks(after, { handshakeTimeoutMs: 300, maxInboundCount: 1 }, drops);
+  const silent = await open(links, after);
+  const excess = await open(links, after);
+  await waitUntil(() => [stalled, silent, excess].every(isClosed));
+  const long = await open(links, after);
+  long.socket.write(Buffer.from([0, 0, 4, 0]));
+  await waitUntil(() => isClosed(long));
+  const operators = await listenToOperators(after, { maxConnectionCount: 1 }, drops);
+  const first = await open(operators, after);
+  await open(operators, after);
+  await waitUntil(() => isClosed(first));
+  const expected = [
+    [Listener.Callers, 'body-stalled', 1],
+    [Listener.Links, 'too-many-connections', 1],
+    [Listener.Links, 'handshake-stalled', 1],
+    [Listener.Links, 'too-large', 1],
+    [Listener.Operators, 'too-many-connections', 1],
+  ];
+  const valuesOf = (counts: readonly DropCount[]): readonly unknown[] =>
+    counts.map(({ listener, cause, count }) => [listener, cause, count]);
+  expect(valuesOf(drops.report())).toEqual(expected);
+  expect(valuesOf(lines).length).toEqual(expected.length);
+});
+
+// Guards against a line for each connection of a flood.
+test('a flood writes one line for a listener and cause in an interval', (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] });
+  const lines: DropCount[] = [];
+  const drops = DropCounters.create((line) => lines.push(line));
+  const record = drops.recorderOf(Listener.Links);
+  Array.from({ length: 1_000 }, () => record('no-room'));
+  context.mock.timers.tick(REPORT_INTERVAL_MS);
+  expect(lines.map(({ count }) => count)).toEqual([1, 999]);
+  expect(drops.report()).toEqual([{ listener: Listener.Links, cause: 'no-room', count: 1_000 }]);
+});
+
+// Guards against counters that monitoring does not get.
+test('the metrics page has the drops', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const drops = DropCounters.create(() => undefined);
+  drops.recorderOf(Listener.Callers)('no-room');
+  const client = await open(await listenToOperators(after, {}, drops), after);
+  client.socket.write('GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n');
+  const line = 'ebonysill_dropped_total{listener="callers",cause="no-room"} 1';
+  await waitUntil(() => client.received().includes(line));
+});
