test: several turns for the time-out of a status listener

'a client that does not read its answer is disconnected' failed in 6 of 6 runs at a load of 27 to 30 on 7 cores, and passed at 16 to 18. By reading, a single delay of 1 s in a process that is not scheduled meanwhile leaves the server no turn between its write and the end of the delay; the client now waits in five turns of 300 ms.

--- a/packages/gateway-io/tests/status-server.test.ts
+++ b/packages/gateway-io/tests/status-server.test.ts
@@ -47,6 +47,14 @@
   }
 };
 
+/** Waits in several turns of the event loop, so that a server in a busy process can time out between them. */
+const waitTurns = async (count: number): Promise<void> => {
+  if (count > 0) {
+    await delay(300);
+    await waitTurns(count - 1);
+  }
+};
+
 // Guards against connections that take the descriptors of the process.
 test('the oldest connection without a request is closed, and checks are answered', async (context) => {
   const after: After = (fn) => context.after(fn);
@@ -88,7 +96,7 @@
   const client = await open(port, after);
   client.pause();
   client.write(GET);
-  await delay(1_000);
+  await waitTurns(5);
   client.resume();
   let sizeBytes = 0;
   client.on('data', (data: Buffer) => {
