--- a/packages/bench/src/bin/prompts.ts
+++ b/packages/bench/src/bin/prompts.ts
@@ -2,10 +2,13 @@
 /**
  * @module Compares placement policies under the same requests with prompts of different lengths.
  *
- * Prints the time to the first event by prompt length, as median / 99th percentile in milliseconds.
+ * Prints the time to the first event by prompt length, as median / 99th percentile in milliseconds, and
+ * draws it by tenth of the prompt length.
  */
+import { writeFile } from 'node:fs/promises';
 import { createRandom } from '@ebonysill/emulator';
-import { command, number, option, run } from 'cmd-ts';
+import { command, number, option, optional, run, string } from 'cmd-ts';
+import { drawChart, type ChartCase } from '../prompts/chart.js';
 import { CAPTIONS, PARKING, type Pool } from '../prompts/deployments.js';
 import { POLICIES } from '../prompts/policies.js';
 import { formatTable } from '../prompts/print-table.js';
@@ -33,11 +36,12 @@
 
 const MS_PER_SECOND = 1_000;
 
-const printCase = (
+/** Replays a case under all policies and prints its table. */
+const compareCase = (
   { pool, loadFactor, delayMs }: BenchCase,
   seed: number,
   spanMs: number,
-): void => {
+): ChartCase => {
   const { gatewayCount, rankCount, requestsPerSecond } = pool;
   const requests = drawRequests(
     {
@@ -58,6 +62,8 @@
       `reports ${delayMs} ms late, ${requests.length} requests, seed ${seed}\n` +
       `${formatTable(policies, pool)}\n`,
   );
+  const conditions = `${loadFactor} times the load, reports ${delayMs} ms late`;
+  return { pool: pool.name, conditions, policies };
 };
 
 const app = command({
@@ -65,9 +71,13 @@
   args: {
     seed: option({ type: number, long: 'seed', defaultValue: () => 1 }),
     seconds: option({ type: number, long: 'seconds', defaultValue: () => 30 }),
+    svg: option({ type: optional(string), long: 'svg' }),
   },
-  handler: ({ seed, seconds }) => {
-    CASES.forEach((benchCase) => printCase(benchCase, seed, seconds * MS_PER_SECOND));
+  handler: async ({ seed, seconds, svg }) => {
+    const cases = CASES.map((benchCase) => compareCase(benchCase, seed, seconds * MS_PER_SECOND));
+    if (svg !== undefined) {
+      await writeFile(svg, drawChart(cases));
+    }
   },
 });
 
--- a/packages/bench/src/prompts/summary.ts
+++ b/packages/bench/src/prompts/summary.ts
@@ -55,6 +55,25 @@
   return sorted[Math.floor((sorted.length - 1) * share)] ?? 0;
 };
 
+const byLength = (outcomes: readonly ReplayOutcome[]): readonly ReplayOutcome[] =>
+  [...outcomes].sort(
+    (left, right) => left.request.size.promptTokens - right.request.size.promptTokens,
+  );
+
+/**
+ * Splits outcomes into tenths by the length of their prompts, the shortest first.
+ *
+ * @example
+ * splitIntoTenths(outcomes).length; // 10
+ */
+export const splitIntoTenths = (
+  outcomes: readonly ReplayOutcome[],
+): readonly (readonly ReplayOutcome[])[] => {
+  const sorted = byLength(outcomes);
+  const startOf = (index: number): number => Math.floor((sorted.length * index) / 10);
+  return Array.from({ length: 10 }, (_, index) => sorted.slice(startOf(index), startOf(index + 1)));
+};
+
 /**
  * Splits outcomes by the length of their prompts: the seven shortest tenths, the fifth above them,
  * and the longest tenth.
@@ -63,9 +82,7 @@
  * splitByLength(outcomes).at(-1)?.name; // 'longest tenth'
  */
 export const splitByLength = (outcomes: readonly ReplayOutcome[]): readonly LengthBand[] => {
-  const sorted = [...outcomes].sort(
-    (left, right) => left.request.size.promptTokens - right.request.size.promptTokens,
-  );
+  const sorted = byLength(outcomes);
   const fifthAt = Math.floor(sorted.length * 0.7);
   const tenthAt = Math.floor(sorted.length * 0.9);
   return [
--- a/packages/bench/tests/prompts.test.ts
+++ b/packages/bench/tests/prompts.test.ts
@@ -7,8 +7,9 @@
 import { test } from 'node:test';
 import { createRandom } from '@ebonysill/emulator';
 import { expect } from 'earl';
+import { drawChart } from '../src/prompts/chart.js';
 import { CAPTIONS, PARKING, type Pool } from '../src/prompts/deployments.js';
-import { BY_WORK, PERFECT, PREVIOUS, type Policy } from '../src/prompts/policies.js';
+import { BY_WORK, PERFECT, POLICIES, PREVIOUS, type Policy } from '../src/prompts/policies.js';
 import {
   MAX_PROMPT_TOKENS,
   announceUsually,
@@ -20,7 +21,13 @@
 } from '../src/prompts/prompt-mix.js';
 import { replay, type ReplayOptions } from '../src/prompts/replay.js';
 import type ReplayOutcome from '../src/prompts/ReplayOutcome.js';
-import { firstEventMsAt, inTimeShare, servedShare, splitByLength } from '../src/prompts/summary.js';
+import {
+  firstEventMsAt,
+  inTimeShare,
+  servedShare,
+  splitByLength,
+  splitIntoTenths,
+} from '../src/prompts/summary.js';
 
 const SEEDS: readonly number[] = [1, 2];
 
@@ -234,3 +241,30 @@
     expect(latencyOf(BY_WORK) <= 1.15 * latencyOf(PERFECT)).toEqual(true);
   });
 });
+
+// Guards against a picture without one of the lines, and against points that are no numbers.
+test('the picture has a line for each policy, pool and quantile', () => {
+  const cases = [CAPTIONS, PARKING].map((pool) => ({
+    pool: pool.name,
+    conditions: 'usual load',
+    policies: POLICIES.map((policy) => ({
+      name: policy.name,
+      outcomes: run({ pool, loadFactor: 1, seed: 1, mix: { spanMs: 500 }, policy }),
+    })),
+  }));
+  const picture = drawChart(cases);
+  expect(picture.split('fill="none"').length - 1).toEqual(POLICIES.length * 4);
+  expect(picture.includes('NaN')).toEqual(false);
+});
+
+// Guards against tenths that leave out a request, or that are not in order.
+test('tenths by prompt length hold all requests, the shortest first', () => {
+  const outcomes = run({ pool: CAPTIONS, loadFactor: 1, seed: 1, mix: { spanMs: 1_000 } });
+  const lengths = splitIntoTenths(outcomes).map((tenth) =>
+    tenth.map(({ request }) => request.size.promptTokens),
+  );
+  expect(lengths.length).toEqual(10);
+  expect(lengths.flat()).toEqual(
+    outcomes.map(({ request }) => request.size.promptTokens).sort((left, right) => left - right),
+  );
+});
