bench: shorter model of callers and gateways in bench:overload

- a timer counts only if it was not set again or cleared, instead of being cancelled in the clock;
- calls in progress are kept as functions that cancel them;
- a gateway hands all effects that it does not perform to the callers, which ignore what is not an answer;
- a request's record holds its exchange and whether it has run, instead of three more collections;
- patterns and kinds of streams are in one table each.

The emulator drives the services of the entry and the sidecar, so only its clock and its random numbers fit. RankGroup of the benchmark of prompts fills slots at the end of passes only and has neither priorities nor cancelled calls: with it the results would change, and tests of the model would go.

--- a/packages/bench/src/overload/Callers.ts
+++ b/packages/bench/src/overload/Callers.ts
@@ -1,7 +1,7 @@
 /** @module Callers that send their requests, follow the answers and return when refused. */
 import type { Random, VirtualTime } from '@ebonysill/emulator';
-import { EffectKind, EventKind } from '@ebonysill/gateway';
-import SimulatedGateway, { HOP_MS, type AnswerEffect } from './SimulatedGateway.js';
+import { EffectKind, EventKind, type Effect } from '@ebonysill/gateway';
+import SimulatedGateway, { HOP_MS } from './SimulatedGateway.js';
 import { MAX_EVENTS, type PlannedRequest } from './traffic.js';
 
 /** How a request ended for its caller. */
@@ -21,6 +21,11 @@
   firstEventAtMs?: number;
   lastEventAtMs?: number;
   longestPauseMs: number;
+  hasRun: boolean;
+  /** Exchange of the last attempt. */
+  exchangeId: number;
+  /** Gateway of the last attempt. */
+  gateway: number;
 }
 
 /** Statuses that guarantee that the request has not run. */
@@ -31,26 +36,27 @@
 
 const ABUSIVE_RETRIES = 5;
 
-const SAME_GATEWAY_SHARE = 0.2;
+/** What a record begins with. */
+const UNSENT = {
+  ending: Ending.Open,
+  refusalCount: 0,
+  longestPauseMs: 0,
+  hasRun: false,
+  exchangeId: 0,
+};
 
-interface Attempt {
-  readonly exchangeId: number;
-  readonly record: RequestRecord;
-  readonly gateway: number;
-}
+const SAME_GATEWAY_SHARE = 0.2;
 
 /** All callers of a run. */
 export class Callers {
-  readonly records: RequestRecord[] = [];
-
   /** Refused requests that ran, against the promise of a refusal. */
   brokenRefusalCount = 0;
 
-  readonly #attempts = new Map<number, Attempt>();
+  /** By the identifier of the request. */
+  readonly #records = new Map<number, RequestRecord>();
 
-  readonly #openIds = new Set<number>();
-
-  readonly #ranIds = new Set<number>();
+  /** Requests with an attempt in progress, by the identifier of its exchange. */
+  readonly #attempts = new Map<number, RequestRecord>();
 
   #exchangeCount = 0;
 
@@ -70,11 +76,15 @@
     return new Callers(time, random, gateways);
   }
 
+  get records(): readonly RequestRecord[] {
+    return [...this.#records.values()];
+  }
+
   /** Sends each request when it arrives. */
   schedule(requests: readonly PlannedRequest[]): void {
     requests.forEach((planned) => {
-      const record = { planned, ending: Ending.Open, refusalCount: 0, longestPauseMs: 0 };
-      this.records.push(record);
+      const record: RequestRecord = { planned, gateway: planned.gateway, ...UNSENT };
+      this.#records.set(planned.id, record);
       this.time.schedule(planned.arrivesAtMs, () => this.#send(record, planned.gateway));
     });
   }
@@ -82,40 +92,41 @@
   /** A target begins to run the request with this body. */
   recordRun(body: Uint8Array): void {
     const { id } = JSON.parse(Buffer.from(body).toString()) as PlannedRequest;
-    this.#ranIds.add(id);
-    this.brokenRefusalCount += this.#openIds.has(id) ? 0 : 1;
+    const record = this.#records.get(id);
+    this.brokenRefusalCount += record?.ending === Ending.Open ? 0 : 1;
+    Object.assign(record ?? {}, { hasRun: true });
   }
 
   /** Ends all attempts at a gateway whose process ended. */
   disconnect(gateway: number): void {
     [...this.#attempts.values()]
-      .filter((attempt) => attempt.gateway === gateway)
-      .forEach((attempt) => this.#end(attempt, Ending.Failed));
+      .filter((record) => record.gateway === gateway)
+      .forEach((record) => this.#end(record, Ending.Failed));
   }
 
-  /** Handles what a gateway sends. */
-  onAnswer(effect: AnswerEffect): void {
-    const attempt = this.#attempts.get(effect.exchangeId);
-    if (attempt === undefined) {
+  /** Handles what a gateway sends to a caller; ignores its other effects. */
+  onAnswer(effect: Effect): void {
+    const record = 'exchangeId' in effect ? this.#attempts.get(effect.exchangeId) : undefined;
+    if (record === undefined) {
       return;
     }
     switch (effect.kind) {
       case EffectKind.SendAnswer:
         if (REFUSALS.includes(effect.status)) {
-          this.#onRefused(attempt, effect.retryAfterMs ?? 0);
+          this.#onRefused(record, effect.retryAfterMs ?? 0);
         } else {
-          this.#recordEvent(attempt.record);
-          this.#end(attempt, effect.status === 200 ? Ending.Served : Ending.Failed);
+          this.#recordEvent(record);
+          this.#end(record, effect.status === 200 ? Ending.Served : Ending.Failed);
         }
         break;
       case EffectKind.ContinueAnswer:
-        this.#recordEvent(attempt.record);
+        this.#recordEvent(record);
         break;
       case EffectKind.EndAnswer:
-        this.#end(attempt, Ending.Served);
+        this.#end(record, Ending.Served);
         break;
       case EffectKind.AbortAnswer:
-        this.#end(attempt, Ending.Failed);
+        this.#end(record, Ending.Failed);
         break;
       default:
     }
@@ -126,12 +137,10 @@
     const { answerTokensHint } = record.planned;
     this.#exchangeCount += 1;
     const exchangeId = this.#exchangeCount;
-    const attempt = { exchangeId, record, gateway };
-    Object.assign(record, { ending: Ending.Open });
-    this.#attempts.set(exchangeId, attempt);
-    this.#openIds.add(id);
+    Object.assign(record, { ending: Ending.Open, exchangeId, gateway });
+    this.#attempts.set(exchangeId, record);
     if (this.gateways[gateway]?.isUp !== true) {
-      this.#onRefused(attempt, UNREACHABLE_MS);
+      this.#onRefused(record, UNREACHABLE_MS);
       return;
     }
     const remainingMs = deadlineAtMs - this.time.nowMs;
@@ -152,15 +161,14 @@
     });
     this.time.schedule(remainingMs, () => {
       if (this.#attempts.has(exchangeId)) {
-        this.#end(attempt, Ending.Failed);
+        this.#end(record, Ending.Failed);
         post({ kind: EventKind.CallerDisconnected, exchangeId });
       }
     });
   }
 
-  #end({ exchangeId, record }: Attempt, ending: Ending): void {
-    this.#attempts.delete(exchangeId);
-    this.#openIds.delete(record.planned.id);
+  #end(record: RequestRecord, ending: Ending): void {
+    this.#attempts.delete(record.exchangeId);
     Object.assign(record, { ending });
   }
 
@@ -175,18 +183,17 @@
   }
 
   /** Returns after the time told, up to a third of the time left; abusive callers return at once. */
-  #onRefused(attempt: Attempt, retryAfterMs: number): void {
-    const { record, gateway } = attempt;
-    const { id, isAbusive, deadlineAtMs } = record.planned;
-    this.#end(attempt, Ending.Refused);
-    this.brokenRefusalCount += this.#ranIds.has(id) ? 1 : 0;
-    record.refusalCount += 1;
+  #onRefused(record: RequestRecord, retryAfterMs: number): void {
+    const { isAbusive, deadlineAtMs } = record.planned;
+    this.#end(record, Ending.Refused);
+    this.brokenRefusalCount += record.hasRun ? 1 : 0;
+    Object.assign(record, { refusalCount: record.refusalCount + 1 });
     const leftMs = deadlineAtMs - this.time.nowMs;
     const waitMs = isAbusive ? HOP_MS : Math.min(retryAfterMs, leftMs / 3);
     if (record.refusalCount <= (isAbusive ? ABUSIVE_RETRIES : 1) && leftMs > waitMs) {
       const isSame = this.random() < SAME_GATEWAY_SHARE;
       const offset = isSame ? 0 : 1 + Math.floor(this.random() * (this.gateways.length - 1));
-      const next = (gateway + offset) % this.gateways.length;
+      const next = (record.gateway + offset) % this.gateways.length;
       this.time.schedule(waitMs, () => this.#send(record, next));
     }
   }
--- a/packages/bench/src/overload/SimulatedGateway.ts
+++ b/packages/bench/src/overload/SimulatedGateway.ts
@@ -10,17 +10,13 @@
   StoreReadKind,
   TargetReachability,
   createGatewayServices,
-  type AbortAnswerEffect,
-  type BeginAnswerEffect,
-  type ContinueAnswerEffect,
   type Directory,
   type Effect,
-  type EndAnswerEffect,
   type Event,
   type GatewayOptions,
   type ReadStoreEffect,
-  type SendAnswerEffect,
   type SendToPeerEffect,
+  type SetTimerEffect,
   type StartCallEffect,
   type StoreItem,
   type TargetHead,
@@ -35,10 +31,6 @@
 /** A watch of the store is answered after this time, so that it reports changes soon. */
 const WATCH_MS = 250;
 
-/** What a gateway sends to a caller. */
-export type AnswerEffect =
-  SendAnswerEffect | BeginAnswerEffect | ContinueAnswerEffect | EndAnswerEffect | AbortAnswerEffect;
-
 /** One rank of a group. */
 export interface RankAddress {
   readonly group: EngineGroup;
@@ -50,11 +42,12 @@
   readonly time: VirtualTime;
   readonly random: () => number;
   readonly rankAt: (address: string) => RankAddress | undefined;
+  readonly storeRevision: () => number;
   /** Items of the store that changed after a revision; undefined when it can't be reached. */
   readonly itemsAfter: (revision: number) => readonly StoreItem[] | undefined;
-  readonly storeRevision: () => number;
   readonly sendToPeer: (effect: SendToPeerEffect) => void;
-  readonly onAnswer: (effect: AnswerEffect) => void;
+  /** Performs what a gateway does for its callers. */
+  readonly answerCaller: (effect: Effect) => void;
   /** A target begins to run the request with this body. */
   readonly onRun: (body: Uint8Array) => void;
 }
@@ -67,10 +60,6 @@
   readonly world: GatewayWorld;
 }
 
-interface Call extends RankAddress {
-  readonly job: Job;
-}
-
 const headOf = (changes: Partial<TargetHead>): TargetHead => ({
   ...{ status: 200, isNotRun: false, isSigned: true, isEventStream: false },
   ...{ endsWithConnection: false, notice: NO_NOTICE, headers: [] },
@@ -83,7 +72,8 @@
 
   readonly #timers = new Map<string, ScheduledAction>();
 
-  readonly #calls = new Map<number, Call>();
+  /** Functions that cancel the calls in progress, by the identifier of the call. */
+  readonly #cancellations = new Map<number, () => void>();
 
   private constructor(private readonly options: SimulatedGatewayOptions) {}
 
@@ -140,9 +130,8 @@
   /** Ends the process at once; its calls end too. */
   stop(): void {
     this.#kernel = undefined;
-    this.#timers.forEach((timer) => this.options.world.time.cancel(timer));
     this.#timers.clear();
-    [...this.#calls.keys()].forEach((callId) => this.#cancel(callId));
+    [...this.#cancellations.keys()].forEach((callId) => this.#cancel(callId));
   }
 
   /** Handles an event after a delay, unless the process has ended by then. */
@@ -159,12 +148,10 @@
     const { world } = this.options;
     switch (effect.kind) {
       case EffectKind.SetTimer:
-        this.#setTimer(`${effect.timer}/${effect.key}`, effect.delayMs, {
-          ...{ kind: EventKind.TimerFired, timer: effect.timer, key: effect.key },
-        });
+        this.#setTimer(effect);
         break;
       case EffectKind.ClearTimer:
-        this.#clearTimer(`${effect.timer}/${effect.key}`);
+        this.#timers.delete(`${effect.timer}/${effect.key}`);
         break;
       case EffectKind.StartCall:
         world.time.schedule(HOP_MS, () => this.#submit(effect));
@@ -184,32 +171,20 @@
       case EffectKind.SendToPeer:
         world.sendToPeer(effect);
         break;
-      case EffectKind.SendAnswer:
-      case EffectKind.BeginAnswer:
-      case EffectKind.ContinueAnswer:
-      case EffectKind.EndAnswer:
-      case EffectKind.AbortAnswer:
-        world.onAnswer(effect);
-        break;
       default:
+        world.answerCaller(effect);
     }
   }
 
-  #setTimer(name: string, delayMs: number, event: Event): void {
-    this.#clearTimer(name);
-    const timer = this.options.world.time.schedule(delayMs, () => {
-      this.#timers.delete(name);
-      this.post(event);
+  /** Fires the timer unless it is set again or cleared before. */
+  #setTimer({ timer, key, delayMs }: SetTimerEffect): void {
+    const name = `${timer}/${key}`;
+    const scheduled = this.options.world.time.schedule(delayMs, () => {
+      if (this.#timers.get(name) === scheduled) {
+        this.post({ kind: EventKind.TimerFired, timer, key });
+      }
     });
-    this.#timers.set(name, timer);
-  }
-
-  #clearTimer(name: string): void {
-    const timer = this.#timers.get(name);
-    if (timer !== undefined) {
-      this.#timers.delete(name);
-      this.options.world.time.cancel(timer);
-    }
+    this.#timers.set(name, scheduled);
   }
 
   #readStore({ read, afterRevision }: ReadStoreEffect): void {
@@ -247,13 +222,13 @@
         }
       },
       onEnd: () => {
-        this.#calls.delete(callId);
+        this.#cancellations.delete(callId);
         this.#later(HOP_MS, () => ({ kind: EventKind.TargetAnswerEnded, callId }));
       },
     };
-    this.#calls.set(callId, { ...rank, job });
+    this.#cancellations.set(callId, () => rank.group.cancel(rank.index, job));
     if (rank.group.submit(rank.index, job) === Submission.Rejected) {
-      this.#calls.delete(callId);
+      this.#cancellations.delete(callId);
       const head = headOf({ status: 503, isNotRun: true, load: load() });
       this.#later(HOP_MS, () => ({ kind: EventKind.TargetHeadReceived, callId, head }));
       this.#later(HOP_MS, () => ({ kind: EventKind.TargetAnswerEnded, callId }));
@@ -261,8 +236,7 @@
   }
 
   #cancel(callId: number): void {
-    const call = this.#calls.get(callId);
-    this.#calls.delete(callId);
-    call?.group.cancel(call.index, call.job);
+    this.#cancellations.get(callId)?.();
+    this.#cancellations.delete(callId);
   }
 }
--- a/packages/bench/src/overload/deployment.ts
+++ b/packages/bench/src/overload/deployment.ts
@@ -66,37 +66,23 @@
 
 type StreamRow = readonly [string, number, number, number, number, number];
 
-const streamOf =
-  (lateShare: number, scale: number) =>
-  ([name, perSecond, worth, priority, objectiveMs, promptMean]: StreamRow): RequestKind => ({
-    ...{
-      name,
-      callKind: CallKind.Streaming,
-      perSecond: perSecond * scale,
-      worth,
-      lateShare,
-      priority,
-    },
-    ...{ objectiveMs, timeoutMs: 8_000, promptMean, eventMean: 23 },
-  });
+const STREAM = { callKind: CallKind.Streaming, timeoutMs: 8_000, eventMean: 23 };
+
+/** Streams of the kinds in the rows, at some share of their rates. */
+const streamsOf = (
+  { lateShare, rateShare }: { readonly lateShare: number; readonly rateShare: number },
+  rows: readonly StreamRow[],
+): readonly RequestKind[] =>
+  rows.map(([name, perSecond, worth, priority, objectiveMs, promptMean]) => ({
+    ...{ ...STREAM, name, perSecond: perSecond * rateShare, worth, lateShare },
+    ...{ priority, objectiveMs, promptMean },
+  }));
 
 const callOf = (callKind: CallKind, perSecond: number, lateShare: number): RequestKind => ({
   ...{ name: callKind, callKind, perSecond, worth: 1, lateShare, priority: 1 },
   ...{ objectiveMs: 144, timeoutMs: 800, promptMean: 0, eventMean: 20 },
 });
 
-const CAPTIONS_STREAMS: readonly StreamRow[] = [
-  ['stream-1', 75.2, 1, 1, 403, 674],
-  ['stream-2', 57.2, 1, 1, 503, 960],
-  ['stream-3', 33.1, 1, 1, 403, 787],
-];
-
-const PARKING_STREAMS: readonly StreamRow[] = [
-  ['urgent', 86.2, 2.9, 0, 403, 674],
-  ['usual', 65.9, 1.5, 1, 403, 960],
-  ['batch', 38.1, 0.76, 2, 803, 787],
-];
-
 /** Six gateways, kinds of equal worth; two of the three groups of ranks, with their traffic. */
 export const CAPTIONS: Deployment = {
   gatewayCount: 6,
@@ -104,7 +90,11 @@
   kvCacheTokens: 217_000,
   group: { ...GROUP, rankCount: 24, stepMs: 5.85, readTokensPerMs: 61.2 },
   kinds: [
-    ...CAPTIONS_STREAMS.map(streamOf(0.5, 2 / 3)),
+    ...streamsOf({ lateShare: 0.5, rateShare: 2 / 3 }, [
+      ['stream-1', 75.2, 1, 1, 403, 674],
+      ['stream-2', 57.2, 1, 1, 503, 960],
+      ['stream-3', 33.1, 1, 1, 403, 787],
+    ]),
     callOf(CallKind.NonIdempotent, 14.2, 0.1),
     callOf(CallKind.Idempotent, 5.67, 0.1),
   ],
@@ -117,7 +107,11 @@
   kvCacheTokens: 288_166,
   group: { ...GROUP, rankCount: 36, stepMs: 4.84, readTokensPerMs: 74.8 },
   kinds: [
-    ...PARKING_STREAMS.map(streamOf(0.33, 1 / 2)),
+    ...streamsOf({ lateShare: 0.33, rateShare: 1 / 2 }, [
+      ['urgent', 86.2, 2.9, 0, 403, 674],
+      ['usual', 65.9, 1.5, 1, 403, 960],
+      ['batch', 38.1, 0.76, 2, 803, 787],
+    ]),
     callOf(CallKind.NonIdempotent, 16.3, 0.5),
     callOf(CallKind.Idempotent, 6.53, 0.5),
   ],
--- a/packages/bench/src/overload/run-scenario.ts
+++ b/packages/bench/src/overload/run-scenario.ts
@@ -3,6 +3,7 @@
 import {
   EventKind,
   PeerMessageKind,
+  type Effect,
   type GroupTargetsMessage,
   type StoreItem,
 } from '@ebonysill/gateway';
@@ -46,16 +47,13 @@
 /** Gateways that lose the store. */
 const CUT_OFF_COUNT = 2;
 
-/** Signature of {@link runScenario}. */
-type RunScenario = (options: RunOptions) => RunResult;
-
 /**
  * Runs a scenario on virtual time; the same options always give the same result.
  *
  * @example
  * runScenario({ scenario, requests, policy, seed: 1 }).records.length;
  */
-export const runScenario: RunScenario = ({ scenario, requests, policy, seed }) => {
+export const runScenario = ({ scenario, requests, policy, seed }: RunOptions): RunResult => {
   const { deployment, incident, incidentAtMs, peerDelayMs, lossShare } = scenario;
   const time = VirtualTime.create();
   const random = createRandom(seed);
@@ -99,7 +97,7 @@
               revision > after && revision <= storeRevision() ? [item] : [],
             ),
       onRun: (body: Uint8Array) => callers.recordRun(body),
-      onAnswer: (effect: Parameters<Callers['onAnswer']>[0]) => {
+      answerCaller: (effect: Effect) => {
         time.schedule(HOP_MS, () => callers.onAnswer(effect));
       },
       sendToPeer: ({ address: to, message }: Parameters<GatewayWorld['sendToPeer']>[0]) => {
--- a/packages/bench/src/overload/traffic.ts
+++ b/packages/bench/src/overload/traffic.ts
@@ -109,36 +109,24 @@
   };
 };
 
-const unlike: Pattern = (random) => ({
-  ...calm(PARKING, random),
-  gatewayWeights: Array.from({ length: PARKING.gatewayCount }, () => 0.35 + random()),
-  loadAt: (atMs) => 1.6 + 0.5 * Math.sin((atMs / SWING_MS) * 2 * Math.PI),
-});
-
-const abusive: Pattern = (random) => ({
-  ...calm(CAPTIONS, random),
-  abusiveShare: 0.4,
-  loadAt: () => 2,
-});
-
-const oneLarge: Pattern = (random) => ({
-  ...calm(CAPTIONS, random),
-  organisationWeights: SKEWED.map((_, index) => (index === 0 ? 4 * ORGANISATION_COUNT : 1)),
-  loadAt: () => 2,
-});
-
-const burst: Pattern = (random) => ({
-  ...calm(CAPTIONS, random),
-  loadAt: (atMs) => USUAL_LOAD * (atMs >= BURST_FROM_MS && atMs < BURST_UNTIL_MS ? 1.7 : 1),
-});
-
 /** All patterns by name. */
 export const PATTERNS: Readonly<Record<string, Pattern>> = {
   swing,
-  unlike,
-  abusive,
-  'one-large': oneLarge,
-  burst,
+  unlike: (random) => ({
+    ...calm(PARKING, random),
+    gatewayWeights: Array.from({ length: PARKING.gatewayCount }, () => 0.35 + random()),
+    loadAt: (atMs) => 1.6 + 0.5 * Math.sin((atMs / SWING_MS) * 2 * Math.PI),
+  }),
+  abusive: (random) => ({ ...calm(CAPTIONS, random), abusiveShare: 0.4, loadAt: () => 2 }),
+  'one-large': (random) => ({
+    ...calm(CAPTIONS, random),
+    organisationWeights: SKEWED.map((_, index) => (index === 0 ? 4 * ORGANISATION_COUNT : 1)),
+    loadAt: () => 2,
+  }),
+  burst: (random) => ({
+    ...calm(CAPTIONS, random),
+    loadAt: (atMs) => USUAL_LOAD * (atMs >= BURST_FROM_MS && atMs < BURST_UNTIL_MS ? 1.7 : 1),
+  }),
   'half-empty': (random) => ({ ...calm(PARKING, random), incident: Incident.HalfPoolReturns }),
   restart: (random) => ({ ...calm(CAPTIONS, random), incident: Incident.AllRestart }),
   'store-lost': (random) => ({ ...calm(CAPTIONS, random), incident: Incident.StoreLost }),
@@ -166,16 +154,13 @@
   return Math.min(max, Math.max(1, Math.round(mean * Math.exp(0.6 * normal - 0.18))));
 };
 
-/** Signature of {@link drawRequests}. */
-type DrawRequests = (scenario: Scenario, random: Random) => readonly PlannedRequest[];
-
 /**
  * Draws the requests of a scenario in the order of their arrival.
  *
  * @example
  * drawRequests(scenario, createRandom(1)).length;
  */
-export const drawRequests: DrawRequests = (scenario, random) => {
+export const drawRequests = (scenario: Scenario, random: Random): readonly PlannedRequest[] => {
   const { deployment, gatewayWeights, organisationWeights, abusiveShare } = scenario;
   const meanWeight = sum(gatewayWeights) / gatewayWeights.length;
   const requests: PlannedRequest[] = [];
