--- a/packages/bench/src/prompts/chart.ts
+++ b/packages/bench/src/prompts/chart.ts
@@ -11,7 +11,7 @@
   readonly policies: readonly PolicyOutcomes[];
 }
 
-const QUANTILES: Readonly<Record<string, number>> = { median: 0.5, '99th percentile': 0.99 };
+const QUANTILES: Readonly<Record<string, number>> = { median: 0.5, p99: 0.99 };
 
 const pointsOf = (outcomes: readonly ReplayOutcome[], quantile: number): readonly LinePoint[] =>
   splitIntoTenths(outcomes).map((tenth, index) => [index + 1, firstEventMsAt(tenth, quantile)]);
