--- a/packages/bench/src/overload/Callers.ts
+++ b/packages/bench/src/overload/Callers.ts
@@ -37,13 +37,7 @@
 const ABUSIVE_RETRIES = 5;
 
 /** What a record begins with. */
-const UNSENT = {
-  ending: Ending.Open,
-  refusalCount: 0,
-  longestPauseMs: 0,
-  hasRun: false,
-  exchangeId: 0,
-};
+const UNSENT = { ending: Ending.Open, refusalCount: 0, longestPauseMs: 0, hasRun: false };
 
 const SAME_GATEWAY_SHARE = 0.2;
 
@@ -83,7 +77,7 @@
   /** Sends each request when it arrives. */
   schedule(requests: readonly PlannedRequest[]): void {
     requests.forEach((planned) => {
-      const record: RequestRecord = { planned, gateway: planned.gateway, ...UNSENT };
+      const record: RequestRecord = { planned, gateway: planned.gateway, exchangeId: 0, ...UNSENT };
       this.#records.set(planned.id, record);
       this.time.schedule(planned.arrivesAtMs, () => this.#send(record, planned.gateway));
     });
--- a/packages/bench/src/overload/bound.ts
+++ b/packages/bench/src/overload/bound.ts
@@ -26,21 +26,18 @@
   return (request.promptTokens / (readTokensPerMs * rankCount) + decodeMs) / groupCount;
 };
 
-/** Signature of {@link boundOf}. */
-type BoundOf = (
-  requests: readonly PlannedRequest[],
-  deployment: Deployment,
-  /** Share of the ranks that exist at a time. */
-  capacityAt: (atMs: number) => number,
-) => Bound;
-
 /**
  * Upper bound of the share in time, and of the worth if all others were answered late.
  *
  * @example
  * boundOf(requests, CAPTIONS, () => 1).inTimeShare; // 0.97
  */
-export const boundOf: BoundOf = (requests, deployment, capacityAt) => {
+export const boundOf = (
+  requests: readonly PlannedRequest[],
+  deployment: Deployment,
+  /** Share of the ranks that exist at a time. */
+  capacityAt: (atMs: number) => number,
+): Bound => {
   const binCount = Math.ceil((TRAFFIC_UNTIL_MS + 10_000) / BIN_MS);
   // slack[from][until]: work that still fits between the begin of one bin and the end of another.
   const slack = Array.from({ length: binCount }, (_, from) => {
--- a/packages/bench/src/overload/summary.ts
+++ b/packages/bench/src/overload/summary.ts
@@ -52,27 +52,20 @@
   };
 };
 
-/** Signature of {@link groupBy}. */
-type GroupBy = (
-  records: readonly RequestRecord[],
-  keyOf: (record: RequestRecord) => string,
-) => ReadonlyMap<string, Shares>;
-
 /**
  * Shares of the requests with each key.
  *
  * @example
  * groupBy(records, ({ planned }) => planned.kind.name).get('urgent');
  */
-export const groupBy: GroupBy = (records, keyOf) => {
-  const groups = new Map<string, RequestRecord[]>();
-  records.forEach((record) => {
-    const key = keyOf(record);
-    const group = groups.get(key) ?? [];
-    groups.set(key, group);
-    group.push(record);
-  });
-  return new Map([...groups].map(([key, group]) => [key, sharesOf(group)]));
+export const groupBy = (
+  records: readonly RequestRecord[],
+  keyOf: (record: RequestRecord) => string,
+): ReadonlyMap<string, Shares> => {
+  const keys = [...new Set(records.map(keyOf))];
+  return new Map(
+    keys.map((key) => [key, sharesOf(records.filter((record) => keyOf(record) === key))]),
+  );
 };
 
 /** Shares of the requests that arrived in one part of the run. */
@@ -80,7 +73,16 @@
   readonly atMs: number;
 }
 
-const windowsOf = (records: readonly RequestRecord[], spanMs: number): readonly SeriesPoint[] =>
+/**
+ * Shares of the requests that arrive in a span, from each half second on.
+ *
+ * @example
+ * seriesOf(records).map(({ atMs, served }) => [atMs, served]);
+ */
+export const seriesOf = (
+  records: readonly RequestRecord[],
+  spanMs = SERIES_MS,
+): readonly SeriesPoint[] =>
   Array.from(
     { length: Math.floor((TRAFFIC_UNTIL_MS - TRAFFIC_FROM_MS) / SERIES_MS) },
     (_, index) => {
@@ -92,15 +94,6 @@
     },
   );
 
-/**
- * Shares by time of arrival, in steps of half a second.
- *
- * @example
- * seriesOf(records).map(({ atMs, served }) => [atMs, served]);
- */
-export const seriesOf = (records: readonly RequestRecord[]): readonly SeriesPoint[] =>
-  windowsOf(records, SERIES_MS);
-
 /**
  * Smallest share of the worth that the requests of any two seconds earned.
  *
@@ -109,7 +102,7 @@
  */
 export const worstWindow = (records: readonly RequestRecord[]): number =>
   Math.min(
-    ...windowsOf(records, WORST_WINDOW_MS)
+    ...seriesOf(records, WORST_WINDOW_MS)
       .filter(({ atMs }) => atMs + WORST_WINDOW_MS <= TRAFFIC_UNTIL_MS)
       .map(({ worth }) => worth),
   );
