fix(http): a turn of reading is bounded by heads and chunks, not by time

A gateway that waits for the processor exceeded the bound of 10 ms in ordinary turns, and all its connections were paused.

The bound is 4,096 heads and chunks a turn now, about 10 ms of parsing, which ordinary callers do not reach.

--- a/packages/http/src/ReadTurns.ts
+++ b/packages/http/src/ReadTurns.ts
@@ -1,5 +1,5 @@
 /**
- * @module Bounds the time for which one turn of the event loop reads from callers.
+ * @module Bounds what one turn of the event loop reads from callers.
  *
  * Load pattern: many open connections each send a block of very small chunks at once. The parser takes
  * some 25 ms for a block of 64 KiB and cannot stop within it, and a turn reads every connection that has
@@ -12,19 +12,22 @@
 
 /** Options of read turns. */
 export interface ReadTurnsOptions {
-  /** Monotonic clock. */
-  readonly nowMs?: () => number;
+  /** Heads and chunks of bodies after which a turn reads no further connection. */
+  readonly maxReadCount?: number;
   /** Calls a function in the next turn of the event loop, after the reads of this one. */
   readonly onTurnEnd?: (fn: () => void) => void;
 }
 
-/** Time after which a turn reads no further connection. */
-const MAX_READ_MS = 10;
+/**
+ * About 10 ms of parsing. Heads and chunks are counted, not timed: a process that waits for the
+ * processor exceeded a bound of 10 ms in ordinary turns, and streams of sound callers paused.
+ */
+const MAX_READ_COUNT = 4_096;
 
 /** Connections that are read again in one turn; a turn takes the rest of them later. */
 const MAX_RESUMED_COUNT = 64;
 
-/** Pauses the connections of a server when a turn has read for long enough, and resumes them in order. */
+/** Pauses the connections of a server when a turn has read enough, and resumes them in order. */
 export default class ReadTurns {
   /** Open connections, the least recently read first. */
   readonly #sockets = new Set<Socket>();
@@ -36,21 +39,18 @@
 
   #lastRead: Socket | undefined;
 
-  /** Start of the reads of this turn; undefined before the first. */
-  #startedAtMs: number | undefined;
-
-  /** Whether this turn has read for long enough. */
-  #isOver = false;
+  /** Heads and chunks that this turn has read. */
+  #readCount = 0;
 
   #isEndScheduled = false;
 
   private constructor({
-    nowMs = () => performance.now(),
+    maxReadCount = MAX_READ_COUNT,
     onTurnEnd = (fn) => {
       setImmediate(fn);
     },
   }: ReadTurnsOptions) {
-    this.#options = { nowMs, onTurnEnd };
+    this.#options = { maxReadCount, onTurnEnd };
   }
 
   /**
@@ -89,14 +89,9 @@
       this.#sockets.add(socket);
       this.#lastRead = socket;
     }
-    if (this.#isOver) {
-      return;
-    }
-    const nowMs = this.#options.nowMs();
-    this.#startedAtMs ??= nowMs;
+    this.#readCount += 1;
     this.#scheduleEnd();
-    if (nowMs - this.#startedAtMs > MAX_READ_MS) {
-      this.#isOver = true;
+    if (this.#readCount === this.#options.maxReadCount) {
       this.#sockets.forEach((open) => this.#pause(open));
     }
   }
@@ -117,8 +112,7 @@
   }
 
   #onTurnEnd(): void {
-    this.#startedAtMs = undefined;
-    this.#isOver = false;
+    this.#readCount = 0;
     this.#isEndScheduled = false;
     [...this.#waiting].slice(0, MAX_RESUMED_COUNT).forEach((socket) => {
       this.#waiting.delete(socket);
