--- a/packages/http/src/ReadTurns.ts
+++ b/packages/http/src/ReadTurns.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * About 10 ms of parsing. Heads and chunks are counted, not timed: a process that waits for the
- * processor exceeded a bound of 10 ms in ordinary turns, and streams of sound callers paused.
+ * About 10 ms of parsing. Heads and chunks are counted, not timed, so that a process that waits for
+ * the processor pauses no sound callers.
  */
 const MAX_READ_COUNT = 4_096;
 
