fix(gateway): an unreadable configuration is as old as the last readable copy

Callers saw: with a configuration in the store that cannot be decoded, a credential that it revokes was accepted for 4 s from the moment at which the process read it, and longer on a suspended machine. The age counted from when the answer was handled, by the steady clock alone; the answer may have waited in a process that stood still. Change: it counts from the request of the last read that confirmed a readable configuration, by both clocks.

--- a/packages/gateway/src/catalogue-service.ts
+++ b/packages/gateway/src/catalogue-service.ts
@@ -4,6 +4,7 @@
 import { ServiceName, type FindService, type Registration, type StoreApi } from './directory.js';
 import { EffectKind, LogLevel, LogTopic, type Effect } from './effect.js';
 import { EventKind, ItemKind, ItemScope, type Event, type StoreItem } from './event.js';
+import { NEVER, ageMsOf } from './moment.js';
 import type {
   CallerLimits,
   Organisation,
@@ -26,8 +27,10 @@
 
   #needsCredentials = true;
 
-  /** Since when the store's configuration cannot be decoded; undefined while it can. */
-  #unreadableSinceMs: number | undefined;
+  #isUnreadable = false;
+
+  /** When the copy was last confirmed without a newer configuration that cannot be decoded. */
+  #readableAt = NEVER;
 
   readonly #routesByHost = new Map<string, readonly Route[]>();
 
@@ -53,7 +56,7 @@
   readonly needsCredentials = (): boolean => this.#needsCredentials;
 
   readonly unreadableForMs = (): number =>
-    this.#unreadableSinceMs === undefined ? 0 : this.runtime.nowMs() - this.#unreadableSinceMs;
+    this.#isUnreadable ? ageMsOf(this.runtime, this.#readableAt) : 0;
 
   readonly organisationOf = (credential: string): Organisation | undefined =>
     this.#organisations.get(credential);
@@ -67,9 +70,14 @@
     this.#routesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
 
   handle(event: Event): readonly Effect[] {
-    return event.kind === EventKind.StoreRead && !this.store.wasRestored()
-      ? event.items.flatMap((item) => this.#onItem(item))
-      : [];
+    if (event.kind !== EventKind.StoreRead || this.store.wasRestored()) {
+      return [];
+    }
+    const effects = event.items.flatMap((item) => this.#onItem(item));
+    if (!this.#isUnreadable) {
+      this.#readableAt = this.store.confirmedAt();
+    }
+    return effects;
   }
 
   #onItem(item: StoreItem): readonly Effect[] {
@@ -77,12 +85,12 @@
       return [];
     }
     if (item.kind === ItemKind.Unreadable) {
-      this.#unreadableSinceMs ??= this.runtime.nowMs();
+      this.#isUnreadable = true;
     }
     if (item.kind !== ItemKind.Configuration) {
       return [];
     }
-    this.#unreadableSinceMs = undefined;
+    this.#isUnreadable = false;
     return item.configuration.version > this.#version ? this.#apply(item.configuration) : [];
   }
 
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -71,6 +71,8 @@
   readonly wasRestored: () => boolean;
   /** Time since the store last confirmed the copy; infinite before the first read. */
   readonly ageMs: () => number;
+  /** When the read was requested that confirmed the copy last; `NEVER` before the first. */
+  readonly confirmedAt: () => Moment;
 }
 
 /** The operators' configuration in force. */
@@ -83,7 +85,10 @@
   readonly organisationOf: (credential: string) => Organisation | undefined;
   /** Whether callers need credentials at all. */
   readonly needsCredentials: () => boolean;
-  /** How long the store has held a configuration that cannot be decoded; 0 while it can be. */
+  /**
+   * Time since the copy was last confirmed with a configuration that can be decoded; 0 while the
+   * newest one can be.
+   */
   readonly unreadableForMs: () => number;
   readonly serviceOf: (name: string) => PublishedService | undefined;
   /** Different priorities of the routes that lead to a service. */
--- a/packages/gateway/src/store-service.ts
+++ b/packages/gateway/src/store-service.ts
@@ -19,7 +19,7 @@
   type StoreFailedEvent,
   type StoreReadEvent,
 } from './event.js';
-import { NEVER, ageMsOf, momentNow } from './moment.js';
+import { NEVER, ageMsOf, momentNow, type Moment } from './moment.js';
 import type { Runtime } from './runtime.js';
 import TimerKind from './TimerKind.js';
 
@@ -90,6 +90,8 @@
 
   readonly ageMs = (): number => ageMsOf(this.runtime, this.#confirmedAt);
 
+  readonly confirmedAt = (): Moment => this.#confirmedAt;
+
   start(): readonly Effect[] {
     return this.#readPages(undefined);
   }
@@ -233,6 +235,7 @@
         isLoaded: service.isLoaded,
         wasRestored: service.wasRestored,
         ageMs: service.ageMs,
+        confirmedAt: service.confirmedAt,
       },
       { start: () => service.start(), handle: (event) => service.handle(event) },
     );
--- a/packages/gateway/tests/credentials.test.ts
+++ b/packages/gateway/tests/credentials.test.ts
@@ -69,6 +69,26 @@
   expect(harness.statuses()).toEqual([503]);
 });
 
+// Guards against a revoked credential that stays valid because the answer waited in a frozen process.
+test('an unreadable configuration is as old as the read before it', () => {
+  const harness = gateway(configurationOf(1, ROUTES));
+  harness.advance(3_000, false);
+  harness.read(StoreReadKind.Watch, [UNREADABLE]);
+  harness.advance(1_100);
+  harness.request();
+  expect(harness.statuses()).toEqual([503]);
+});
+
+// Guards against a steady clock that stands still while the machine is suspended.
+test('suspended time counts in the age of an unreadable configuration', () => {
+  const harness = gateway(configurationOf(1, ROUTES));
+  harness.read(StoreReadKind.Watch, [UNREADABLE]);
+  harness.suspendedMs += 4_100;
+  harness.advance(400);
+  harness.request();
+  expect(harness.statuses()).toEqual([503]);
+});
+
 test('a readable configuration ends the time of an unreadable one', () => {
   const harness = gateway(configurationOf(1, ROUTES));
   harness.read(StoreReadKind.Watch, [UNREADABLE]);
