fix(gateway): an outage that is too short for entries to lapse keeps no target

Callers saw: requests reached a target for up to 2.6 s after its entry was removed, when two reads of the store had failed in quick succession shortly before, such as a watch that was cut and a busy answer. Failures were counted, and not the time in which entries could have lapsed. The store removes an entry after three heartbeat intervals, so a removal that is read after a few hundred milliseconds of failures is no lapse. Change: only failures over 1.6 heartbeat intervals or more are an outage. The interval comes from the settings, by default 1,200 ms. A restore of the store counts as before. The tests that mean an outage let 2 s pass between their two failures; their bounds are the same.

--- a/packages/bench/src/overload/SimulatedGateway.ts
+++ b/packages/bench/src/overload/SimulatedGateway.ts
@@ -114,6 +114,7 @@
         retryBudget: { ratio: 0.2, windowMs: 10_000, extraCount: 120 },
         graceMs: 8_000,
         drainTimeoutMs: 2_000,
+        heartbeatIntervalMs: 1_200,
         ...decisions,
       }),
       nowMs,
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -52,6 +52,8 @@
   readonly graceMs: number;
   /** Time within which a target that has left gets no further requests. */
   readonly drainTimeoutMs: number;
+  /** Interval at which targets renew their entries. */
+  readonly heartbeatIntervalMs: number;
   /** Chooses among several targets; by default the least loaded one. */
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
@@ -83,7 +85,8 @@
  * Kernel.create({ services: createGatewayServices(options), nowMs, perform, onDrained, onFatalError });
  */
 export const createGatewayServices = (options: GatewayOptions): readonly AnyRegistration[] => {
-  const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs } = options;
+  const { runtime, self, seeds, retryBudget, graceMs, drainTimeoutMs, heartbeatIntervalMs } =
+    options;
   const { chooseTarget = chooseLeastLoaded, decideAdmission = admitByPass } = options;
   const { isStalled = isStalledBehindGroup, barUntilMs = barByEvidence } = options;
   const { decideFloor = floorOfLivePeers, decideLongPassShare = longPassShareOf } = options;
@@ -95,7 +98,7 @@
   return [
     storeRegistration({ runtime }),
     catalogueRegistration({ runtime }),
-    targetsRegistration({ runtime, drainTimeoutMs }),
+    targetsRegistration({ runtime, drainTimeoutMs, heartbeatIntervalMs }),
     membersRegistration({ runtime, self, seeds }),
     loadsRegistration({ runtime, startAnnouncement }),
     groupsRegistration({ runtime }),
--- a/packages/gateway/src/targets-service.ts
+++ b/packages/gateway/src/targets-service.ts
@@ -39,6 +39,8 @@
   readonly runtime: Runtime;
   /** Time within which a target that has left gets no further requests. */
   readonly drainTimeoutMs: number;
+  /** Interval at which targets renew their entries. */
+  readonly heartbeatIntervalMs: number;
 }
 
 /** Tracks the published targets and the zones that operators took out. */
@@ -61,9 +63,14 @@
 
   private readonly runtime: Runtime;
 
-  private constructor({ runtime, drainTimeoutMs }: TargetsOptions, find: FindService) {
+  private constructor(options: TargetsOptions, find: FindService) {
+    const { runtime, drainTimeoutMs, heartbeatIntervalMs } = options;
     this.runtime = runtime;
-    this.#outage = StoreOutage.create({ nowMs: runtime.nowMs, drainTimeoutMs });
+    this.#outage = StoreOutage.create({
+      nowMs: runtime.nowMs,
+      drainTimeoutMs,
+      heartbeatIntervalMs,
+    });
     this.#store = find(ServiceName.Store);
   }
 
@@ -294,7 +301,7 @@
  * Registers the service that tracks targets.
  *
  * @example
- * const services = [storeRegistration({ runtime }), targetsRegistration({ runtime, drainTimeoutMs })];
+ * const services = [storeRegistration({ runtime }), targetsRegistration(options)];
  */
 export const targetsRegistration = (
   options: TargetsOptions,
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -169,6 +169,7 @@
         retryBudget: { ratio: 0.2, windowMs: 10_000, extraCount: 120 },
         graceMs: 8_000,
         drainTimeoutMs: 2_000,
+        heartbeatIntervalMs: 1_200,
         ...options,
       }),
       nowMs: () => this.nowMs,
--- a/packages/gateway/tests/targets.test.ts
+++ b/packages/gateway/tests/targets.test.ts
@@ -49,6 +49,13 @@
   });
 };
 
+/** Two failed reads, far enough apart for entries to lapse between them. */
+const failStoreForLong = (harness: Harness): void => {
+  failStore(harness);
+  harness.advance(2_000, false);
+  failStore(harness);
+};
+
 test('uses all targets', () => {
   expect(usedIds(gateway())).toEqual(['t-1', 't-2']);
 });
@@ -78,16 +85,14 @@
 
 test('keeps a target that lapsed during an outage of the store', () => {
   const harness = gateway();
-  failStore(harness);
-  failStore(harness);
+  failStoreForLong(harness);
   harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
   expect(usedIds(harness)).toEqual(['t-1', 't-2']);
 });
 
 test('drops a lapsed target that is not published again within the drain timeout', () => {
   const harness = gateway();
-  failStore(harness);
-  failStore(harness);
+  failStoreForLong(harness);
   harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
   harness.advance(1_900);
   expect(usedIds(harness)).toEqual(['t-1', 't-2']);
@@ -97,8 +102,7 @@
 
 test('keeps a lapsed target that is published again', () => {
   const harness = gateway();
-  failStore(harness);
-  failStore(harness);
+  failStoreForLong(harness);
   harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
   harness.advance(1_000);
   harness.read(StoreReadKind.Watch, [targetItem(targetOf('t-1'))]);
@@ -110,8 +114,7 @@
   const harness = gateway();
   const leaving = targetOf('t-1', { phase: TargetPhase.Leaving });
   harness.read(StoreReadKind.Watch, [targetItem(leaving)]);
-  failStore(harness);
-  failStore(harness);
+  failStoreForLong(harness);
   harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
   expect(usedIds(harness)).toEqual(['t-2']);
 });
@@ -140,9 +143,19 @@
 
 test('a removal after the store has returned keeps no target', () => {
   const harness = gateway();
+  failStoreForLong(harness);
+  harness.advance(1_400);
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
+
+// Guards against requests to a target that has left, because two reads had failed shortly before.
+test('failed reads within two heartbeats keep no target that has left', () => {
+  const harness = gateway();
+  harness.advance(1_200);
   failStore(harness);
+  harness.advance(320, false);
   failStore(harness);
-  harness.advance(1_400);
   harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
   expect(usedIds(harness)).toEqual(['t-2']);
 });
@@ -162,8 +175,7 @@
   const harness = gateway();
   const zoneOut: StoreItem = { kind: ItemKind.ZoneOut, scope: ItemScope.Zone, zone: 'zone-b' };
   harness.read(StoreReadKind.Watch, [zoneOut]);
-  failStore(harness);
-  failStore(harness);
+  failStoreForLong(harness);
   const targets = [targetOf('t-1'), targetOf('t-2', { availabilityZone: 'zone-b' })];
   harness.read(StoreReadKind.Page, targets.map(targetItem));
   expect(usedIds(harness)).toEqual(['t-1']);
--- a/packages/settings/src/gateway-settings.ts
+++ b/packages/settings/src/gateway-settings.ts
@@ -25,7 +25,7 @@
 const DEFAULT_BODY_TIMEOUT_SECONDS = 10;
 
 /** A positive number as text; any other text, such as a placeholder left as it is, means the default. */
-const hostLimitField = (defaultValue: number): z.ZodType<number> =>
+const positiveTextField = (defaultValue: number): z.ZodType<number> =>
   z
     .string()
     .default('')
@@ -33,6 +33,8 @@
 
 const DEFAULT_DRAIN_TIMEOUT_MS = 2_000;
 
+const DEFAULT_HEARTBEAT_INTERVAL_MS = 1_200;
+
 /** Settings of a gateway. */
 export const gatewaySettingsSchema = z.strictObject({
   ...peerFields,
@@ -44,15 +46,17 @@
   graceSeconds: z.number().positive(),
   /** Time within which a target that has left gets no further requests. */
   drainTimeoutMs: z.number().positive().default(DEFAULT_DRAIN_TIMEOUT_MS),
+  /** Interval at which targets renew their entries in the store. */
+  heartbeatIntervalMs: positiveTextField(DEFAULT_HEARTBEAT_INTERVAL_MS),
   retryBudget: z.strictObject({
     ratio: z.number().min(0),
     windowSeconds: z.number().positive(),
     extraCount: z.number().min(0),
   }),
   /** Memory of the host. */
-  memoryMb: hostLimitField(SMALLEST_MEMORY_MB),
+  memoryMb: positiveTextField(SMALLEST_MEMORY_MB),
   /** Descriptors that the host lets the process open. */
-  fileDescriptors: hostLimitField(SMALLEST_DESCRIPTOR_COUNT),
+  fileDescriptors: positiveTextField(SMALLEST_DESCRIPTOR_COUNT),
   /** Time in which an unfinished body of a caller must make progress. */
   bodyTimeoutSeconds: z.number().positive().default(DEFAULT_BODY_TIMEOUT_SECONDS),
   /** What the deployment asks for, in its platform's words, separated by commas; others are ignored. */
