fix(gateway): a second outage does not extend the time of a lapsed target

Callers saw: a target whose entry was removed during an outage of the store got requests for longer than the drain timeout when another outage followed, which ends with a full read. Cause: each full read that lacks a target counted its grace anew, although the entry had been missing since the first one. Change: the earlier end of the grace stays. Evidence: 'a second outage does not extend the time of a lapsed target' fails on the commit before and passes now.

--- a/packages/gateway/src/targets-service.ts
+++ b/packages/gateway/src/targets-service.ts
@@ -257,7 +257,11 @@
     if (lapsesAtMs === undefined || known.target.phase !== TargetPhase.Available) {
       return this.#drop(id, 'entry removed');
     }
-    this.#known.set(id, { ...known, lapsesAtMs });
+    // Another outage is no reason to wait longer for an entry that is missing already.
+    this.#known.set(id, {
+      ...known,
+      lapsesAtMs: Math.min(lapsesAtMs, known.lapsesAtMs ?? Infinity),
+    });
     return this.#scheduleLapse();
   }
 
--- a/packages/gateway/tests/targets.test.ts
+++ b/packages/gateway/tests/targets.test.ts
@@ -160,6 +160,20 @@
   expect(usedIds(harness)).toEqual(['t-2']);
 });
 
+// Guards against requests to a target that has left, as long as the store fails again and again.
+test('a second outage does not extend the time of a lapsed target', () => {
+  const harness = gateway();
+  failStoreForLong(harness);
+  harness.read(StoreReadKind.Watch, [removed(ItemScope.Target, 't-1')]);
+  failStore(harness);
+  harness.advance(1_950, false);
+  failStore(harness);
+  harness.read(StoreReadKind.Page, [targetItem(targetOf('t-2', { availabilityZone: 'zone-b' }))]);
+  expect(usedIds(harness)).toEqual(['t-1', 't-2']);
+  harness.advance(60);
+  expect(usedIds(harness)).toEqual(['t-2']);
+});
+
 // Guards against targets that left while the store discarded its history.
 test('a lost history keeps no target that a full read lacks', () => {
   const harness = gateway();
