fix(http): bounds on the framing and the work of answers, as on requests

Callers saw: while targets answered in chunks of one byte without end, ordinary requests waited for seconds or got no answer in their 3 s. Cause: only callers had bounds on small chunks and on a turn of reading. Each chunk of a target was an event of the services, and 16,000 of them came before the bound on the bytes of one answer. Change: AnswerReader reads what servers answer. It takes a block at a time, counts the work in the ReadTurns that all ports of a gateway share, reads an answer that is mostly framing a block every 10 ms, and fails it past 32 KiB of excess; 4 KiB a second are forgiven, so that a stream of a chunk for each token passes at any length. New connections are read in steps of 4 KiB, since the parser cannot stop within a block. The same for the store, engines, the sidecar's target, and the configuration service, which use one text client now (undici kept whole answers of any size there); turns also bound the status listeners, the operators' listener and links. The failed call is logged with its target, which is avoided.

--- a/packages/binaries/src/running-process.ts
+++ b/packages/binaries/src/running-process.ts
@@ -18,7 +18,7 @@
   /** Refuses new work, waits until all requests in progress have ended, and stops. */
   readonly drain: () => Promise<void>;
   /** Stops at once, without draining. */
-  readonly stop: () => Promise<void>;
+  readonly stop: () => void;
 }
 
 /** Identity, addresses and role-specific options of a process. */
@@ -106,16 +106,16 @@
     onFatalError: (error) => {
       logPort.fatal(error);
       globalThis.process.exitCode = 1;
-      process.shutdown().catch(() => undefined);
+      process.shutdown();
     },
   });
   process.start();
   const admin = createAdminServer(options, process, decisionLog, burnMeter, drops);
   const servingPort = await options.listen(process);
   const adminPort = await admin.listen(options.host, options.adminPort);
-  const stop = async (): Promise<void> => {
+  const stop = (): void => {
     admin.shutdown();
-    await process.shutdown();
+    process.shutdown();
   };
   return {
     addresses: { servingPort, adminPort },
@@ -123,7 +123,7 @@
       process.drain();
       await drained;
       await process.flushCallers();
-      await stop();
+      stop();
     },
     stop,
   };
--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -45,6 +45,8 @@
   readonly bounds?: CallerBounds;
   /** Time in which an unfinished body must make progress. */
   readonly bodyTimeoutMs?: number;
+  /** Bounds what a turn of the event loop reads; by default shared with no other port. */
+  readonly turns?: ReadTurns;
   /** Called for each body, answer or connection that is dropped. */
   readonly onDropped?: (cause: DropCause) => void;
 }
@@ -107,7 +109,7 @@
   #nextExchangeId = 1;
 
   private constructor(private readonly options: CallerServerOptions) {
-    const turns = ReadTurns.create();
+    const turns = options.turns ?? ReadTurns.create();
     this.#server = createServer(
       {
         IncomingMessage: turns.createMessageClass(),
--- a/packages/gateway-io/src/StatusServer.ts
+++ b/packages/gateway-io/src/StatusServer.ts
@@ -1,7 +1,7 @@
 /** @module HTTP servers for the health checks of load balancers and for monitoring. */
 import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
-import { CHECK_INTERVAL_MS, guardServer, type ServerBounds } from '@ebonysill/http';
+import { CHECK_INTERVAL_MS, ReadTurns, guardServer, type ServerBounds } from '@ebonysill/http';
 import type { ListenAddress } from './CallerServer.js';
 
 /** Answer to a status request. */
@@ -18,6 +18,8 @@
   readonly answer: (path: string) => StatusAnswer;
   readonly onError: (error: unknown) => void;
   readonly bounds?: ServerBounds;
+  /** Bounds what a turn of the event loop reads; by default shared with no other port. */
+  readonly turns?: ReadTurns;
 }
 
 /** Checks need a few fields only. */
@@ -34,8 +36,9 @@
    * await StatusServer.create({ listen, answer: () => READY, onError });
    */
   static async create(options: StatusServerOptions): Promise<StatusServer> {
-    const { listen, answer, onError, bounds } = options;
+    const { listen, answer, onError, bounds, turns = ReadTurns.create() } = options;
     const limits = {
+      IncomingMessage: turns.createMessageClass(),
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
     };
@@ -47,6 +50,7 @@
       });
       response.end(body);
     });
+    turns.watch(server);
     guardServer(server, bounds);
     server.listen(listen.port, listen.host);
     await once(server, 'listening');
--- a/packages/gateway-io/src/TargetClient.ts
+++ b/packages/gateway-io/src/TargetClient.ts
@@ -15,7 +15,7 @@
   type TargetCall,
   type TargetHead,
 } from '@ebonysill/gateway';
-import { detectReset } from '@ebonysill/http';
+import { AnswerReader, detectReset, limitInformation } from '@ebonysill/http';
 import checkReachability from './checkReachability.js';
 
 /** Encodes a call's header fields. */
@@ -29,26 +29,28 @@
   readonly encode: EncodeCall;
   readonly decode: DecodeTargetHead;
   readonly post: (event: Event) => void;
+  /** By default one that shares its bounds with no other port. */
+  readonly reader?: AnswerReader;
 }
 
 /** A slower connect has lost its SYN packet, which is retransmitted only after seconds. */
 const CONNECT_TIMEOUT_MS = 300;
 
-/** Informational heads before an answer; a target that sends more never answers. */
-const MAX_INFORMATIONAL_HEADS = 8;
-
 interface OpenCall {
   readonly request: ClientRequest;
   readonly connectTimer: NodeJS.Timeout;
   isConnected: boolean;
-  informationalCount: number;
 }
 
 /** Opens a new connection for each call: a reused one could deliver bytes of an earlier answer. */
 export default class TargetClient {
   readonly #openCalls = new Map<number, OpenCall>();
 
-  private constructor(private readonly options: TargetClientOptions) {}
+  readonly #reader: AnswerReader;
+
+  private constructor(private readonly options: TargetClientOptions) {
+    this.#reader = options.reader ?? AnswerReader.create();
+  }
 
   /**
    * Creates a client without calls.
@@ -69,20 +71,15 @@
       method: call.method,
       path: call.path,
       headers: this.#headersOf(call),
-      agent: false,
+      createConnection: this.#reader.connect,
     });
     const connectTimer = setTimeout(
       () => this.#fail(callId, 'connection not established in time'),
       CONNECT_TIMEOUT_MS,
     );
-    this.#openCalls.set(callId, {
-      request: outgoing,
-      connectTimer,
-      isConnected: false,
-      informationalCount: 0,
-    });
+    this.#openCalls.set(callId, { request: outgoing, connectTimer, isConnected: false });
     outgoing.on('socket', (socket) => socket.on('connect', () => this.#onConnected(callId)));
-    outgoing.on('information', () => this.#onInformation(callId));
+    limitInformation(outgoing, () => this.#fail(callId, 'too many informational heads'));
     outgoing.on('upgrade', () => this.#fail(callId, 'the target changes the protocol'));
     outgoing.on('response', (answer) => this.#onAnswer(callId, answer));
     outgoing.on('error', (error) => this.#fail(callId, error.message));
@@ -119,26 +116,19 @@
     }
   }
 
-  #onInformation(callId: number): void {
-    const call = this.#openCalls.get(callId);
-    if (call === undefined) {
-      return;
-    }
-    call.informationalCount += 1;
-    if (call.informationalCount > MAX_INFORMATIONAL_HEADS) {
-      this.#fail(callId, 'too many informational heads');
-    }
-  }
-
   #onAnswer(callId: number, answer: IncomingMessage): void {
     const { post, decode } = this.options;
     if (!this.#openCalls.has(callId)) {
       return;
     }
-    answer.on('data', (data: Uint8Array) => {
-      if (this.#openCalls.has(callId)) {
-        post({ kind: EventKind.TargetDataReceived, callId, data });
-      }
+    this.#reader.read({
+      answer,
+      onData: (data) => {
+        if (this.#openCalls.has(callId)) {
+          post({ kind: EventKind.TargetDataReceived, callId, data });
+        }
+      },
+      onFragmented: () => this.#fail(callId, 'the answer consists of small chunks'),
     });
     const resetCheck = detectReset(answer);
     // Avoids an unhandled rejection: an answer without an 'end' event has already failed the call.
--- a/packages/gateway-io/src/index.ts
+++ b/packages/gateway-io/src/index.ts
@@ -9,7 +9,6 @@
 export { default as DatagramPort } from './DatagramPort.js';
 export { REPORT_INTERVAL_MS } from '@ebonysill/http';
 export { default as DropReporter } from './DropReporter.js';
-export { default as HttpClient, type HttpAnswer } from './HttpClient.js';
 export { default as LogPort } from './LogPort.js';
 export { default as MetricsRecorder } from './MetricsRecorder.js';
 export { default as parsePeerMessage } from './parsePeerMessage.js';
--- a/packages/http/src/ReadTurns.ts
+++ b/packages/http/src/ReadTurns.ts
@@ -1,5 +1,5 @@
 /**
- * @module Bounds what one turn of the event loop reads from callers.
+ * @module Bounds what one turn of the event loop reads from callers and from servers that are called.
  *
  * Load pattern: many open connections each send a block of very small chunks at once. The parser takes
  * some 25 ms for a block of 64 KiB and cannot stop within it, and a turn reads every connection that has
@@ -67,31 +67,36 @@
 
   /** Watches the connections that a server accepts from now on. */
   watch(server: Server): void {
-    server.on('connection', (socket: Socket) => {
-      this.#sockets.add(socket);
-      socket.once('close', () => {
-        this.#sockets.delete(socket);
-        this.#waiting.delete(socket);
-      });
+    server.on('connection', (socket: Socket) => this.watchSocket(socket));
+  }
+
+  /** Watches one connection, whose reads are recorded by the one who reads it. */
+  watchSocket(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.once('close', () => {
+      this.#sockets.delete(socket);
+      this.#waiting.delete(socket);
     });
   }
 
   /** Creates the class of the server's requests, which record what is read. */
   createMessageClass(): typeof IncomingMessage {
     return createPacedMessage({
-      recordRead: (socket) => this.#recordRead(socket),
+      recordRead: (socket) => this.recordRead(socket),
       isWaiting: (socket) => this.#waiting.has(socket),
     });
   }
 
-  #recordRead(socket: Socket): void {
+  /** Records heads and chunks that were read from a connection. */
+  recordRead(socket: Socket, readCount = 1): void {
     if (socket !== this.#lastRead && this.#sockets.delete(socket)) {
       this.#sockets.add(socket);
       this.#lastRead = socket;
     }
-    this.#readCount += 1;
+    const wasOver = this.#readCount >= this.#options.maxReadCount;
+    this.#readCount += readCount;
     this.#scheduleEnd();
-    if (this.#readCount === this.#options.maxReadCount) {
+    if (!wasOver && this.#readCount >= this.#options.maxReadCount) {
       this.#sockets.forEach((open) => this.#pause(open));
     }
   }
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,5 +1,11 @@
 /** @module Public interface of the package. */
 export { default as detectReset } from './detectReset.js';
+export {
+  default as AnswerReader,
+  type AnswerControl,
+  type AnswerReaderOptions,
+  type AnswerReading,
+} from './AnswerReader.js';
 export { default as BodyBuffer } from './BodyBuffer.js';
 export { default as BodyReceiver } from './BodyReceiver.js';
 export {
@@ -15,6 +21,10 @@
   type CauseReporterOptions,
 } from './CauseReporter.js';
 export { default as ConnectionLimit } from './ConnectionLimit.js';
+export { default as FramingMeter, FramingVerdict } from './FramingMeter.js';
+export { default as HttpClient, type HttpAnswer } from './HttpClient.js';
+export { default as limitInformation } from './limitInformation.js';
 export { default as ReadTurns, type ReadTurnsOptions } from './ReadTurns.js';
+export { default as SlowReads, type SlowRead } from './SlowReads.js';
 export { default as spreadConnections } from './spreadConnections.js';
 export { MAX_STATUS_CONNECTIONS, guardServer, type ServerBounds } from './guard-server.js';
--- a/packages/transport/src/AdminServer.ts
+++ b/packages/transport/src/AdminServer.ts
@@ -1,7 +1,7 @@
 /** @module HTTP server for operators: calls to the process and its metrics page. */
 import type { AddressInfo } from 'node:net';
 import { createServer, type Server } from 'node:http';
-import { guardServer, type ServerBounds } from '@ebonysill/http';
+import { ReadTurns, guardServer, type ServerBounds } from '@ebonysill/http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { adminRouter, type AdminFunctions } from './admin-router.js';
 import type { RecordDrop } from './DropCounters.js';
@@ -33,7 +33,9 @@
       router: adminRouter(functions),
       maxBodySize: MAX_BODY_BYTES,
     });
-    const server = createServer((request, response) => {
+    const turns = ReadTurns.create();
+    const limits = { IncomingMessage: turns.createMessageClass() };
+    const server = createServer(limits, (request, response) => {
       if (request.url === METRICS_PATH) {
         response.writeHead(200, { 'content-type': METRICS_TYPE });
         response.end(
@@ -43,6 +45,7 @@
         handleCall(request, response);
       }
     });
+    turns.watch(server);
     guardServer(server, bounds, onDropped);
     return new AdminServer(server);
   }
--- a/packages/transport/src/ConfigurationPort.ts
+++ b/packages/transport/src/ConfigurationPort.ts
@@ -1,7 +1,7 @@
 /** @module Reads the configuration service by HTTP long polling. */
 import { EventKind, type Event } from '@ebonysill/core';
 import { SettingsVerdict, describeProblem, parseConfiguration } from '@ebonysill/settings';
-import { Agent } from 'undici';
+import { HttpClient } from '@ebonysill/http';
 
 /** Longest time that the configuration service may hold a long poll. */
 const WATCH_TIMEOUT_MS = 40_000;
@@ -10,17 +10,22 @@
 
 const NO_CONTENT = 204;
 
-/** Longest configuration text that is accepted. */
-const MAX_CONFIGURATION_CHARS = 1_048_576;
+/** Longest configuration that is accepted. */
+const MAX_CONFIGURATION_BYTES = 1_048_576;
 
 /** Long-polls the configuration service and posts each result as an event. */
 export default class ConfigurationPort {
-  readonly #agent = new Agent({ headersTimeout: WATCH_TIMEOUT_MS, bodyTimeout: WATCH_TIMEOUT_MS });
+  readonly #client: HttpClient;
 
   private constructor(
-    private readonly serviceUrl: string,
+    serviceUrl: string,
     private readonly post: (event: Event) => void,
-  ) {}
+  ) {
+    this.#client = HttpClient.create({
+      address: new URL(serviceUrl).host,
+      maxAnswerBytes: MAX_CONFIGURATION_BYTES,
+    });
+  }
 
   /**
    * Creates a port to the configuration service at an address.
@@ -46,24 +51,21 @@
   }
 
   /** Closes the connections; a read in progress fails. */
-  async shutdown(): Promise<void> {
-    await this.#agent.destroy();
+  shutdown(): void {
+    this.#client.close();
   }
 
   async #fetch(aboveRevision: number): Promise<string | undefined> {
-    const { statusCode, body } = await this.#agent.request({
-      origin: this.serviceUrl,
+    const { status, text } = await this.#client.call({
       path: `/v1/configuration?above=${aboveRevision}`,
       method: 'GET',
+      timeoutMs: WATCH_TIMEOUT_MS,
     });
-    const text = await body.text();
-    if (statusCode === NO_CONTENT) {
+    if (status === NO_CONTENT) {
       return undefined;
     }
-    if (statusCode !== OK || text.length > MAX_CONFIGURATION_CHARS) {
-      throw new Error(
-        `the configuration service answered with an error or a too long text: status ${statusCode}`,
-      );
+    if (status !== OK) {
+      throw new Error(`the configuration service answered with status ${status}`);
     }
     return text;
   }
--- a/packages/transport/src/LinkPort.ts
+++ b/packages/transport/src/LinkPort.ts
@@ -1,6 +1,6 @@
 /** @module Links between processes over TCP. */
 import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
-import { ByteBudget, CHECK_INTERVAL_MS, DropCause } from '@ebonysill/http';
+import { ByteBudget, CHECK_INTERVAL_MS, DropCause, ReadTurns } from '@ebonysill/http';
 import { EventKind, type Event, type Message, type OpenLinkEffect } from '@ebonysill/core';
 import type { RecordDrop } from './DropCounters.js';
 import { FrameReader, MAX_FRAME_BYTES, frame } from './frame-reader.js';
@@ -52,6 +52,8 @@
 
   readonly #budget: ByteBudget;
 
+  readonly #turns = ReadTurns.create();
+
   private constructor(
     private readonly secret: string,
     private readonly post: (event: Event) => void,
@@ -160,6 +162,7 @@
       }
     };
     this.#sockets.set(linkId, socket);
+    this.#turns.watchSocket(socket);
     socket.setNoDelay(true);
     socket.write(frame(handshake.nonce));
     socket.on('data', (bytes) => {
@@ -173,6 +176,7 @@
         pending.recordProgress();
       }
       pending.setSize(reader.pendingBytes);
+      this.#turns.recordRead(socket, 1 + frames.length);
       frames.forEach((payload) => receive(payload));
     });
     socket.on('error', () => socket.destroy());
--- a/packages/transport/src/TargetPort.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -12,8 +12,13 @@
   type Event,
   type TargetHealthEvent,
 } from '@ebonysill/core';
-import { detectReset } from '@ebonysill/http';
-import { Agent } from 'undici';
+import {
+  AnswerReader,
+  HttpClient,
+  detectReset,
+  limitInformation,
+  type AnswerControl,
+} from '@ebonysill/http';
 import { z } from 'zod';
 import addResume from './addResume.js';
 import { createSplitter } from './chunk-splitter.js';
@@ -21,6 +26,8 @@
 /** Time in which the target must answer a health check. */
 const HEALTH_TIMEOUT_MS = 400;
 
+const MAX_HEALTH_BYTES = 65_536;
+
 const STATUS_OK = 200;
 
 const healthSchema = z.object({ isCold: z.boolean() });
@@ -46,15 +53,23 @@
 export default class TargetPort {
   readonly #calls = new Map<string, OpenCall>();
 
-  readonly #answers = new Map<string, IncomingMessage>();
+  readonly #answers = new Map<string, AnswerControl>();
 
-  /** `pipelining: 0` disables keep-alive. */
-  readonly #healthAgent = new Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 0 });
+  readonly #reader = AnswerReader.create();
+
+  readonly #health: HttpClient;
 
   private constructor(
     private readonly targetUrl: string,
     private readonly post: (event: Event) => void,
-  ) {}
+  ) {
+    this.#health = HttpClient.create({
+      address: new URL(targetUrl).host,
+      reader: this.#reader,
+      isKeptAlive: false,
+      maxAnswerBytes: MAX_HEALTH_BYTES,
+    });
+  }
 
   /**
    * Creates a port to the target at an address.
@@ -108,20 +123,19 @@
   }
 
   async #fetchHealth(): Promise<Health> {
-    const { statusCode, body } = await this.#healthAgent.request({
-      origin: this.targetUrl,
+    const { status, text } = await this.#health.call({
       path: '/health',
       method: 'GET',
-      signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
+      timeoutMs: HEALTH_TIMEOUT_MS,
     });
-    const { isCold } = healthSchema.parse(await body.json());
-    return statusCode === STATUS_OK ? { isUp: true, isCold } : DOWN;
+    const { isCold } = healthSchema.parse(JSON.parse(text));
+    return status === STATUS_OK ? { isUp: true, isCold } : DOWN;
   }
 
   /** Closes the connections; calls in progress fail. */
-  async shutdown(): Promise<void> {
+  shutdown(): void {
     this.#calls.forEach(({ request: outgoing }) => outgoing.destroy());
-    await this.#healthAgent.destroy();
+    this.#health.close();
   }
 
   #createRequest(
@@ -140,7 +154,7 @@
         ...(target.contentType === '' ? {} : { 'content-type': target.contentType }),
         ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
       },
-      agent: false,
+      createConnection: this.#reader.connect,
     });
   }
 
@@ -152,6 +166,10 @@
         call.isConnected = true;
       }),
     );
+    limitInformation(outgoing, () => {
+      outgoing.destroy();
+      this.#onError(callId, new Error('too many informational heads'));
+    });
     outgoing.on('response', (answer) => this.#onAnswer(callId, answer));
     outgoing.on('upgrade', (_answer, socket) => {
       socket.destroy();
@@ -171,7 +189,6 @@
       answer.destroy();
       return;
     }
-    this.#answers.set(callId, answer);
     const contentType = answer.headers['content-type'] ?? '';
     const splitter = createSplitter(contentType);
     this.post({
@@ -180,9 +197,15 @@
       status: answer.statusCode ?? 0,
       contentType,
     });
-    answer.on('data', (bytes: Buffer) => {
-      this.#postChunks(callId, splitter.push(bytes.toString('latin1')));
+    const control = this.#reader.read({
+      answer,
+      onData: (bytes) => this.#postChunks(callId, splitter.push(bytes.toString('latin1'))),
+      onFragmented: () => {
+        answer.destroy();
+        this.#onError(callId, new Error('the answer consists of small chunks'));
+      },
     });
+    this.#answers.set(callId, control);
     const resetCheck = detectReset(answer);
     // Avoids an unhandled rejection: an answer without an 'end' event has already failed the call.
     resetCheck.catch(() => undefined);
--- a/packages/transport/src/process-host.ts
+++ b/packages/transport/src/process-host.ts
@@ -121,12 +121,13 @@
   }
 
   /** Stops the services at once and closes every port. */
-  async shutdown(): Promise<void> {
+  shutdown(): void {
     this.#kernel.kill();
     this.#timerPort.shutdown();
     this.links.shutdown();
     this.callers?.shutdown();
-    await Promise.all([this.#targetPort?.shutdown(), this.#configurationPort?.shutdown()]);
+    this.#targetPort?.shutdown();
+    this.#configurationPort?.shutdown();
   }
 
   #perform(effect: Effect): void {
