fix(gateway): large answers are read no faster than their callers take them

Callers saw: 100 callers of answers of 4.14 MB who read nothing took a gateway to 205 to 217 MB where its host has 202, 400 to 239 MB, so that the process is ended; 200 who read fast got 48 of 600 answers as 502. Cause: every answer was read from its target at once. 33 MB were kept until complete, whatever the host has, and the largest was dropped for the next one; each was copied into one buffer for its caller, beside 28 MB that waited for callers. Change: an answer of 16 KiB or more reserves its room before it is read on, and keeps it until its caller's connection has taken it; the others wait in order, unread. The room is half of what the host has beyond the process. A caller that takes no byte for 3 s loses its answer when others wait. A target whose answer waits has done its work, so the call counts as load no longer and small requests go on. Blocks are written as they came. The test that the largest of all answers is dropped gives way to one that all together keep their limit. Open: a stream whose caller reads slowly is still ended when 1 MB waits for it.

--- a/packages/gateway-io/src/AnswerWriter.ts
+++ b/packages/gateway-io/src/AnswerWriter.ts
@@ -26,18 +26,20 @@
 
   /** Writes a complete answer without ending it. */
   writeWhole(response: ServerResponse, answer: RefusalAnswer): void {
-    const body = Buffer.concat(answer.body);
-    const length: HeaderField = { name: 'content-length', value: String(body.length) };
+    const sizeBytes = answer.body.reduce((sum, { length }) => sum + length, 0);
+    const length: HeaderField = { name: 'content-length', value: String(sizeBytes) };
     this.writeHead(response, answer.status, [
       ...answer.headers,
       length,
       ...retryAfterFields(answer.retryAfterMs),
     ]);
-    if (body.length > 0) {
-      response.write(body);
-    } else {
+    if (sizeBytes === 0) {
       response.flushHeaders();
+      return;
     }
+    response.cork();
+    answer.body.forEach((block) => response.write(block));
+    response.uncork();
   }
 
   /** Writes the head of an answer. */
--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -4,6 +4,7 @@
 import {
   EventKind,
   MAX_HEADER_BYTES,
+  SMALL_ANSWER_BYTES,
   type SendAnswerEffect,
   type BeginAnswerEffect,
   type CallerLimits,
@@ -18,7 +19,7 @@
   ConnectionLimit,
   ReadTurns,
   spreadConnections,
-  type DropCause,
+  DropCause,
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
 import AnswerWriter from './AnswerWriter.js';
@@ -187,12 +188,19 @@
 
   /** Sends an answer whose body is complete, with its length. */
   sendAnswer(effect: SendAnswerEffect): void {
-    const exchange = this.#removeExchange(effect.exchangeId);
-    if (exchange !== undefined) {
-      this.#writer.writeWhole(exchange.response, effect);
-      exchange.response.end();
-      exchange.refreshWaiting();
+    const { exchangeId, body } = effect;
+    const exchange = this.#removeExchange(exchangeId);
+    if (exchange === undefined) {
+      this.options.post({ kind: EventKind.AnswerTaken, exchangeId });
+      return;
+    }
+    const { response, refreshWaiting } = exchange;
+    if (body.reduce((sum, { length }) => sum + length, 0) >= SMALL_ANSWER_BYTES) {
+      response.on('close', () => this.options.post({ kind: EventKind.AnswerTaken, exchangeId }));
     }
+    this.#writer.writeWhole(response, effect);
+    response.end();
+    refreshWaiting();
   }
 
   /** Sends the head of an answer of unknown length. */
@@ -227,6 +235,11 @@
     this.#removeExchange(exchangeId)?.response.destroy();
   }
 
+  /** Disconnects callers that have taken no byte of a waiting answer for a time. */
+  dropStalled(minStallMs: number): void {
+    this.#budget.dropStalled(DropCause.AnswerStalled, minStallMs);
+  }
+
   /** Closes connections on which no request is in progress and whose last answer was taken. */
   closeIdle(): void {
     this.#connections.closeIdle();
--- a/packages/gateway-io/src/ProcessHost.ts
+++ b/packages/gateway-io/src/ProcessHost.ts
@@ -134,6 +134,12 @@
       case EffectKind.CancelCall:
         targets?.cancel(effect.callId);
         return;
+      case EffectKind.PauseCall:
+        targets?.pause(effect.callId);
+        return;
+      case EffectKind.ResumeCall:
+        targets?.resume(effect.callId);
+        return;
       case EffectKind.CheckTarget:
         targets?.check(effect);
         return;
@@ -152,6 +158,9 @@
       case EffectKind.AbortAnswer:
         callers?.abortAnswer(effect.exchangeId);
         return;
+      case EffectKind.DropStalledAnswers:
+        callers?.dropStalled(effect.minStallMs);
+        return;
       case EffectKind.CloseIdleCallers:
         callers?.closeIdle();
         return;
--- a/packages/gateway-io/src/TargetClient.ts
+++ b/packages/gateway-io/src/TargetClient.ts
@@ -15,7 +15,7 @@
   type TargetCall,
   type TargetHead,
 } from '@ebonysill/gateway';
-import { AnswerReader, detectReset, limitInformation } from '@ebonysill/http';
+import { AnswerReader, detectReset, limitInformation, type AnswerControl } from '@ebonysill/http';
 import checkReachability from './checkReachability.js';
 
 /** Encodes a call's header fields. */
@@ -40,6 +40,8 @@
   readonly request: ClientRequest;
   readonly connectTimer: NodeJS.Timeout;
   isConnected: boolean;
+  /** Absent until the head of the answer has come. */
+  control?: AnswerControl;
 }
 
 /** Opens a new connection for each call: a reused one could deliver bytes of an earlier answer. */
@@ -91,6 +93,16 @@
     this.#removeCall(callId)?.request.destroy();
   }
 
+  /** Reads no further block of an answer until `resume`. */
+  pause(callId: number): void {
+    this.#openCalls.get(callId)?.control?.pause();
+  }
+
+  /** Reads an answer on. */
+  resume(callId: number): void {
+    this.#openCalls.get(callId)?.control?.resume();
+  }
+
   /** Checks whether a target accepts connections; the result is posted as an event. */
   check({ instanceId, address }: CheckTargetEffect): void {
     checkReachability(address, CONNECT_TIMEOUT_MS, (reachability) =>
@@ -118,10 +130,11 @@
 
   #onAnswer(callId: number, answer: IncomingMessage): void {
     const { post, decode } = this.options;
-    if (!this.#openCalls.has(callId)) {
+    const call = this.#openCalls.get(callId);
+    if (call === undefined) {
       return;
     }
-    this.#reader.read({
+    call.control = this.#reader.read({
       answer,
       onData: (data) => {
         if (this.#openCalls.has(callId)) {
--- a/packages/gateway/src/CallAccounting.ts
+++ b/packages/gateway/src/CallAccounting.ts
@@ -93,11 +93,22 @@
   /** Records that a call no longer counts as load or as a running stream. */
   recordEnd(exchange: Exchange, target: PublishedTarget): void {
     const { pool } = exchange;
-    this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
+    if (exchange.countsAsLoad) {
+      this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
+    }
     this.#admission.recordEnd(pool, exchange.id);
     this.#throughput.recordEnd(pool, ageMsOf(this.runtime, exchange.calledAt));
   }
 
+  /** Records that a target has done its work and waits for its answer to be read. */
+  recordAnswerWaits(exchange: Exchange): void {
+    const { target, countsAsLoad } = exchange;
+    if (target !== undefined && countsAsLoad) {
+      this.#loads.recordEnd(target.instanceId, exchange.outstandingWork);
+      exchange.releaseLoad();
+    }
+  }
+
   /** Records the head of an answer; the effects log what its target says of itself. */
   recordHead({ target, calledAt }: Exchange, head: TargetHead): readonly Effect[] {
     return target === undefined ? [] : this.#notices.recordHead(target, head, calledAt);
--- a/packages/gateway/src/TimerKind.ts
+++ b/packages/gateway/src/TimerKind.ts
@@ -4,6 +4,7 @@
 enum TimerKind {
   RequestDeadline = 'request-deadline',
   QueueCheck = 'queue-check',
+  RoomCheck = 'room-check',
   StallCheck = 'stall-check',
   StoreRetry = 'store-retry',
   LapseCheck = 'lapse-check',
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -10,12 +10,15 @@
 export enum EffectKind {
   StartCall = 'start-call',
   CancelCall = 'cancel-call',
+  PauseCall = 'pause-call',
+  ResumeCall = 'resume-call',
   CheckTarget = 'check-target',
   SendAnswer = 'answer-whole',
   BeginAnswer = 'begin-answer',
   ContinueAnswer = 'continue-answer',
   EndAnswer = 'end-answer',
   AbortAnswer = 'abort-answer',
+  DropStalledAnswers = 'drop-stalled-answers',
   ReadStore = 'read-store',
   SetTimer = 'set-timer',
   ClearTimer = 'clear-timer',
@@ -43,6 +46,18 @@
   readonly callId: number;
 }
 
+/** Reads no further block of the answer to a call. */
+export interface PauseCallEffect {
+  readonly kind: EffectKind.PauseCall;
+  readonly callId: number;
+}
+
+/** Reads the answer to a call on. */
+export interface ResumeCallEffect {
+  readonly kind: EffectKind.ResumeCall;
+  readonly callId: number;
+}
+
 /** Opens a connection to a target and closes it, to see whether the target still listens. */
 export interface CheckTargetEffect {
   readonly kind: EffectKind.CheckTarget;
@@ -89,6 +104,12 @@
   readonly exchangeId: number;
 }
 
+/** Disconnects the callers that have taken no byte of their answers for a time. */
+export interface DropStalledAnswersEffect {
+  readonly kind: EffectKind.DropStalledAnswers;
+  readonly minStallMs: number;
+}
+
 /** Reads one page of the store, or waits for changes. */
 export interface ReadStoreEffect {
   readonly kind: EffectKind.ReadStore;
@@ -269,12 +290,15 @@
 export type Effect =
   | StartCallEffect
   | CancelCallEffect
+  | PauseCallEffect
+  | ResumeCallEffect
   | CheckTargetEffect
   | SendAnswerEffect
   | BeginAnswerEffect
   | ContinueAnswerEffect
   | EndAnswerEffect
   | AbortAnswerEffect
+  | DropStalledAnswersEffect
   | ReadStoreEffect
   | SetTimerEffect
   | ClearTimerEffect
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -10,6 +10,7 @@
   RequestReceived = 'request-received',
   CallerDisconnected = 'caller-gone',
   CallersDisconnected = 'callers-gone',
+  AnswerTaken = 'answer-taken',
   TargetHeadReceived = 'target-head-received',
   TargetDataReceived = 'target-data-received',
   TargetAnswerEnded = 'target-answer-ended',
@@ -39,6 +40,12 @@
   readonly exchangeId: number;
 }
 
+/** The connection of a caller has taken a large answer, or has closed before. */
+export interface AnswerTakenEvent {
+  readonly kind: EventKind.AnswerTaken;
+  readonly exchangeId: number;
+}
+
 /** The listener is closed, and all connections of callers have ended. */
 export interface CallersDisconnectedEvent {
   readonly kind: EventKind.CallersDisconnected;
@@ -219,6 +226,7 @@
   | RequestReceivedEvent
   | CallerDisconnectedEvent
   | CallersDisconnectedEvent
+  | AnswerTakenEvent
   | TargetHeadEvent
   | TargetDataEvent
   | TargetEndEvent
--- a/packages/gateway/src/exchange-data.ts
+++ b/packages/gateway/src/exchange-data.ts
@@ -67,6 +67,8 @@
   readonly isEventStream: boolean;
   /** Whether neither a length nor chunks, but the end of the connection ends the answer. */
   readonly endsWithConnection: boolean;
+  /** Size of the body; absent when the target does not announce it. */
+  readonly announcedBytes?: number;
   readonly load?: TargetLoad;
   readonly notice: TargetNotice;
   /** Instance at fault, when it is not the one that answered. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -94,6 +94,9 @@
   /** Work of the current call that is outstanding; undefined when it is not known. */
   outstandingWork: RequestWork | undefined;
 
+  /** Whether the current call counts as load of its target. */
+  countsAsLoad = false;
+
   /** Pool of the current target; before the first call, the service. */
   pool: string;
 
@@ -200,6 +203,12 @@
   recordStart(moment: Moment, work: RequestWork | undefined): void {
     this.calledAt = moment;
     this.outstandingWork = work;
+    this.countsAsLoad = true;
+  }
+
+  /** Records that the current call counts as load no longer. */
+  releaseLoad(): void {
+    this.countsAsLoad = false;
   }
 
   /** Records that the target has read the prompt; returns the work that was outstanding before. */
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -1,7 +1,6 @@
 /** @module Forwards each admitted request to a target and returns the answer. */
 import { InvariantError, createInstance } from '@ebonysill/kernel';
 import type { DecidePriority } from '@ebonysill/scheduling';
-import AnswerBuffers from './AnswerBuffers.js';
 import {
   isFailure,
   isFinalStatus,
@@ -16,6 +15,7 @@
 import {
   ServiceName,
   type AdmissionApi,
+  type AnswerRoomApi,
   type FindService,
   type LifecycleApi,
   type RefusalsApi,
@@ -74,8 +74,6 @@
   /** By exchange whose call was interrupted: the target that is checked before the retry. */
   readonly #checkedTargets = new Map<number, string>();
 
-  readonly #buffers = AnswerBuffers.create();
-
   #nextCallId = 1;
 
   readonly #store: StoreApi;
@@ -94,6 +92,8 @@
 
   readonly #accounting: CallAccounting;
 
+  readonly #answerRoom: AnswerRoomApi;
+
   private constructor(
     private readonly options: ExchangesOptions,
     find: FindService,
@@ -105,6 +105,7 @@
     this.#admission = find(ServiceName.Admission);
     this.#retries = find(ServiceName.Retries);
     this.#lifecycle = find(ServiceName.Lifecycle);
+    this.#answerRoom = find(ServiceName.AnswerRoom);
     this.#accounting = CallAccounting.create(options.runtime, find);
   }
 
@@ -209,13 +210,16 @@
       nowMs: this.options.runtime.nowMs(),
       decidePriority,
     });
-    return [{ kind: EffectKind.StartCall, callId, call }, ...announcements];
+    return [
+      ...this.#answerRoom.begin(exchange.id, callId),
+      { kind: EffectKind.StartCall, callId, call },
+      ...announcements,
+    ];
   }
 
   /** Detaches the exchange from its call, which no longer counts as load or as a running stream. */
   #endCall(exchange: Exchange): void {
     const { callId, target } = exchange;
-    this.#buffers.remove(exchange.id);
     if (callId === undefined || target === undefined) {
       return;
     }
@@ -248,7 +252,7 @@
       return [];
     }
     if (!isLiveStream(head)) {
-      return this.#bufferData(exchange, data);
+      return this.#keepBlock(exchange, head, data);
     }
     const isFirst = exchange.progress !== AnswerProgress.Events;
     const events = splitter.push(data).filter((event) => this.#isNew(exchange, event));
@@ -271,13 +275,19 @@
   }
 
   /** Keeps bytes of an answer that is delivered when it is complete. */
-  #bufferData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
-    exchange.body.push(data);
-    const refusedId = this.#buffers.add(exchange.id, data.length);
-    const refused = refusedId === undefined ? undefined : this.#exchanges.get(refusedId);
-    return refused === undefined
-      ? []
-      : this.#interrupt(refused, 'the answer exceeds the maximum size');
+  #keepBlock(exchange: Exchange, head: TargetHead, data: Uint8Array): readonly Effect[] {
+    const { id, callId = 0, body } = exchange;
+    body.push(data);
+    const { isTooLarge, isWaiting, effects } = this.#answerRoom.addBlock(
+      id,
+      callId,
+      data.length,
+      head.announcedBytes,
+    );
+    if (isWaiting) {
+      this.#accounting.recordAnswerWaits(exchange);
+    }
+    return isTooLarge ? this.#interrupt(exchange, 'the answer exceeds the maximum size') : effects;
   }
 
   /** Cancels a call whose answer cannot be used. */
@@ -366,6 +376,7 @@
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
     this.#accounting.recordAnswerTime(exchange);
+    this.#answerRoom.markSent(exchange.id);
     return [
       ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
@@ -597,7 +608,7 @@
     this.#exchanges.delete(id);
     this.#checkedTargets.delete(id);
     this.#lifecycle.recordExchangeEnd();
-    return [clearTimer(TimerKind.RequestDeadline, id)];
+    return [clearTimer(TimerKind.RequestDeadline, id), ...this.#answerRoom.end(id)];
   }
 }
 
@@ -617,6 +628,7 @@
     ServiceName.Refusals,
     ServiceName.Retries,
     ServiceName.Lifecycle,
+    ServiceName.AnswerRoom,
   ],
   create: (find) => {
     const service = ExchangesService.create(options, find);
--- a/packages/gateway/tests/answer-limits.test.ts
+++ b/packages/gateway/tests/answer-limits.test.ts
@@ -2,14 +2,14 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import {
-  AnswerBuffers,
+  AnswerRoom,
   CallKind,
   EffectKind,
   EventKind,
   LogTopic,
   MAX_ANSWER_BYTES,
-  MAX_BUFFERED_BYTES,
   MAX_EVENT_BYTES,
+  RoomVerdict,
 } from '../src/index.js';
 import {
   Harness,
@@ -119,24 +119,88 @@
   expect(harness.effects.some(({ kind }) => kind === EffectKind.EndAnswer)).toEqual(true);
 });
 
-test('all answers together have a limit, which the largest exceeds', () => {
-  const buffers = AnswerBuffers.create();
-  const smallId = 1_000;
-  buffers.add(smallId, 800);
-  const count = Math.floor(MAX_BUFFERED_BYTES / MAX_ANSWER_BYTES) + 1;
-  const refused = Array.from({ length: count }, (_, id) =>
-    buffers.add(id, MAX_ANSWER_BYTES - CHUNK_BYTES - id),
-  );
-  expect(refused.at(-1)).toEqual(0);
-  buffers.remove(0);
-  expect(buffers.add(smallId, 800)).toEqual(undefined);
+const ROOM_BYTES = 4 * MAX_ANSWER_BYTES;
+
+/** Fills the room with answers that their targets have announced; returns the verdicts. */
+const fillRoom = (room: AnswerRoom, count: number): readonly RoomVerdict[] =>
+  Array.from({ length: count }, (_, exchangeId) => {
+    room.begin(exchangeId, exchangeId);
+    return room.add(exchangeId, MAX_ANSWER_BYTES / 2, MAX_ANSWER_BYTES / 2);
+  });
+
+// Guards against a process that exceeds its memory when many callers request large answers.
+test('large answers have room in order, within the limit of all', () => {
+  const room = AnswerRoom.create(ROOM_BYTES);
+  const verdicts = fillRoom(room, 20);
+  const readCount = verdicts.filter((verdict) => verdict === RoomVerdict.ReadOn).length;
+  expect(readCount * (MAX_ANSWER_BYTES / 2)).toBeLessThanOrEqual(ROOM_BYTES);
+  expect(verdicts.slice(readCount).every((verdict) => verdict === RoomVerdict.Wait)).toEqual(true);
+  room.markSent(0);
+  room.end(0);
+  expect(room.reserveWaiting()).toEqual([]);
+  room.remove(0);
+  room.remove(1);
+  expect(room.reserveWaiting()).toEqual([readCount, readCount + 1]);
+});
+
+test('a small answer has room when large ones take all', () => {
+  const room = AnswerRoom.create(ROOM_BYTES);
+  fillRoom(room, 20);
+  room.begin(1_000, 1_000);
+  expect(room.add(1_000, 800)).toEqual(RoomVerdict.ReadOn);
+});
+
+test('an answer that is larger than the whole room is read alone', () => {
+  const room = AnswerRoom.create(1_000);
+  expect(fillRoom(room, 2)).toEqual([RoomVerdict.ReadOn, RoomVerdict.Wait]);
 });
 
-test('many small chunks count by the memory they take', () => {
-  const buffers = AnswerBuffers.create();
+test('many small blocks count by the memory they take', () => {
+  const room = AnswerRoom.create(ROOM_BYTES);
+  room.begin(1, 1);
   let addedBytes = 0;
-  while (buffers.add(1, 4) === undefined) {
+  while (room.add(1, 4) === RoomVerdict.ReadOn) {
     addedBytes += 4;
   }
   expect(addedBytes).toBeLessThan(MAX_ANSWER_BYTES / 16);
 });
+
+test('a call whose answer has no room is paused until another was taken', () => {
+  const harness = Harness.create(
+    [configurationItem(configurationOf(1, [routeOf()])), targetItem(targetOf('t-1'))],
+    { answerRoomBytes: CHUNK_BYTES },
+  );
+  const head = headOf({ announcedBytes: CHUNK_BYTES });
+  const begin = (): number => {
+    harness.request();
+    const callId = harness.lastCallId();
+    harness.post({ kind: EventKind.TargetHeadReceived, callId, head });
+    return callId;
+  };
+  const [firstId, secondId] = [begin(), begin()];
+  const data = Buffer.alloc(CHUNK_BYTES);
+  harness.post({ kind: EventKind.TargetDataReceived, callId: firstId, data });
+  const paused = harness.post({ kind: EventKind.TargetDataReceived, callId: secondId, data });
+  expect(paused).toInclude({ kind: EffectKind.PauseCall, callId: secondId });
+  harness.post({ kind: EventKind.TargetAnswerEnded, callId: firstId });
+  const resumed = harness.post({ kind: EventKind.AnswerTaken, exchangeId: 1 });
+  expect(resumed).toEqual([{ kind: EffectKind.ResumeCall, callId: secondId }]);
+});
+
+test('callers that take nothing lose their answers while others wait', () => {
+  const harness = Harness.create(
+    [configurationItem(configurationOf(1, [routeOf()])), targetItem(targetOf('t-1'))],
+    { answerRoomBytes: CHUNK_BYTES },
+  );
+  const data = Buffer.alloc(CHUNK_BYTES);
+  [1, 2].forEach(() => {
+    harness.request();
+    const callId = harness.lastCallId();
+    harness.post({ kind: EventKind.TargetHeadReceived, callId, head: headOf() });
+    harness.post({ kind: EventKind.TargetDataReceived, callId, data });
+  });
+  const drops = harness
+    .advance(600)
+    .filter((effect) => effect.kind === EffectKind.DropStalledAnswers);
+  expect(drops.length).toEqual(2);
+});
--- a/packages/http/src/ByteBudget.ts
+++ b/packages/http/src/ByteBudget.ts
@@ -146,12 +146,21 @@
 
   /** Drops holdings that have made no progress for their time. */
   check(): void {
+    this.#dropWhere(({ stallTimeoutMs }, stalledMs) => stalledMs > stallTimeoutMs);
+  }
+
+  /** Drops holdings of one cause that have made no progress for `minStallMs`. */
+  dropStalled(cause: DropCause, minStallMs: number): void {
+    this.#dropWhere(({ stallCause }, stalledMs) => stallCause === cause && stalledMs >= minStallMs);
+  }
+
+  #dropWhere(isDue: (options: HoldingOptions, stalledMs: number) => boolean): void {
     this.#advance();
     this.#entries.forEach((entry) => entry.options.refresh?.());
     const nowMs = this.#now();
     this.#entries.forEach((entry) => {
       const { sizeBytes, isKept, progressAtMs, options } = entry;
-      if (sizeBytes > 0 && !isKept && nowMs - progressAtMs > options.stallTimeoutMs) {
+      if (sizeBytes > 0 && !isKept && isDue(options, nowMs - progressAtMs)) {
         this.#drop(entry, options.stallCause);
       }
     });
