fix: an item of the configuration that cannot be read closes only itself

Callers saw: a configuration that lists one organisation without its list of credentials was taken as unreadable; 4 s later every request that needs a credential got 503 at every gateway, until the operators wrote again. Cause: the configuration was decoded as one value, and one mistyped field failed all of it. That closes what may hold revoked credentials, and everything else with it. Change: routes, organisations and services are decoded one by one, limits field by field. A broken route is closed to its prefix and lets no request through to a shorter one; unknown credentials get 503 instead of 401 while an organisation cannot be read; a broken service keeps a bound on cold targets, a broken limit the usual one. Only a document without a readable version counts as unreadable as a whole. Each field is a line and a metric with the item and the field; config check names the same fields. Evidence: 'a broken organisation and a broken route close only themselves' (503 for all four requests on, 200, 503, 503 and 404 now) and 'no value of a section opens a route or makes the rest unreadable' fail on. 'tenants that cannot be read make the configuration unreadable' gives way to one that they need credentials which nobody has: nothing opens, and the rest is in force. The check's property compares with every field being read, as before with the whole being decoded.

--- a/packages/cli/src/config-check/document-rules.ts
+++ b/packages/cli/src/config-check/document-rules.ts
@@ -11,7 +11,7 @@
     ),
   );
 
-/** Reports missing and mistyped fields, because of which gateways refuse the configuration. */
+/** Reports missing and mistyped fields, because of which gateways close the item. */
 export const findInvalidFields: DocumentRule = ({ format }) =>
   format.invalidFields.map(({ path, text }) =>
     findingsOf(Severity.Error, RuleName.InvalidField)(path, text),
--- a/packages/cli/src/config-check/rule.ts
+++ b/packages/cli/src/config-check/rule.ts
@@ -11,9 +11,9 @@
 
 /** What the fields of a configuration contain. */
 export interface CheckedFormat {
-  /** Absent when gateways cannot decode the configuration. */
+  /** Absent unless every field can be read. */
   readonly configuration?: PublishedConfiguration;
-  /** Fields because of which gateways refuse the whole configuration. */
+  /** Fields that gateways cannot read: each closes its item, the version the whole configuration. */
   readonly invalidFields: readonly FieldProblem[];
   /** Fields that gateways do not read. */
   readonly unknownFields: readonly FieldProblem[];
--- a/packages/gateway-io/src/MetricsRecorder.ts
+++ b/packages/gateway-io/src/MetricsRecorder.ts
@@ -24,6 +24,9 @@
 
   readonly #histograms = new Map<string, DurationHistogram>();
 
+  /** Fields of the configuration in force that cannot be read. */
+  readonly #unreadableFields = new Set<string>();
+
   private constructor(private readonly createHistogram: CreateHistogram | undefined) {}
 
   /**
@@ -39,6 +42,7 @@
   /** Counts one log effect; records the durations of a request that ended. */
   recordDecision({ topic, fields }: LogEffect): void {
     this.#increment(`ebonysill_decisions_total{topic="${topic}"}`);
+    this.#recordConfiguration(topic, fields);
     if (topic !== LogTopic.RequestEnded) {
       return;
     }
@@ -51,6 +55,14 @@
     this.#recordDuration('ebonysill_longest_pause_ms', service, fields.longestPauseMs);
   }
 
+  #recordConfiguration(topic: LogTopic, { item = '', field = '' }: LogFields): void {
+    if (topic === LogTopic.ConfigurationApplied) {
+      this.#unreadableFields.clear();
+    } else if (topic === LogTopic.FieldUnreadable && this.#unreadableFields.size < MAX_SERIES) {
+      this.#unreadableFields.add(`{item="${item}",field="${field}"}`);
+    }
+  }
+
   /** Counts what was given up for a cause. */
   recordDropped(cause: string): void {
     this.#increment(`ebonysill_dropped_total{cause="${cause}"}`);
@@ -75,8 +87,11 @@
           `${name.replace('}', `,quantile="${percentile / 100}"}`)} ${histogram.getValueAtPercentile(percentile)}`,
       ),
     );
+    const unreadable = [...this.#unreadableFields].map(
+      (labels) => `ebonysill_configuration_unreadable${labels} 1`,
+    );
     const resident = `ebonysill_resident_bytes ${process.memoryUsage.rss()}`;
-    return [...counters, ...quantiles, resident, ''].join('\n');
+    return [...counters, ...quantiles, ...unreadable, resident, ''].join('\n');
   }
 
   #increment(name: string): void {
--- a/packages/gateway/src/catalogue-service.ts
+++ b/packages/gateway/src/catalogue-service.ts
@@ -11,9 +11,20 @@
   PublishedConfiguration,
   PublishedService,
   Route,
+  RoutePattern,
+  UnreadableItems,
 } from './published.js';
+import { boundedServiceOf } from './published.js';
 import type { Runtime } from './runtime.js';
 
+/** Fields that are logged of one version; the rest is counted. */
+const MAX_LOGGED_FIELDS = 32;
+
+/** A route, or one that cannot be read and is closed. */
+interface RouteEntry extends RoutePattern {
+  readonly route?: Route;
+}
+
 /** Options of the service; it uses the clock of `runtime`. */
 export interface CatalogueOptions {
   readonly runtime: Runtime;
@@ -32,7 +43,9 @@
   /** When the copy was last confirmed without a newer configuration that cannot be decoded. */
   #readableAt = NEVER;
 
-  readonly #routesByHost = new Map<string, readonly Route[]>();
+  #unreadable: UnreadableItems | undefined;
+
+  readonly #routesByHost = new Map<string, readonly RouteEntry[]>();
 
   readonly #organisations = new Map<string, Organisation>();
 
@@ -61,13 +74,24 @@
   readonly organisationOf = (credential: string): Organisation | undefined =>
     this.#organisations.get(credential);
 
-  readonly serviceOf = (name: string): PublishedService | undefined => this.#services.get(name);
+  readonly mayKnowCredentials = (): boolean => this.#unreadable?.hasOrganisations === true;
+
+  readonly serviceOf = (name: string): PublishedService | undefined =>
+    this.#services.get(name) ??
+    (this.#unreadable?.hasUnnamedServices === true ? boundedServiceOf(name) : undefined);
 
   readonly priorityLevelsOf = (service: string): readonly number[] =>
     this.#levelsByService.get(service) ?? [];
 
   readonly routeOf = (host: string, path: string): Route | undefined =>
-    this.#routesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    this.#entryOf(host, path)?.route;
+
+  readonly isClosed = (host: string, path: string): boolean => {
+    const entry = this.#entryOf(host, path);
+    return entry === undefined
+      ? this.#unreadable?.hasUnplacedRoutes === true
+      : entry.route === undefined;
+  };
 
   handle(event: Event): readonly Effect[] {
     if (event.kind !== EventKind.StoreRead || this.store.wasRestored()) {
@@ -80,6 +104,10 @@
     return effects;
   }
 
+  #entryOf(host: string, path: string): RouteEntry | undefined {
+    return this.#routesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+  }
+
   #onItem(item: StoreItem): readonly Effect[] {
     if (item.scope !== ItemScope.Configuration) {
       return [];
@@ -97,7 +125,8 @@
   #apply(configuration: PublishedConfiguration): readonly Effect[] {
     this.#version = configuration.version;
     this.#limits = configuration.limits;
-    this.#indexRoutes(configuration.routes);
+    this.#unreadable = configuration.unreadable;
+    this.#indexRoutes(configuration);
     this.#indexLevels(configuration.routes);
     this.#needsCredentials = configuration.needsCredentials;
     this.#indexOrganisations(configuration.organisations);
@@ -110,6 +139,20 @@
         count: configuration.routes.length,
         knowledgeAgeMs: Math.min(Math.round(this.store.ageMs()), Number.MAX_SAFE_INTEGER),
       }),
+      ...this.#unreadableLines(),
+    ];
+  }
+
+  #unreadableLines(): readonly Effect[] {
+    const fields = this.#unreadable?.fields ?? [];
+    const omittedCount = fields.length - MAX_LOGGED_FIELDS;
+    return [
+      ...fields
+        .slice(0, MAX_LOGGED_FIELDS)
+        .map((field) => log(LogLevel.Warn, LogTopic.FieldUnreadable, { ...field })),
+      ...(omittedCount > 0
+        ? [log(LogLevel.Warn, LogTopic.FieldUnreadable, { count: omittedCount, detail: 'others' })]
+        : []),
     ];
   }
 
@@ -133,14 +176,18 @@
     );
   }
 
-  /** Longest prefix first, so that the first match is the longest. */
-  #indexRoutes(routes: readonly Route[]): void {
+  /** Longest prefix first, so that the first match is the longest; closed ones before open ones. */
+  #indexRoutes({ routes, unreadable }: PublishedConfiguration): void {
     this.#routesByHost.clear();
-    const longestFirst = [...routes].sort(
+    const entries: readonly RouteEntry[] = [
+      ...(unreadable?.closedRoutes ?? []),
+      ...routes.map((route) => ({ host: route.host, pathPrefix: route.pathPrefix, route })),
+    ];
+    const longestFirst = [...entries].sort(
       (left, right) => right.pathPrefix.length - left.pathPrefix.length,
     );
-    longestFirst.forEach((route) => {
-      this.#routesByHost.set(route.host, [...(this.#routesByHost.get(route.host) ?? []), route]);
+    longestFirst.forEach((entry) => {
+      this.#routesByHost.set(entry.host, [...(this.#routesByHost.get(entry.host) ?? []), entry]);
     });
   }
 }
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -83,6 +83,10 @@
   readonly version: () => number;
   /** Route of the host with the longest prefix that matches the path. */
   readonly routeOf: (host: string, path: string) => Route | undefined;
+  /** Whether requests to a path belong to a route that cannot be read, or may belong to one. */
+  readonly isClosed: (host: string, path: string) => boolean;
+  /** Whether an unknown credential may be that of an organisation that cannot be read. */
+  readonly mayKnowCredentials: () => boolean;
   /** Organisation that holds a credential. */
   readonly organisationOf: (credential: string) => Organisation | undefined;
   /** Whether callers need credentials at all. */
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -207,6 +207,7 @@
   TargetPaused = 'target paused',
   NoticeInvalid = 'target notice invalid',
   ItemUnreadable = 'store item unreadable',
+  FieldUnreadable = 'configuration field unreadable',
   StoreLost = 'store lost',
   StoreRegained = 'store regained',
   StoreRestored = 'store restored',
@@ -270,6 +271,9 @@
   readonly step?: number;
   readonly skew?: number;
   readonly count?: number;
+  /** Item of the configuration and its field, by published names. */
+  readonly item?: string;
+  readonly field?: string;
   readonly detail?: string;
 }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -24,6 +24,8 @@
   NotConfigured = 'not-configured',
   StoreCopyStale = 'knowledge-too-old',
   NoRoute = 'no-route',
+  /** The route or the organisation cannot be read from the configuration. */
+  ItemUnreadable = 'configuration-unreadable',
   UnknownCredential = 'unknown-credential',
   TooManyStreams = 'too-many-streams',
   NoTarget = 'no-target',
--- a/packages/gateway/src/published.ts
+++ b/packages/gateway/src/published.ts
@@ -113,6 +113,43 @@
   readonly idleTimeoutMs: number;
 }
 
+/** A field of a configuration that cannot be read. */
+export interface UnreadableField {
+  /** Section and position of its item, by published names. */
+  readonly item: string;
+  /** Empty when the item itself is of another type. */
+  readonly field: string;
+  readonly detail: string;
+}
+
+/** Where requests to a route come from. */
+export type RoutePattern = Pick<Route, 'host' | 'pathPrefix'>;
+
+/** Items of a configuration that cannot be read; the others are in force. */
+export interface UnreadableItems {
+  /** Routes of which only host and prefix can be read. */
+  readonly closedRoutes: readonly RoutePattern[];
+  /** Whether there are routes of which not even these can be read. */
+  readonly hasUnplacedRoutes: boolean;
+  /** Whether there are organisations that cannot be read; unknown credentials may be theirs. */
+  readonly hasOrganisations: boolean;
+  /** Whether there are services of which not even the name can be read. */
+  readonly hasUnnamedServices: boolean;
+  readonly fields: readonly UnreadableField[];
+}
+
+/**
+ * A service of which only the name can be read; its cold targets get the least that any may bear.
+ *
+ * @example
+ * boundedServiceOf('assistant').coldPerSecond; // 1
+ */
+export const boundedServiceOf = (name: string): PublishedService => ({
+  name,
+  healthPath: '/',
+  coldPerSecond: 1,
+});
+
 /** One version of the operators' configuration. */
 export interface PublishedConfiguration {
   readonly version: number;
@@ -122,6 +159,8 @@
   readonly needsCredentials: boolean;
   readonly organisations: readonly Organisation[];
   readonly limits: CallerLimits;
+  /** Absent when every item can be read. */
+  readonly unreadable?: UnreadableItems;
 }
 
 /** Whether a target accepts new requests. */
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -54,6 +54,8 @@
 
 const NO_ROUTE = deny(LocalStatus.NotFound, ExchangeReason.NoRoute);
 
+const UNREADABLE = deny(LocalStatus.NotRun, ExchangeReason.ItemUnreadable);
+
 const NO_ORGANISATION = deny(LocalStatus.Unauthorized, ExchangeReason.UnknownCredential);
 
 const pickService = ({ services }: Route, random: () => number): string | undefined => {
@@ -99,7 +101,10 @@
   const organisation =
     credential === undefined ? undefined : check.catalogue.organisationOf(credential);
   if (organisation === undefined) {
-    return ageMs > MAX_DENIAL_AGE_MS ? STALE : NO_ORGANISATION;
+    if (ageMs > MAX_DENIAL_AGE_MS) {
+      return STALE;
+    }
+    return check.catalogue.mayKnowCredentials() ? UNREADABLE : NO_ORGANISATION;
   }
   return allow(check, route, organisation);
 };
@@ -117,7 +122,10 @@
   }
   const route = catalogue.routeOf(request.host, request.path);
   if (route === undefined) {
-    return ageMsOf(check) > MAX_DENIAL_AGE_MS ? STALE : NO_ROUTE;
+    if (ageMsOf(check) > MAX_DENIAL_AGE_MS) {
+      return STALE;
+    }
+    return catalogue.isClosed(request.host, request.path) ? UNREADABLE : NO_ROUTE;
   }
   return route.isPublic || !catalogue.needsCredentials()
     ? allow(check, route, undefined)
