fix(gateway): a stream is read no faster than its caller takes it

Callers saw: a stream was cut when its caller was 1 MB behind, however soundly it read; four of four callers that pause between reads lost a stream of 8 MB. Cause: as with whole answers, reading from the target knew nothing of the caller, and the bytes that waited were bounded by ending the stream. Change: when 64 KiB wait, the call is paused until the caller has taken them. Such a stream is not stalled, and a call that resumes it elsewhere is paused too.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -58,7 +58,10 @@
   readonly port: number;
 }
 
-/** A caller that does not read its answer is disconnected when more bytes are buffered for it. */
+/** Bytes of a stream that wait for a caller, from which on no more are read for it. */
+const MAX_WAITING_BYTES = 65_536;
+
+/** A caller is disconnected when more bytes wait for it, although no more are read. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 
 /**
@@ -93,6 +96,9 @@
 
   readonly #openExchanges = new Map<number, OpenExchange>();
 
+  /** Exchanges of which bytes of a stream wait for the caller. */
+  readonly #behindIds = new Set<number>();
+
   readonly #connections = CallerConnections.create();
 
   readonly #budget: ByteBudget;
@@ -211,7 +217,7 @@
     }
   }
 
-  /** Sends body bytes; disconnects a caller that does not read them. */
+  /** Sends body bytes; tells when more wait than the caller takes. */
   continueAnswer({ exchangeId, data }: ContinueAnswerEffect): void {
     const exchange = this.#openExchanges.get(exchangeId);
     if (exchange === undefined) {
@@ -220,11 +226,25 @@
     const { response, refreshWaiting } = exchange;
     response.write(data);
     refreshWaiting();
+    this.#checkWaiting(exchangeId, response);
     if (response.writableLength > MAX_BUFFERED_BYTES) {
       response.destroy();
     }
   }
 
+  #checkWaiting(exchangeId: number, response: ServerResponse): void {
+    if (this.#behindIds.has(exchangeId) || response.writableLength <= MAX_WAITING_BYTES) {
+      return;
+    }
+    this.#behindIds.add(exchangeId);
+    this.options.post({ kind: EventKind.CallerBehind, exchangeId });
+    response.once('close', () => this.#behindIds.delete(exchangeId));
+    response.once('drain', () => {
+      this.#behindIds.delete(exchangeId);
+      this.options.post({ kind: EventKind.CallerCaughtUp, exchangeId });
+    });
+  }
+
   /** Ends an answer as complete. */
   endAnswer(exchangeId: number): void {
     this.#removeExchange(exchangeId)?.response.end();
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -11,6 +11,8 @@
   CallerDisconnected = 'caller-gone',
   CallersDisconnected = 'callers-gone',
   AnswerTaken = 'answer-taken',
+  CallerBehind = 'caller-behind',
+  CallerCaughtUp = 'caller-caught-up',
   TargetHeadReceived = 'target-head-received',
   TargetDataReceived = 'target-data-received',
   TargetAnswerEnded = 'target-answer-ended',
@@ -46,6 +48,18 @@
   readonly exchangeId: number;
 }
 
+/** Bytes of a stream wait for a caller that takes them more slowly than they come. */
+export interface CallerBehindEvent {
+  readonly kind: EventKind.CallerBehind;
+  readonly exchangeId: number;
+}
+
+/** The caller has taken what waited. */
+export interface CallerCaughtUpEvent {
+  readonly kind: EventKind.CallerCaughtUp;
+  readonly exchangeId: number;
+}
+
 /** The listener is closed, and all connections of callers have ended. */
 export interface CallersDisconnectedEvent {
   readonly kind: EventKind.CallersDisconnected;
@@ -227,6 +241,8 @@
   | CallerDisconnectedEvent
   | CallersDisconnectedEvent
   | AnswerTakenEvent
+  | CallerBehindEvent
+  | CallerCaughtUpEvent
   | TargetHeadEvent
   | TargetDataEvent
   | TargetEndEvent
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -129,6 +129,9 @@
   /** Bytes of the current call since its last new event. */
   idleBytes = 0;
 
+  /** Whether bytes wait for the caller, so that nothing more is read from the target. */
+  isCallerBehind = false;
+
   splitter = EventSplitter.create();
 
   /** What was known when the request had to wait; undefined if it did not. */
@@ -222,6 +225,19 @@
     return work;
   }
 
+  /** Records that bytes wait for the caller. */
+  recordCallerBehind(): void {
+    this.isCallerBehind = true;
+  }
+
+  /** Records that the caller has taken them; until now the target could send nothing. */
+  recordCallerCaughtUp(nowMs: number): void {
+    this.isCallerBehind = false;
+    if (this.lastCallEventAtMs !== undefined) {
+      this.lastCallEventAtMs = nowMs;
+    }
+  }
+
   /** Records that no call is in progress any more. */
   clearCall(): void {
     this.callId = undefined;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -127,6 +127,10 @@
     switch (event.kind) {
       case EventKind.CallerDisconnected:
         return this.#onCallerDisconnected(event.exchangeId);
+      case EventKind.CallerBehind:
+        return this.#onCallerBehind(event.exchangeId);
+      case EventKind.CallerCaughtUp:
+        return this.#onCallerCaughtUp(event.exchangeId);
       case EventKind.TargetHeadReceived:
         return this.#withExchange(event.callId, (exchange) => this.#onHead(exchange, event.head));
       case EventKind.TargetDataReceived:
@@ -243,7 +247,10 @@
       return this.#interrupt(exchange, `the answer has status ${head.status}`);
     }
     exchange.recordHead(head);
-    return this.#accounting.recordHead(exchange, head);
+    return [
+      ...this.#accounting.recordHead(exchange, head),
+      ...(exchange.isCallerBehind ? ExchangesService.#pauseCall(exchange) : []),
+    ];
   }
 
   #onData(exchange: Exchange, data: Uint8Array): readonly Effect[] {
@@ -514,9 +521,10 @@
       .flatMap((exchange) => this.#resume(exchange));
   }
 
-  #hasStalled({ pool, lastCallEventAtMs, groupEventCount }: Exchange): boolean {
+  #hasStalled({ pool, lastCallEventAtMs, groupEventCount, isCallerBehind }: Exchange): boolean {
     return (
       lastCallEventAtMs !== undefined &&
+      !isCallerBehind &&
       this.options.isStalled({
         silentMs: this.options.runtime.nowMs() - lastCallEventAtMs,
         groupEventCount: this.#admission.eventCountOf(pool) - groupEventCount,
@@ -561,6 +569,27 @@
       });
   }
 
+  static #pauseCall({ callId }: Exchange): readonly Effect[] {
+    return callId === undefined ? [] : [{ kind: EffectKind.PauseCall, callId }];
+  }
+
+  /** Reads no further event from the target until the caller has taken those it has. */
+  #onCallerBehind(exchangeId: number): readonly Effect[] {
+    const exchange = this.#exchanges.get(exchangeId);
+    if (exchange === undefined) {
+      return [];
+    }
+    exchange.recordCallerBehind();
+    return ExchangesService.#pauseCall(exchange);
+  }
+
+  #onCallerCaughtUp(exchangeId: number): readonly Effect[] {
+    const exchange = this.#exchanges.get(exchangeId);
+    exchange?.recordCallerCaughtUp(this.options.runtime.nowMs());
+    const callId = exchange?.callId;
+    return callId === undefined ? [] : [{ kind: EffectKind.ResumeCall, callId }];
+  }
+
   #onCallerDisconnected(exchangeId: number): readonly Effect[] {
     const exchange = this.#exchanges.get(exchangeId);
     return exchange === undefined
--- a/packages/gateway/tests/stalls.test.ts
+++ b/packages/gateway/tests/stalls.test.ts
@@ -97,6 +97,21 @@
   expect(cancelledIds(harness.effects)).toEqual([]);
 });
 
+// Guards against a slow caller whose stream is moved, since its target is not read meanwhile.
+test('a stream whose caller is behind is paused and not moved', () => {
+  const harness = create();
+  const behind = beginStream(harness);
+  const running = beginStream(harness);
+  run(harness, [behind, running], 300);
+  const paused = harness.post({ kind: EventKind.CallerBehind, exchangeId: 1 });
+  expect(paused).toEqual([{ kind: EffectKind.PauseCall, callId: behind }]);
+  run(harness, [running], 1_500, 10);
+  const resumed = harness.post({ kind: EventKind.CallerCaughtUp, exchangeId: 1 });
+  expect(resumed).toEqual([{ kind: EffectKind.ResumeCall, callId: behind }]);
+  run(harness, [running], 900, 100);
+  expect(cancelledIds(harness.effects)).toEqual([]);
+});
+
 test('a stalled stream that cannot be resumed keeps its call', () => {
   const harness = create(false);
   const stalled = beginStream(harness);
