fix(http): a failed call of a text client fails no other

Cause: after a failure the client destroyed its agent with all connections, since one that has gone silent may have others like it. Change: only connections that wait for a call are closed; those of other calls have their own timeouts. Evidence: 'a failed call of a text client fails no other' fails on the commit before and passes now.

--- a/packages/http/src/HttpClient.ts
+++ b/packages/http/src/HttpClient.ts
@@ -54,7 +54,7 @@
 export default class HttpClient {
   readonly #reader: AnswerReader;
 
-  #agent: Agent;
+  readonly #agent: Agent;
 
   private constructor(private readonly options: HttpClientOptions) {
     this.#reader = options.reader ?? AnswerReader.create();
@@ -79,7 +79,7 @@
       const { statusCode: status = 0, headers } = begun.answer;
       return { status, headers, text: await this.#readText(begun) };
     } catch (error) {
-      this.#dropConnections();
+      this.#closeIdle();
       throw error;
     }
   }
@@ -146,10 +146,14 @@
     });
   }
 
-  /** Closes all connections: one on which an answer is missing delivers no further answers. */
-  #dropConnections(): void {
-    this.#agent.destroy();
-    this.#agent = this.#createAgent();
+  /**
+   * Closes the connections that wait for a call: they may have gone silent like that of a call that
+   * failed. Those of other calls in progress go on.
+   */
+  #closeIdle(): void {
+    Object.values(this.#agent.freeSockets).forEach((sockets) =>
+      sockets?.forEach((socket) => socket.destroy()),
+    );
   }
 
   #createAgent(): Agent {
--- a/packages/http/tests/answer-reader.test.ts
+++ b/packages/http/tests/answer-reader.test.ts
@@ -3,6 +3,7 @@
 import { request, type IncomingMessage } from 'node:http';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
 import * as fc from 'fast-check';
 import { AnswerReader, FramingMeter, FramingVerdict, HttpClient, SlowReads } from '../src/index.js';
@@ -136,6 +137,29 @@
   ]);
 });
 
+// Guards against an order to an engine whose outcome is lost because another call failed.
+test('a failed call of a text client fails no other', async () => {
+  const answers: Socket[] = [];
+  const server = await startServer((socket) => answers.push(socket));
+  const client = HttpClient.create({ address: `${HOST}:${server.port}` });
+  const call = (timeoutMs: number): Promise<string> =>
+    client.call({ method: 'GET', path: '/', timeoutMs }).then(
+      ({ text }) => text,
+      () => 'failed',
+    );
+  const [first, second] = [call(20_000), call(20_000)];
+  while (answers.length < 2) {
+    // eslint-disable-next-line no-await-in-loop -- polls until both calls have arrived
+    await delay(5);
+  }
+  answers[0]?.destroy();
+  expect(await first).toEqual('failed');
+  answers[1]?.end(`${HEAD}Content-Length: 4\r\n\r\nwell`);
+  expect(await second).toEqual('well');
+  client.close();
+  server.close();
+});
+
 // Guards against a bound that cuts answers of a chunk for each token.
 test('one-byte chunks at the pace of tokens are usual for ever', () => {
   let nowMs = 0;
