fix(http): connections to targets send small segments at once again

Not measured. A stream whose caller falls behind again and again adds no further listener each time.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -238,7 +238,6 @@
     }
     this.#behindIds.add(exchangeId);
     this.options.post({ kind: EventKind.CallerBehind, exchangeId });
-    response.once('close', () => this.#behindIds.delete(exchangeId));
     response.once('drain', () => {
       this.#behindIds.delete(exchangeId);
       this.options.post({ kind: EventKind.CallerCaughtUp, exchangeId });
@@ -315,6 +314,7 @@
     this.#limit.recordRequest(socket);
     this.#openExchanges.set(exchangeId, { response, refreshWaiting });
     response.on('close', () => {
+      this.#behindIds.delete(exchangeId);
       this.#limit.recordAnswer(socket);
       if (this.#openExchanges.delete(exchangeId)) {
         this.options.post({ kind: EventKind.CallerDisconnected, exchangeId });
--- a/packages/gateway/src/catalogue-service.ts
+++ b/packages/gateway/src/catalogue-service.ts
@@ -74,7 +74,7 @@
   readonly organisationOf = (credential: string): Organisation | undefined =>
     this.#organisations.get(credential);
 
-  readonly mayKnowCredentials = (): boolean => this.#unreadable?.hasOrganisations === true;
+  readonly hasUnreadableOrganisations = (): boolean => this.#unreadable?.hasOrganisations === true;
 
   readonly serviceOf = (name: string): PublishedService | undefined =>
     this.#services.get(name) ??
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -85,8 +85,8 @@
   readonly routeOf: (host: string, path: string) => Route | undefined;
   /** Whether requests to a path belong to a route that cannot be read, or may belong to one. */
   readonly isClosed: (host: string, path: string) => boolean;
-  /** Whether an unknown credential may be that of an organisation that cannot be read. */
-  readonly mayKnowCredentials: () => boolean;
+  /** Whether organisations cannot be read; an unknown credential may be theirs. */
+  readonly hasUnreadableOrganisations: () => boolean;
   /** Organisation that holds a credential. */
   readonly organisationOf: (credential: string) => Organisation | undefined;
   /** Whether callers need credentials at all. */
--- a/packages/gateway/src/request-check.ts
+++ b/packages/gateway/src/request-check.ts
@@ -104,7 +104,7 @@
     if (ageMs > MAX_DENIAL_AGE_MS) {
       return STALE;
     }
-    return check.catalogue.mayKnowCredentials() ? UNREADABLE : NO_ORGANISATION;
+    return check.catalogue.hasUnreadableOrganisations() ? UNREADABLE : NO_ORGANISATION;
   }
   return allow(check, route, organisation);
 };
--- a/packages/http/src/connectInSteps.ts
+++ b/packages/http/src/connectInSteps.ts
@@ -34,6 +34,7 @@
   let fullReadCount = 0;
   const socket: Socket = connect({
     ...options,
+    noDelay: true,
     onread: {
       buffer: () => (fullReadCount >= FULL_READ_COUNT ? largeBuffer : smallBuffer),
       callback: (sizeBytes, buffer) => {
