test(soak): targets that answer without end, and configurations with items that cannot be read

Two more faults, drawn with the others: a target answers every request with chunks of one byte, large chunks or comments without end, or the operators publish a version in which an organisation and a route cannot be read. What is checked stays: no process ends, answers are whole, what is refused did not run, and nine in ten of the last requests are served.

--- a/soak/src/FaultInjector.ts
+++ b/soak/src/FaultInjector.ts
@@ -27,6 +27,17 @@
 
 const MS_PER_SECOND = 1_000;
 
+const BLOCK_BYTES = 60_000;
+
+const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+/** Chunks of one byte, one large chunk, and comments of a stream. */
+const ENDLESS_BLOCKS: readonly Buffer[] = [
+  Buffer.from(chunkOf('x').repeat(BLOCK_BYTES / chunkOf('x').length)),
+  Buffer.from(chunkOf('x'.repeat(BLOCK_BYTES))),
+  Buffer.from(chunkOf(': wait\n\n').repeat(1_000)),
+];
+
 const pickComponent = <T>(values: readonly T[], componentIndex: number): T =>
   values[componentIndex % values.length] as T;
 
@@ -107,6 +118,16 @@
         await delay(spanMs);
         runner.lostShare = 0;
         return;
+      case SoakFaultKind.EndlessAnswers:
+        runner.endlessBlock = pickComponent(ENDLESS_BLOCKS, componentIndex);
+        await delay(spanMs);
+        runner.endlessBlock = undefined;
+        return;
+      case SoakFaultKind.BrokenConfiguration:
+        this.fleet.publishBrokenConfiguration();
+        await delay(spanMs);
+        this.fleet.publishConfiguration(this.fleet.credentials);
+        return;
       case SoakFaultKind.LateOrders:
         group.lostShare = LOST_ANSWER_SHARE;
         await delay(spanMs);
--- a/soak/src/SoakFleet.ts
+++ b/soak/src/SoakFleet.ts
@@ -12,6 +12,7 @@
   EngineGroupStandIn,
   TargetStandIn,
   StoreStandIn,
+  brokenConfigurationOf,
   configurationOf,
   targetEntryOf,
   targetKeyOf,
@@ -133,6 +134,12 @@
     this.store.put(CONFIGURATION_KEY, configurationOf(this.#version, credentials));
   }
 
+  /** Writes a configuration of which some items cannot be read, with a higher version. */
+  publishBrokenConfiguration(): void {
+    this.#version += 2;
+    this.store.put(CONFIGURATION_KEY, brokenConfigurationOf(this.#version, this.credentials));
+  }
+
   /** Writes a target's entry to the store, as draining if `isLeaving`, otherwise as available. */
   publishTarget({ instanceId, service, proxy, zone }: SoakTarget, isLeaving: boolean): void {
     this.store.put(targetKeyOf(instanceId), targetEntryOf(service, proxy.address, zone, isLeaving));
--- a/soak/src/fault-plan.ts
+++ b/soak/src/fault-plan.ts
@@ -30,6 +30,10 @@
   StoreRestored = 'store-restored',
   /** A target names a limit on its requests. */
   TargetLimited = 'target-limited',
+  /** A target answers every request with bytes without end, in small or in large chunks. */
+  EndlessAnswers = 'endless-answers',
+  /** Some items of the configuration cannot be read. */
+  BrokenConfiguration = 'broken-configuration',
 }
 
 export interface SoakFault {
--- a/soak/src/regressions.ts
+++ b/soak/src/regressions.ts
@@ -11,9 +11,14 @@
   readonly cause: string;
 }
 
-const KINDS_BEFORE_NOTICES = SOAK_FAULT_KINDS.filter(
-  (kind) => kind !== SoakFaultKind.StoreRestored && kind !== SoakFaultKind.TargetLimited,
-);
+const LATER_KINDS: readonly SoakFaultKind[] = [
+  SoakFaultKind.StoreRestored,
+  SoakFaultKind.TargetLimited,
+  SoakFaultKind.EndlessAnswers,
+  SoakFaultKind.BrokenConfiguration,
+];
+
+const KINDS_BEFORE_NOTICES = SOAK_FAULT_KINDS.filter((kind) => !LATER_KINDS.includes(kind));
 
 /** All seeds that have failed, with the durations at which they failed. */
 export const REGRESSIONS: readonly Regression[] = [
