test(http): a kept connection is used again after an answer in small chunks

Looked for in the read-through: a connection that is paused for a slow read must not stay so when its answer is complete. Not a fault: the last read of an answer resumes it. The test keeps it so.

--- a/packages/http/tests/answer-reader.test.ts
+++ b/packages/http/tests/answer-reader.test.ts
@@ -160,6 +160,28 @@
   server.close();
 });
 
+// Guards against a kept connection that stays paused after an answer that was read slowly.
+test('a connection is used again after an answer in small chunks', async () => {
+  const text = 'x'.repeat(1_500);
+  const chunks = Array.from(text, (byte) => `1\r\n${byte}\r\n`).join('');
+  const server = await startServer((socket) => {
+    const answer = (): void => {
+      socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`);
+    };
+    socket.on('data', answer);
+    answer();
+  });
+  const client = HttpClient.create({ address: `${HOST}:${server.port}` });
+  const sizes: number[] = [];
+  for (let count = 0; count < 5; count += 1) {
+    // eslint-disable-next-line no-await-in-loop -- each call uses the connection of the one before
+    sizes.push((await client.call({ method: 'GET', path: '/', timeoutMs: 5_000 })).text.length);
+  }
+  expect(sizes).toEqual(sizes.map(() => text.length));
+  client.close();
+  server.close();
+});
+
 // Guards against a bound that cuts answers of a chunk for each token.
 test('one-byte chunks at the pace of tokens are usual for ever', () => {
   let nowMs = 0;
