refactor(gateway): the memory of answers is called so

The record of what large answers may take was named after a room; the field's word is memory, with reservations. No change of behaviour: the tests of answers pass, with their titles renamed.

--- a/packages/bench/src/overload/SimulatedGateway.ts
+++ b/packages/bench/src/overload/SimulatedGateway.ts
@@ -115,7 +115,7 @@
         graceMs: 8_000,
         drainTimeoutMs: 2_000,
         heartbeatIntervalMs: 1_200,
-        answerRoomBytes: 29_000_000,
+        answerMemoryBytes: 29_000_000,
         ...decisions,
       }),
       nowMs,
--- a/packages/gateway/src/AnswerRoom.ts
+++ b/packages/gateway/src/AnswerMemory.ts
@@ -2,8 +2,8 @@
  * @module Bounds the memory of answers that are kept whole until their callers have taken them.
  *
  * Load pattern: many callers request large answers at once and read them slowly or not at all, or faulty
- * targets send bytes without end. A small answer always has room. A large one reserves what it may take
- * before it is read on; the others wait in order, unread, at their targets.
+ * targets send bytes without end. A small answer is always read. A large one reserves the memory that it may
+ * take before it is read on; the others wait in order, unread, at their targets.
  */
 
 /** Maximum size of one answer. */
@@ -16,12 +16,12 @@
 const BLOCK_OVERHEAD_BYTES = 256;
 
 /** Memory of an answer by its size, when it arrives in the packets of an ordinary network. */
-const MEMORY_SHARE = 1.25;
+const MEMORY_FACTOR = 1.25;
 
 /** Whether an answer may be read on. */
-export enum RoomVerdict {
+export enum ReadVerdict {
   ReadOn = 'read-on',
-  /** Nothing more is read until there is room. */
+  /** Nothing more is read until memory is free. */
   Wait = 'wait',
   /** The answer exceeds the maximum size. */
   TooLarge = 'too-large',
@@ -35,8 +35,8 @@
   isSent: boolean;
 }
 
-/** Reserves room for the answers of one process. */
-export default class AnswerRoom {
+/** Reserves memory for the answers of one process. */
+export default class AnswerMemory {
   readonly #holders = new Map<number, Holder>();
 
   /** By exchange, in order of arrival: bytes that its answer has to reserve. */
@@ -47,16 +47,16 @@
   private constructor(private readonly maxBytes: number) {}
 
   /**
-   * Creates a room of which nothing is reserved; `maxBytes` is for all large answers together.
+   * Creates a record without reservations; `maxBytes` is for all large answers together.
    *
    * @example
-   * const room = AnswerRoom.create(29_000_000);
+   * const memory = AnswerMemory.create(29_000_000);
    */
-  static create(maxBytes: number): AnswerRoom {
-    return new AnswerRoom(maxBytes);
+  static create(maxBytes: number): AnswerMemory {
+    return new AnswerMemory(maxBytes);
   }
 
-  /** Whether answers wait for room. */
+  /** Whether answers wait for memory. */
   get hasWaiting(): boolean {
     return this.#waiting.size > 0;
   }
@@ -74,24 +74,24 @@
   }
 
   /** Counts a block; `announcedBytes` is the size of the whole answer, if its target has named it. */
-  add(exchangeId: number, blockBytes: number, announcedBytes = MAX_ANSWER_BYTES): RoomVerdict {
+  add(exchangeId: number, blockBytes: number, announcedBytes = MAX_ANSWER_BYTES): ReadVerdict {
     const holder = this.#holders.get(exchangeId);
     if (holder === undefined) {
-      return RoomVerdict.ReadOn;
+      return ReadVerdict.ReadOn;
     }
     holder.sizeBytes += blockBytes;
     holder.memoryBytes += blockBytes + BLOCK_OVERHEAD_BYTES;
-    const maxMemoryBytes = MEMORY_SHARE * MAX_ANSWER_BYTES;
+    const maxMemoryBytes = MEMORY_FACTOR * MAX_ANSWER_BYTES;
     if (holder.sizeBytes > MAX_ANSWER_BYTES || holder.memoryBytes > maxMemoryBytes) {
-      return RoomVerdict.TooLarge;
+      return ReadVerdict.TooLarge;
     }
     if (holder.reservedBytes > 0 || holder.memoryBytes <= SMALL_ANSWER_BYTES) {
-      return RoomVerdict.ReadOn;
+      return ReadVerdict.ReadOn;
     }
-    const expectedBytes = MEMORY_SHARE * Math.max(holder.memoryBytes, announcedBytes);
+    const expectedBytes = MEMORY_FACTOR * Math.max(holder.memoryBytes, announcedBytes);
     this.#waiting.set(exchangeId, Math.min(maxMemoryBytes, expectedBytes));
     this.#reserveNext();
-    return this.#waiting.has(exchangeId) ? RoomVerdict.Wait : RoomVerdict.ReadOn;
+    return this.#waiting.has(exchangeId) ? ReadVerdict.Wait : ReadVerdict.ReadOn;
   }
 
   /** Keeps the reservation of a large answer that is complete until its caller has taken it. */
@@ -118,7 +118,7 @@
     this.#waiting.delete(exchangeId);
   }
 
-  /** Reserves room for those that wait, in order; returns the calls that are read on. */
+  /** Reserves memory for those that wait, in order; returns the calls that are read on. */
   reserveWaiting(): readonly number[] {
     const callIds: number[] = [];
     let callId = this.#reserveNext();
@@ -129,7 +129,7 @@
     return callIds;
   }
 
-  /** Reserves room for the first that waits; returns its call, or undefined without room. */
+  /** Reserves memory for the first that waits; returns its call, or undefined if there is none. */
   #reserveNext(): number | undefined {
     const [next] = this.#waiting;
     if (next === undefined) {
@@ -137,8 +137,8 @@
     }
     const [exchangeId, sizeBytes] = next;
     const holder = this.#holders.get(exchangeId);
-    const hasRoom = this.#reservedBytes === 0 || this.#reservedBytes + sizeBytes <= this.maxBytes;
-    if (holder === undefined || !hasRoom) {
+    const isFree = this.#reservedBytes === 0 || this.#reservedBytes + sizeBytes <= this.maxBytes;
+    if (holder === undefined || !isFree) {
       return undefined;
     }
     this.#waiting.delete(exchangeId);
--- a/packages/gateway/src/TimerKind.ts
+++ b/packages/gateway/src/TimerKind.ts
@@ -4,7 +4,7 @@
 enum TimerKind {
   RequestDeadline = 'request-deadline',
   QueueCheck = 'queue-check',
-  RoomCheck = 'room-check',
+  StalledCallers = 'stalled-callers',
   StallCheck = 'stall-check',
   StoreRetry = 'store-retry',
   LapseCheck = 'lapse-check',
--- a/packages/gateway/src/answer-room-service.ts
+++ b/packages/gateway/src/answer-memory-service.ts
@@ -1,13 +1,13 @@
 /** @module Lets large answers be read from targets no faster than callers take them. */
 import { createInstance } from '@ebonysill/kernel';
-import AnswerRoom, { RoomVerdict } from './AnswerRoom.js';
+import AnswerMemory, { ReadVerdict } from './AnswerMemory.js';
 import { setTimer } from './build-effects.js';
 import { ServiceName, type Registration } from './directory.js';
 import { EffectKind, type Effect } from './effect.js';
 import { EventKind, type Event } from './event.js';
 import TimerKind from './TimerKind.js';
 
-/** Interval at which stalled callers are looked for, while answers wait for room. */
+/** Interval at which stalled callers are looked for, while answers wait for memory. */
 const CHECK_INTERVAL_MS = 250;
 
 /**
@@ -19,36 +19,36 @@
 const TIMER_KEY = 0;
 
 /** Outcome of a block. */
-export interface RoomResult {
+export interface BlockResult {
   readonly isTooLarge: boolean;
-  /** Whether the rest has to wait for room; the effects pause the call. */
+  /** Whether the rest has to wait for memory; the effects pause the call. */
   readonly isWaiting: boolean;
   readonly effects: readonly Effect[];
 }
 
 /** Options of the service. */
-export interface AnswerRoomOptions {
+export interface AnswerMemoryOptions {
   /** Memory of all large answers together. */
   readonly maxBytes: number;
 }
 
-const ROOM: RoomResult = { isTooLarge: false, isWaiting: false, effects: [] };
+const READ_ON: BlockResult = { isTooLarge: false, isWaiting: false, effects: [] };
 
-class AnswerRoomService {
-  readonly #room: AnswerRoom;
+class AnswerMemoryService {
+  readonly #memory: AnswerMemory;
 
   #isChecking = false;
 
-  private constructor({ maxBytes }: AnswerRoomOptions) {
-    this.#room = AnswerRoom.create(maxBytes);
+  private constructor({ maxBytes }: AnswerMemoryOptions) {
+    this.#memory = AnswerMemory.create(maxBytes);
   }
 
-  static create(options: AnswerRoomOptions): AnswerRoomService {
-    return new AnswerRoomService(options);
+  static create(options: AnswerMemoryOptions): AnswerMemoryService {
+    return new AnswerMemoryService(options);
   }
 
   readonly begin = (exchangeId: number, callId: number): readonly Effect[] => {
-    this.#room.begin(exchangeId, callId);
+    this.#memory.begin(exchangeId, callId);
     return this.#resumeWaiting();
   };
 
@@ -57,35 +57,35 @@
     callId: number,
     blockBytes: number,
     announcedBytes?: number,
-  ): RoomResult => {
-    switch (this.#room.add(exchangeId, blockBytes, announcedBytes)) {
-      case RoomVerdict.TooLarge:
-        return { ...ROOM, isTooLarge: true };
-      case RoomVerdict.Wait:
+  ): BlockResult => {
+    switch (this.#memory.add(exchangeId, blockBytes, announcedBytes)) {
+      case ReadVerdict.TooLarge:
+        return { ...READ_ON, isTooLarge: true };
+      case ReadVerdict.Wait:
         return {
-          ...ROOM,
+          ...READ_ON,
           isWaiting: true,
           effects: [{ kind: EffectKind.PauseCall, callId }, ...this.#scheduleCheck()],
         };
       default:
-        return ROOM;
+        return READ_ON;
     }
   };
 
-  readonly markSent = (exchangeId: number): void => this.#room.markSent(exchangeId);
+  readonly markSent = (exchangeId: number): void => this.#memory.markSent(exchangeId);
 
   readonly end = (exchangeId: number): readonly Effect[] => {
-    this.#room.end(exchangeId);
+    this.#memory.end(exchangeId);
     return this.#resumeWaiting();
   };
 
   handle(event: Event): readonly Effect[] {
     switch (event.kind) {
       case EventKind.AnswerTaken:
-        this.#room.remove(event.exchangeId);
+        this.#memory.remove(event.exchangeId);
         return this.#resumeWaiting();
       case EventKind.TimerFired:
-        return event.timer === TimerKind.RoomCheck ? this.#onCheck() : [];
+        return event.timer === TimerKind.StalledCallers ? this.#onCheck() : [];
       default:
         return [];
     }
@@ -93,7 +93,7 @@
 
   #onCheck(): readonly Effect[] {
     this.#isChecking = false;
-    return this.#room.hasWaiting
+    return this.#memory.hasWaiting
       ? [
           { kind: EffectKind.DropStalledAnswers, minStallMs: MAX_STALL_MS },
           ...this.#scheduleCheck(),
@@ -106,11 +106,11 @@
       return [];
     }
     this.#isChecking = true;
-    return [setTimer(TimerKind.RoomCheck, TIMER_KEY, CHECK_INTERVAL_MS)];
+    return [setTimer(TimerKind.StalledCallers, TIMER_KEY, CHECK_INTERVAL_MS)];
   }
 
   #resumeWaiting(): readonly Effect[] {
-    return this.#room
+    return this.#memory
       .reserveWaiting()
       .map((callId) => ({ kind: EffectKind.ResumeCall, callId }) as const);
   }
@@ -120,15 +120,15 @@
  * Registers the service that bounds the memory of answers.
  *
  * @example
- * answerRoomRegistration({ maxBytes: 29_000_000 });
+ * answerMemoryRegistration({ maxBytes: 29_000_000 });
  */
-export const answerRoomRegistration = (
-  options: AnswerRoomOptions,
-): Registration<ServiceName.AnswerRoom> => ({
-  name: ServiceName.AnswerRoom,
+export const answerMemoryRegistration = (
+  options: AnswerMemoryOptions,
+): Registration<ServiceName.AnswerMemory> => ({
+  name: ServiceName.AnswerMemory,
   requires: [],
   create: () => {
-    const service = AnswerRoomService.create(options);
+    const service = AnswerMemoryService.create(options);
     return createInstance(
       {
         begin: service.begin,
--- a/packages/gateway/src/create-gateway-services.ts
+++ b/packages/gateway/src/create-gateway-services.ts
@@ -7,7 +7,7 @@
   type MeasureRequest,
   type QueueDecisions,
 } from '@ebonysill/scheduling';
-import { answerRoomRegistration } from './answer-room-service.js';
+import { answerMemoryRegistration } from './answer-memory-service.js';
 import { admissionRegistration } from './admission-service.js';
 import { barByEvidence, type BarUntilMs } from './bar-suspects.js';
 import { catalogueRegistration } from './catalogue-service.js';
@@ -56,7 +56,7 @@
   /** Interval at which targets renew their entries. */
   readonly heartbeatIntervalMs: number;
   /** Memory of all large answers together, from their targets to their callers. */
-  readonly answerRoomBytes: number;
+  readonly answerMemoryBytes: number;
   /** Chooses among several targets; by default the least loaded one. */
   readonly chooseTarget?: ChooseTarget;
   /** Decides whether a stream may start; by default by the duration of passes. */
@@ -126,7 +126,7 @@
     refusalsRegistration({ runtime, ...queueing }),
     waitingRegistration({ runtime, ...queueing }),
     intakeRegistration({ runtime }),
-    answerRoomRegistration({ maxBytes: options.answerRoomBytes }),
+    answerMemoryRegistration({ maxBytes: options.answerMemoryBytes }),
     exchangesRegistration({
       runtime,
       isStalled,
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -7,7 +7,7 @@
   RequestWork,
   ReturnKind,
 } from '@ebonysill/scheduling';
-import type { RoomResult } from './answer-room-service.js';
+import type { BlockResult } from './answer-memory-service.js';
 import type { CallDecision } from './decide-call.js';
 import type { Effect } from './effect.js';
 import type { Event, TargetReachability } from './event.js';
@@ -55,7 +55,7 @@
   Returns = 'returns',
   Throughput = 'throughput',
   Refusals = 'refusals',
-  AnswerRoom = 'answer-room',
+  AnswerMemory = 'answer-memory',
   Exchanges = 'exchanges',
   Waiting = 'waiting',
   Intake = 'intake',
@@ -435,17 +435,17 @@
 }
 
 /** Memory of answers that are kept whole until their callers have taken them. */
-export interface AnswerRoomApi {
+export interface AnswerMemoryApi {
   /** Records a call of an exchange; forgets the answer of an earlier one. */
   readonly begin: (exchangeId: number, callId: number) => readonly Effect[];
-  /** Counts a block of an answer; the effects pause its call when there is no room. */
+  /** Counts a block of an answer; the effects pause its call when there is no memory for it. */
   readonly addBlock: (
     exchangeId: number,
     callId: number,
     blockBytes: number,
     announcedBytes?: number,
-  ) => RoomResult;
-  /** Records that the complete answer is sent; its room is free when the caller has taken it. */
+  ) => BlockResult;
+  /** Records that the complete answer is sent; its memory is free when the caller has taken it. */
   readonly markSent: (exchangeId: number) => void;
   /** Forgets an exchange whose answer was not sent. */
   readonly end: (exchangeId: number) => readonly Effect[];
@@ -472,7 +472,7 @@
   readonly [ServiceName.Returns]: ReturnsApi;
   readonly [ServiceName.Throughput]: ThroughputApi;
   readonly [ServiceName.Refusals]: RefusalsApi;
-  readonly [ServiceName.AnswerRoom]: AnswerRoomApi;
+  readonly [ServiceName.AnswerMemory]: AnswerMemoryApi;
   readonly [ServiceName.Exchanges]: ExchangesApi;
   readonly [ServiceName.Waiting]: WaitingApi;
   readonly [ServiceName.Intake]: object;
--- a/packages/gateway/src/exchanges-service.ts
+++ b/packages/gateway/src/exchanges-service.ts
@@ -15,7 +15,7 @@
 import {
   ServiceName,
   type AdmissionApi,
-  type AnswerRoomApi,
+  type AnswerMemoryApi,
   type FindService,
   type LifecycleApi,
   type RefusalsApi,
@@ -92,7 +92,7 @@
 
   readonly #accounting: CallAccounting;
 
-  readonly #answerRoom: AnswerRoomApi;
+  readonly #answerMemory: AnswerMemoryApi;
 
   private constructor(
     private readonly options: ExchangesOptions,
@@ -105,7 +105,7 @@
     this.#admission = find(ServiceName.Admission);
     this.#retries = find(ServiceName.Retries);
     this.#lifecycle = find(ServiceName.Lifecycle);
-    this.#answerRoom = find(ServiceName.AnswerRoom);
+    this.#answerMemory = find(ServiceName.AnswerMemory);
     this.#accounting = CallAccounting.create(options.runtime, find);
   }
 
@@ -215,7 +215,7 @@
       decidePriority,
     });
     return [
-      ...this.#answerRoom.begin(exchange.id, callId),
+      ...this.#answerMemory.begin(exchange.id, callId),
       { kind: EffectKind.StartCall, callId, call },
       ...announcements,
     ];
@@ -285,7 +285,7 @@
   #keepBlock(exchange: Exchange, head: TargetHead, data: Uint8Array): readonly Effect[] {
     const { id, callId = 0, body } = exchange;
     body.push(data);
-    const { isTooLarge, isWaiting, effects } = this.#answerRoom.addBlock(
+    const { isTooLarge, isWaiting, effects } = this.#answerMemory.addBlock(
       id,
       callId,
       data.length,
@@ -383,7 +383,7 @@
       return this.#fail(exchange, ExchangeReason.TargetFailed);
     }
     this.#accounting.recordAnswerTime(exchange);
-    this.#answerRoom.markSent(exchange.id);
+    this.#answerMemory.markSent(exchange.id);
     return [
       ...(isSuccess(status) ? this.#suspects.recordAnswered(exchange) : []),
       {
@@ -637,7 +637,7 @@
     this.#exchanges.delete(id);
     this.#checkedTargets.delete(id);
     this.#lifecycle.recordExchangeEnd();
-    return [clearTimer(TimerKind.RequestDeadline, id), ...this.#answerRoom.end(id)];
+    return [clearTimer(TimerKind.RequestDeadline, id), ...this.#answerMemory.end(id)];
   }
 }
 
@@ -657,7 +657,7 @@
     ServiceName.Refusals,
     ServiceName.Retries,
     ServiceName.Lifecycle,
-    ServiceName.AnswerRoom,
+    ServiceName.AnswerMemory,
   ],
   create: (find) => {
     const service = ExchangesService.create(options, find);
--- a/packages/gateway/tests/answer-limits.test.ts
+++ b/packages/gateway/tests/answer-limits.test.ts
@@ -2,14 +2,14 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import {
-  AnswerRoom,
+  AnswerMemory,
   CallKind,
   EffectKind,
   EventKind,
   LogTopic,
   MAX_ANSWER_BYTES,
   MAX_EVENT_BYTES,
-  RoomVerdict,
+  ReadVerdict,
 } from '../src/index.js';
 import {
   Harness,
@@ -119,56 +119,56 @@
   expect(harness.effects.some(({ kind }) => kind === EffectKind.EndAnswer)).toEqual(true);
 });
 
-const ROOM_BYTES = 4 * MAX_ANSWER_BYTES;
+const MAX_MEMORY_BYTES = 4 * MAX_ANSWER_BYTES;
 
-/** Fills the room with answers that their targets have announced; returns the verdicts. */
-const fillRoom = (room: AnswerRoom, count: number): readonly RoomVerdict[] =>
+/** Fills the memory with answers that their targets have announced; returns the verdicts. */
+const fillMemory = (memory: AnswerMemory, count: number): readonly ReadVerdict[] =>
   Array.from({ length: count }, (_, exchangeId) => {
-    room.begin(exchangeId, exchangeId);
-    return room.add(exchangeId, MAX_ANSWER_BYTES / 2, MAX_ANSWER_BYTES / 2);
+    memory.begin(exchangeId, exchangeId);
+    return memory.add(exchangeId, MAX_ANSWER_BYTES / 2, MAX_ANSWER_BYTES / 2);
   });
 
 // Guards against a process that exceeds its memory when many callers request large answers.
-test('large answers have room in order, within the limit of all', () => {
-  const room = AnswerRoom.create(ROOM_BYTES);
-  const verdicts = fillRoom(room, 20);
-  const readCount = verdicts.filter((verdict) => verdict === RoomVerdict.ReadOn).length;
-  expect(readCount * (MAX_ANSWER_BYTES / 2)).toBeLessThanOrEqual(ROOM_BYTES);
-  expect(verdicts.slice(readCount).every((verdict) => verdict === RoomVerdict.Wait)).toEqual(true);
-  room.markSent(0);
-  room.end(0);
-  expect(room.reserveWaiting()).toEqual([]);
-  room.remove(0);
-  room.remove(1);
-  expect(room.reserveWaiting()).toEqual([readCount, readCount + 1]);
+test('large answers get memory in order, within the limit of all', () => {
+  const memory = AnswerMemory.create(MAX_MEMORY_BYTES);
+  const verdicts = fillMemory(memory, 20);
+  const readCount = verdicts.filter((verdict) => verdict === ReadVerdict.ReadOn).length;
+  expect(readCount * (MAX_ANSWER_BYTES / 2)).toBeLessThanOrEqual(MAX_MEMORY_BYTES);
+  expect(verdicts.slice(readCount).every((verdict) => verdict === ReadVerdict.Wait)).toEqual(true);
+  memory.markSent(0);
+  memory.end(0);
+  expect(memory.reserveWaiting()).toEqual([]);
+  memory.remove(0);
+  memory.remove(1);
+  expect(memory.reserveWaiting()).toEqual([readCount, readCount + 1]);
 });
 
-test('a small answer has room when large ones take all', () => {
-  const room = AnswerRoom.create(ROOM_BYTES);
-  fillRoom(room, 20);
-  room.begin(1_000, 1_000);
-  expect(room.add(1_000, 800)).toEqual(RoomVerdict.ReadOn);
+test('a small answer is read when large ones take all memory', () => {
+  const memory = AnswerMemory.create(MAX_MEMORY_BYTES);
+  fillMemory(memory, 20);
+  memory.begin(1_000, 1_000);
+  expect(memory.add(1_000, 800)).toEqual(ReadVerdict.ReadOn);
 });
 
-test('an answer that is larger than the whole room is read alone', () => {
-  const room = AnswerRoom.create(1_000);
-  expect(fillRoom(room, 2)).toEqual([RoomVerdict.ReadOn, RoomVerdict.Wait]);
+test('an answer that is larger than all memory is read alone', () => {
+  const memory = AnswerMemory.create(1_000);
+  expect(fillMemory(memory, 2)).toEqual([ReadVerdict.ReadOn, ReadVerdict.Wait]);
 });
 
 test('many small blocks count by the memory they take', () => {
-  const room = AnswerRoom.create(ROOM_BYTES);
-  room.begin(1, 1);
+  const memory = AnswerMemory.create(MAX_MEMORY_BYTES);
+  memory.begin(1, 1);
   let addedBytes = 0;
-  while (room.add(1, 4) === RoomVerdict.ReadOn) {
+  while (memory.add(1, 4) === ReadVerdict.ReadOn) {
     addedBytes += 4;
   }
   expect(addedBytes).toBeLessThan(MAX_ANSWER_BYTES / 16);
 });
 
-test('a call whose answer has no room is paused until another was taken', () => {
+test('a call whose answer gets no memory is paused until another was taken', () => {
   const harness = Harness.create(
     [configurationItem(configurationOf(1, [routeOf()])), targetItem(targetOf('t-1'))],
-    { answerRoomBytes: CHUNK_BYTES },
+    { answerMemoryBytes: CHUNK_BYTES },
   );
   const head = headOf({ announcedBytes: CHUNK_BYTES });
   const begin = (): number => {
@@ -190,7 +190,7 @@
 test('callers that take nothing lose their answers while others wait', () => {
   const harness = Harness.create(
     [configurationItem(configurationOf(1, [routeOf()])), targetItem(targetOf('t-1'))],
-    { answerRoomBytes: CHUNK_BYTES },
+    { answerMemoryBytes: CHUNK_BYTES },
   );
   const data = Buffer.alloc(CHUNK_BYTES);
   [1, 2].forEach(() => {
--- a/packages/gateway/tests/harness.ts
+++ b/packages/gateway/tests/harness.ts
@@ -170,7 +170,7 @@
         graceMs: 8_000,
         drainTimeoutMs: 2_000,
         heartbeatIntervalMs: 1_200,
-        answerRoomBytes: 29_000_000,
+        answerMemoryBytes: 29_000_000,
         ...options,
       }),
       nowMs: () => this.nowMs,
