fix(gateway-io): an answer that cannot be written closes its connection

Callers saw: nothing, until their own time limit, when the head of an answer could not be written. Cause: the exchange was forgotten before its answer was written, so that the abort which follows an error found no connection to close. Found in the read-through; no head of a target is known to bring it about, as Node's parser refuses what its writer does. Change: the exchange is forgotten when the answer is written. Evidence: 'an answer that cannot be written closes the connection' does not end on the commit before (20 s) and passes now in 26 ms.

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -195,7 +195,7 @@
   /** Sends an answer whose body is complete, with its length. */
   sendAnswer(effect: SendAnswerEffect): void {
     const { exchangeId, body } = effect;
-    const exchange = this.#removeExchange(exchangeId);
+    const exchange = this.#openExchanges.get(exchangeId);
     if (exchange === undefined) {
       this.options.post({ kind: EventKind.AnswerTaken, exchangeId });
       return;
@@ -205,6 +205,7 @@
       response.on('close', () => this.options.post({ kind: EventKind.AnswerTaken, exchangeId }));
     }
     this.#writer.writeWhole(response, effect);
+    this.#openExchanges.delete(exchangeId);
     response.end();
     refreshWaiting();
   }
--- a/packages/gateway-io/tests/caller-server.test.ts
+++ b/packages/gateway-io/tests/caller-server.test.ts
@@ -330,3 +330,15 @@
   sendShort(opened);
   await waitUntil(() => received().includes('HTTP/1.1 200'));
 });
+
+// Guards against a caller that waits for ever for an answer whose head cannot be written.
+test('an answer that cannot be written closes the connection', async (context) => {
+  const { server, caller, events, isClosed } = await open((fn) => context.after(fn));
+  caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+  await waitUntil(() => events.length > 0);
+  const headers = [{ name: 'x-a', value: 'line\nbreak' }];
+  const answer = { kind: EffectKind.SendAnswer, exchangeId: 1, status: 200, headers, body: [] };
+  expect(() => server.sendAnswer({ ...answer, kind: EffectKind.SendAnswer })).toThrow();
+  server.abortAnswer(1);
+  await waitUntil(() => isClosed() || caller.destroyed);
+});
