--- a/soak/tests/checks.test.ts
+++ b/soak/tests/checks.test.ts
@@ -101,7 +101,7 @@
   const faults = drawFaults(createRandom(3), 60_000);
   expect(drawFaults(createRandom(3), 60_000)).toEqual(faults);
   expect(new Set(faults.map(({ kind }) => kind)).size > 10).toEqual(true);
-  expect(Object.values(SoakFaultKind).length).toEqual(17);
+  expect(Object.values(SoakFaultKind).length).toEqual(19);
 });
 
 test('reports a target that got more than its limit', () => {
