fix(http): ordinary requests are read before small chunks that wait

Callers saw: beside 400 bodies in chunks of one byte an ordinary request to a route that must not run twice got no answer within 8 s; here it took 14.1 s. Hosts of 112 MB had 121 MB with the bytes that the system held unread.

Cause: a log of each turn of the event loop shows that the system hands over one new connection in a turn, however many wait. A turn took 5 to 15 ms, as whole blocks of 64 KiB were parsed, so 400 connections waited for seconds in the queue of the listener, each with a full buffer of the system. Bounds on bodies count what was parsed and did not see it.

Change: one reader for the HTTP servers of a process reads slices, from 1 KiB of a new connection on, small chunks after everything else and little of them while connections arrive. It closes the connections with most unread bytes beyond a bound, and those with small chunks beyond 16. The listener's queue is as long as the host has memory for. spreadConnections and the pacing of requests are superseded; answers of targets keep theirs (ReadTurns).

--- a/packages/gateway-io/src/CallerServer.ts
+++ b/packages/gateway-io/src/CallerServer.ts
@@ -17,14 +17,14 @@
   ByteBudget,
   CHECK_INTERVAL_MS,
   ConnectionLimit,
-  ReadTurns,
-  spreadConnections,
+  RequestReader,
   DropCause,
+  deriveCallerBounds,
+  type CallerBounds,
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
 import AnswerWriter from './AnswerWriter.js';
 import { MALFORMED } from './caller-answers.js';
-import { deriveCallerBounds, type CallerBounds } from './derive-caller-bounds.js';
 import holdAnswer from './holdAnswer.js';
 import QuietClose from './QuietClose.js';
 import RequestReceiver, { type CheckHead, type DecodeRequest } from './RequestReceiver.js';
@@ -46,8 +46,8 @@
   readonly bounds?: CallerBounds;
   /** Time in which an unfinished body must make progress. */
   readonly bodyTimeoutMs?: number;
-  /** Bounds what a turn of the event loop reads; by default shared with no other port. */
-  readonly turns?: ReadTurns;
+  /** Reads the connections; by default shared with no other server. */
+  readonly reader?: RequestReader;
   /** Called for each body, answer or connection that is dropped. */
   readonly onDropped?: (cause: DropCause) => void;
 }
@@ -73,9 +73,6 @@
 /** Node takes 0 for no limit at all. */
 const MIN_HEADER_TIMEOUT_MS = 1;
 
-/** Length of the queue of connections that are not accepted yet. */
-const BACKLOG = 1_024;
-
 /** Interval at which connections are checked for heads that take too long. */
 const CONNECTION_CHECK_INTERVAL_MS = 250;
 
@@ -101,6 +98,8 @@
 
   readonly #connections = CallerConnections.create();
 
+  readonly #backlogCount: number;
+
   readonly #budget: ByteBudget;
 
   readonly #writer: AnswerWriter;
@@ -116,10 +115,10 @@
   #nextExchangeId = 1;
 
   private constructor(private readonly options: CallerServerOptions) {
-    const turns = options.turns ?? ReadTurns.create();
+    const reader = options.reader ?? RequestReader.create();
     this.#server = createServer(
       {
-        IncomingMessage: turns.createMessageClass(),
+        IncomingMessage: reader.createMessageClass(),
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       },
@@ -131,10 +130,10 @@
     );
     this.#server.requestTimeout = 0;
     this.#server.on('connection', (socket) => this.#connections.add(socket));
-    turns.watch(this.#server);
-    spreadConnections(this.#server);
+    reader.watch(this.#server);
     this.#quietClose = QuietClose.create(this.#server);
     const { bounds = deriveCallerBounds(SMALLEST_HOST), onDropped = () => undefined } = options;
+    this.#backlogCount = bounds.maxBacklogCount;
     this.#budget = ByteBudget.create({ maxBytes: bounds.maxHeldBytes, onDropped });
     this.#writer = AnswerWriter.create(options.isClosing);
     this.#receiver = RequestReceiver.create({
@@ -177,7 +176,7 @@
   async listen({ host, port }: ListenAddress): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen({ host, port, backlog: BACKLOG }, () => {
+      this.#server.listen({ host, port, backlog: this.#backlogCount }, () => {
         this.#server.off('error', reject);
         this.#server.on('error', this.options.onError);
         resolve();
--- a/packages/gateway-io/src/StatusServer.ts
+++ b/packages/gateway-io/src/StatusServer.ts
@@ -1,7 +1,13 @@
 /** @module HTTP servers for the health checks of load balancers and for monitoring. */
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:http';
-import { CHECK_INTERVAL_MS, ReadTurns, guardServer, type ServerBounds } from '@ebonysill/http';
+import { createServer, type RequestListener, type Server } from 'node:http';
+import {
+  CHECK_INTERVAL_MS,
+  RequestReader,
+  guardServer,
+  type DropCause,
+  type ServerBounds,
+} from '@ebonysill/http';
 import type { ListenAddress } from './CallerServer.js';
 
 /** Answer to a status request. */
@@ -18,13 +24,18 @@
   readonly answer: (path: string) => StatusAnswer;
   readonly onError: (error: unknown) => void;
   readonly bounds?: ServerBounds;
-  /** Bounds what a turn of the event loop reads; by default shared with no other port. */
-  readonly turns?: ReadTurns;
+  /** Reads the connections; by default shared with no other server. */
+  readonly reader?: RequestReader;
+  /** Called for each connection that is closed. */
+  readonly onDropped?: (cause: DropCause) => void;
 }
 
 /** Checks need a few fields only. */
 const MAX_HEADER_BYTES = 8_192;
 
+/** Connections that wait in the system to be accepted; each may hold bytes there. */
+const BACKLOG_COUNT = 32;
+
 /** Answers every request from its path alone; method and body are ignored. */
 export default class StatusServer {
   private constructor(private readonly server: Server) {}
@@ -36,23 +47,25 @@
    * await StatusServer.create({ listen, answer: () => READY, onError });
    */
   static async create(options: StatusServerOptions): Promise<StatusServer> {
-    const { listen, answer, onError, bounds, turns = ReadTurns.create() } = options;
+    const { listen, answer, onError, bounds, onDropped = () => undefined } = options;
+    const reader = options.reader ?? RequestReader.create({ onDropped });
     const limits = {
-      IncomingMessage: turns.createMessageClass(),
+      IncomingMessage: reader.createMessageClass(),
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
     };
-    const server = createServer(limits, (request, response) => {
+    const respond: RequestListener = (request, response) => {
       const { status, contentType, body } = answer(request.url ?? '');
       response.writeHead(status, {
         'content-type': contentType,
         'content-length': Buffer.byteLength(body),
       });
       response.end(body);
-    });
-    turns.watch(server);
-    guardServer(server, bounds);
-    server.listen(listen.port, listen.host);
+    };
+    const server = createServer(limits, respond);
+    reader.watch(server);
+    guardServer(server, bounds, onDropped);
+    server.listen({ ...listen, backlog: BACKLOG_COUNT });
     await once(server, 'listening');
     server.on('error', onError);
     return new StatusServer(server);
--- a/packages/gateway-io/src/index.ts
+++ b/packages/gateway-io/src/index.ts
@@ -5,7 +5,6 @@
   type ListenAddress,
 } from './CallerServer.js';
 export { default as createLatencyHistogram } from './createLatencyHistogram.js';
-export * from './derive-caller-bounds.js';
 export { default as DatagramPort } from './DatagramPort.js';
 export { REPORT_INTERVAL_MS } from '@ebonysill/http';
 export { default as DropReporter } from './DropReporter.js';
--- a/packages/gateway-io/tests/caller-bounds.test.ts
+++ b/packages/gateway-io/tests/caller-bounds.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { LogTopic, type LogEffect } from '@ebonysill/gateway';
-import { DropReporter, REPORT_INTERVAL_MS, deriveCallerBounds } from '../src/index.js';
+import { deriveCallerBounds } from '@ebonysill/http';
+import { DropReporter, REPORT_INTERVAL_MS } from '../src/index.js';
 
 /** Received in pieces and copied into one buffer. */
 const PUBLISHED_BODY_TWICE_BYTES = 2 * 4_194_304;
--- a/packages/gateway-io/tests/caller-server.test.ts
+++ b/packages/gateway-io/tests/caller-server.test.ts
@@ -15,6 +15,13 @@
   idleTimeoutMs: 10_000,
 };
 
+const BOUNDS = {
+  maxHeldBytes: 1_000_000,
+  maxConnectionCount: 10,
+  maxUnreadBytes: 1_000_000,
+  maxBacklogCount: 64,
+};
+
 interface Opened {
   readonly server: CallerServer;
   readonly caller: Socket;
@@ -273,7 +280,7 @@
 // Guards against a request that is accepted although its bytes have no room.
 test('a body without room is answered 503', async (context) => {
   const { caller, events, received } = await open((fn) => context.after(fn), {
-    bounds: { maxHeldBytes: 9_000, maxConnectionCount: 10 },
+    bounds: { ...BOUNDS, maxHeldBytes: 9_000 },
   });
   caller.write(head('Content-Length: 1000\r\n'));
   await waitUntil(() => received().includes('HTTP/1.1 503'));
@@ -285,7 +292,7 @@
 // Guards against answers that are kept for callers who do not read them.
 test('answers that are not read are dropped when they have no room', async (context) => {
   const opened = await open((fn) => context.after(fn), {
-    bounds: { maxHeldBytes: 1_000_000, maxConnectionCount: 10 },
+    bounds: { ...BOUNDS, maxHeldBytes: 1_000_000 },
   });
   opened.caller.pause();
   opened.caller.write(head('Content-Length: 0\r\n'));
--- a/packages/http/src/ByteBudget.ts
+++ b/packages/http/src/ByteBudget.ts
@@ -17,6 +17,10 @@
   TooManyConnections = 'too-many-connections',
   /** A link was not authenticated in its time. */
   HandshakeStalled = 'handshake-stalled',
+  /** Too many bytes of all clients waited to be read. */
+  Unread = 'unread',
+  /** A body came with a request that takes none. */
+  UnexpectedBody = 'unexpected-body',
   /** Too many bytes waited for a peer that does not read. */
   NotRead = 'not-read',
 }
--- a/packages/http/src/ReadTurns.ts
+++ b/packages/http/src/ReadTurns.ts
@@ -6,9 +6,7 @@
  * bytes, some of them several times. Without a bound a turn takes seconds, and answers of the store and
  * timers wait for its end.
  */
-import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
-import createPacedMessage from './createPacedMessage.js';
 
 /** Options of read turns. */
 export interface ReadTurnsOptions {
@@ -27,7 +25,7 @@
 /** Connections that are read again in one turn; a turn takes the rest of them later. */
 const MAX_RESUMED_COUNT = 64;
 
-/** Pauses the connections of a server when a turn has read enough, and resumes them in order. */
+/** Pauses connections when a turn has read enough, and resumes them in order. */
 export default class ReadTurns {
   /** Open connections, the least recently read first. */
   readonly #sockets = new Set<Socket>();
@@ -54,22 +52,17 @@
   }
 
   /**
-   * Creates turns that watch no server yet.
+   * Creates turns that watch no connection yet.
    *
    * @example
    * const turns = ReadTurns.create();
-   * const server = createServer({ IncomingMessage: turns.createMessageClass() }, receive);
-   * turns.watch(server);
+   * turns.watchSocket(socket);
+   * socket.on('data', () => turns.recordRead(socket));
    */
   static create(options: ReadTurnsOptions = {}): ReadTurns {
     return new ReadTurns(options);
   }
 
-  /** Watches the connections that a server accepts from now on. */
-  watch(server: Server): void {
-    server.on('connection', (socket: Socket) => this.watchSocket(socket));
-  }
-
   /** Watches one connection, whose reads are recorded by the one who reads it. */
   watchSocket(socket: Socket): void {
     this.#sockets.add(socket);
@@ -79,14 +72,6 @@
     });
   }
 
-  /** Creates the class of the server's requests, which record what is read. */
-  createMessageClass(): typeof IncomingMessage {
-    return createPacedMessage({
-      recordRead: (socket) => this.recordRead(socket),
-      isWaiting: (socket) => this.#waiting.has(socket),
-    });
-  }
-
   /** Records heads and chunks that were read from a connection. */
   recordRead(socket: Socket, readCount = 1): void {
     if (socket !== this.#lastRead && this.#sockets.delete(socket)) {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -21,10 +21,11 @@
   type CauseReporterOptions,
 } from './CauseReporter.js';
 export { default as ConnectionLimit } from './ConnectionLimit.js';
+export { deriveCallerBounds, type CallerBounds, type HostLimits } from './derive-caller-bounds.js';
 export { default as FramingMeter, FramingVerdict } from './FramingMeter.js';
 export { default as HttpClient, type HttpAnswer } from './HttpClient.js';
 export { default as limitInformation } from './limitInformation.js';
 export { default as ReadTurns, type ReadTurnsOptions } from './ReadTurns.js';
+export { default as RequestReader, type RequestReaderOptions } from './RequestReader.js';
 export { default as SlowReads, type SlowRead } from './SlowReads.js';
-export { default as spreadConnections } from './spreadConnections.js';
 export { MAX_STATUS_CONNECTIONS, guardServer, type ServerBounds } from './guard-server.js';
--- a/platform/tests/crowd.ts
+++ b/packages/stand-ins/src/crowd.ts
@@ -1,7 +1,7 @@
 /** @module Callers that keep to no limit: each writes raw bytes and stays open until it is closed. */
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
-import { LOOPBACK_HOST } from '@ebonysill/stand-ins';
+import { LOOPBACK_HOST } from './loopback-host.js';
 
 /** Connections that are opened at once; the rest follows, so that the queue of the listener holds. */
 const BATCH_SIZE = 100;
@@ -15,6 +15,8 @@
 
 /** Callers of one test. */
 export interface Crowd {
+  /** By default the loopback address of this process. */
+  readonly host?: string;
   readonly port: number;
   readonly callerCount: number;
   readonly caller: CrowdCaller;
@@ -31,8 +33,14 @@
   });
 };
 
-const start = async (port: number, { parts, isDeaf = false }: CrowdCaller): Promise<Socket> => {
-  const socket = connect({ port, host: LOOPBACK_HOST, allowHalfOpen: true });
+const start = async (
+  host: string,
+  port: number,
+  { parts, isDeaf = false }: CrowdCaller,
+): Promise<Socket> => {
+  const socket = connect({ port, host, allowHalfOpen: true });
+  // Each part waits for the close.
+  socket.setMaxListeners(0);
   socket.on('error', () => socket.destroy());
   await Promise.race([once(socket, 'connect'), once(socket, 'close')]);
   if (isDeaf) {
@@ -50,16 +58,23 @@
 /**
  * Starts a crowd; resolves with its connections, which stay open, once each caller has written all of
  * its parts or was closed.
+ *
+ * @example
+ * await startCrowd({ port, callerCount: 400, caller: { parts: [head] } });
  */
 export const startCrowd = async ({
+  host = LOOPBACK_HOST,
   port,
   callerCount,
   caller,
 }: Crowd): Promise<readonly Socket[]> => {
   const batch = await Promise.all(
-    Array.from({ length: Math.min(BATCH_SIZE, callerCount) }, () => start(port, caller)),
+    Array.from({ length: Math.min(BATCH_SIZE, callerCount) }, () => start(host, port, caller)),
   );
   return callerCount <= BATCH_SIZE
     ? batch
-    : [...batch, ...(await startCrowd({ port, callerCount: callerCount - BATCH_SIZE, caller }))];
+    : [
+        ...batch,
+        ...(await startCrowd({ host, port, callerCount: callerCount - BATCH_SIZE, caller })),
+      ];
 };
--- a/packages/transport/src/AdminServer.ts
+++ b/packages/transport/src/AdminServer.ts
@@ -1,7 +1,7 @@
 /** @module HTTP server for operators: calls to the process and its metrics page. */
 import type { AddressInfo } from 'node:net';
-import { createServer, type Server } from 'node:http';
-import { ReadTurns, guardServer, type ServerBounds } from '@ebonysill/http';
+import { createServer, type RequestListener, type Server } from 'node:http';
+import { RequestReader, guardServer, type ServerBounds } from '@ebonysill/http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { adminRouter, type AdminFunctions } from './admin-router.js';
 import type { RecordDrop } from './DropCounters.js';
@@ -14,6 +14,9 @@
 /** Calls of operators carry an id and a few fields. */
 const MAX_BODY_BYTES = 65_536;
 
+/** Connections that wait in the system to be accepted; each may hold bytes there. */
+const BACKLOG_COUNT = 32;
+
 /** Serves metrics at `/metrics`, and tRPC calls at every other path. */
 export default class AdminServer {
   private constructor(private readonly server: Server) {}
@@ -27,15 +30,15 @@
   static create(
     functions: AdminFunctions,
     bounds?: ServerBounds,
-    onDropped?: RecordDrop,
+    onDropped: RecordDrop = () => undefined,
   ): AdminServer {
     const handleCall = createHTTPHandler({
       router: adminRouter(functions),
       maxBodySize: MAX_BODY_BYTES,
     });
-    const turns = ReadTurns.create();
-    const limits = { IncomingMessage: turns.createMessageClass() };
-    const server = createServer(limits, (request, response) => {
+    const reader = RequestReader.create({ onDropped });
+    const limits = { IncomingMessage: reader.createMessageClass() };
+    const answer: RequestListener = (request, response) => {
       if (request.url === METRICS_PATH) {
         response.writeHead(200, { 'content-type': METRICS_TYPE });
         response.end(
@@ -44,8 +47,9 @@
       } else {
         handleCall(request, response);
       }
-    });
-    turns.watch(server);
+    };
+    const server = createServer(limits, answer);
+    reader.watch(server);
     guardServer(server, bounds, onDropped);
     return new AdminServer(server);
   }
@@ -54,7 +58,7 @@
   listen(host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, host, () => {
+      this.server.listen({ port, host, backlog: BACKLOG_COUNT }, () => {
         this.server.off('error', reject);
         resolve((this.server.address() as AddressInfo).port);
       });
--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -22,7 +22,9 @@
   CHECK_INTERVAL_MS,
   ConnectionLimit,
   DropCause,
-  ReadTurns,
+  RequestReader,
+  deriveCallerBounds,
+  type CallerBounds,
 } from '@ebonysill/http';
 import CallerConnections from '@ebonysill/http/caller-connections';
 import { checkCallerHead, decodeCallerRequest, isProblem } from './caller-request.js';
@@ -45,11 +47,6 @@
 /** Time in which an unfinished body must make progress. */
 const BODY_TIMEOUT_MS = 10_000;
 
-/** Unfinished bodies and running requests of all callers together. */
-const MAX_HELD_BYTES = 33_554_432;
-
-const MAX_CONNECTION_COUNT = 4_096;
-
 const PROBLEM_TYPE = 'application/problem+json';
 
 const EVENT_STREAM = 'text/event-stream';
@@ -59,18 +56,14 @@
   readonly post: (event: Event) => void;
   /** Page for a GET request, such as `/readyz`; undefined if the request goes to a service. */
   readonly readPage: (path: string) => Page | undefined;
-  readonly bounds?: CallerPortBounds;
+  /** By default those of a host with 256 MB. */
+  readonly bounds?: CallerBounds;
+  /** Time in which an unfinished body must make progress. */
+  readonly bodyTimeoutMs?: number;
   /** Called for each body or connection that is dropped. */
   readonly onDropped?: RecordDrop;
 }
 
-/** Bounds on what all callers together may make the process keep. */
-export interface CallerPortBounds {
-  readonly maxHeldBytes: number;
-  readonly maxConnectionCount: number;
-  readonly bodyTimeoutMs: number;
-}
-
 /** A page that the process itself serves. */
 export interface Page {
   readonly status: number;
@@ -92,11 +85,8 @@
   }
 };
 
-const DEFAULT_BOUNDS: CallerPortBounds = {
-  maxHeldBytes: MAX_HELD_BYTES,
-  maxConnectionCount: MAX_CONNECTION_COUNT,
-  bodyTimeoutMs: BODY_TIMEOUT_MS,
-};
+/** Bounds when no host is given. */
+const DEFAULT_HOST = { memoryMb: 256, fileDescriptors: 8_192 };
 
 const problemBody = (problem: Problem, requestId: string): string =>
   JSON.stringify({
@@ -121,26 +111,33 @@
 
   readonly #limit: ConnectionLimit;
 
+  readonly #backlogCount: number;
+
   #exchangeCount = 0;
 
   private constructor(private readonly options: CallerPortOptions) {
-    const turns = ReadTurns.create();
+    const {
+      bounds = deriveCallerBounds(DEFAULT_HOST),
+      bodyTimeoutMs = BODY_TIMEOUT_MS,
+      onDropped = () => undefined,
+    } = options;
+    const { maxHeldBytes, maxConnectionCount, maxUnreadBytes } = bounds;
+    this.#backlogCount = bounds.maxBacklogCount;
+    const reader = RequestReader.create({ maxUnreadBytes, onDropped });
     this.#server = createServer(
       {
-        IncomingMessage: turns.createMessageClass(),
+        IncomingMessage: reader.createMessageClass(),
         maxHeaderSize: MAX_HEADER_BYTES,
         requestTimeout: REQUEST_TIMEOUT_MS,
       },
       (request, response) => this.#onRequest(request, response),
     );
-    turns.watch(this.#server);
+    reader.watch(this.#server);
     // Without this, Node writes `100 Continue` before the head is checked.
     this.#server.on('checkContinue', (request, response) =>
       this.#onRequest(request, response, () => response.writeContinue()),
     );
     this.#server.on('connection', (socket) => this.#connections.add(socket));
-    const { maxHeldBytes, maxConnectionCount, bodyTimeoutMs } = options.bounds ?? DEFAULT_BOUNDS;
-    const { onDropped = () => undefined } = options;
     const budget = ByteBudget.create({ maxBytes: maxHeldBytes, onDropped });
     this.#limit = ConnectionLimit.create({ maxCount: maxConnectionCount, onDropped });
     this.#bodies = BodyReceiver.create({ budget, timeoutMs: bodyTimeoutMs, onDropped });
@@ -167,7 +164,7 @@
   listen(host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen(port, host, () => {
+      this.#server.listen({ port, host, backlog: this.#backlogCount }, () => {
         this.#server.off('error', reject);
         resolve((this.#server.address() as AddressInfo).port);
       });
--- a/packages/transport/tests/outside-limits.test.ts
+++ b/packages/transport/tests/outside-limits.test.ts
@@ -48,14 +48,24 @@
 
 const listenToCallers = async (
   after: After,
-  bounds: { maxHeldBytes?: number; maxConnectionCount?: number; bodyTimeoutMs?: number },
+  {
+    bodyTimeoutMs = 10_000,
+    ...bounds
+  }: { maxHeldBytes?: number; maxConnectionCount?: number; bodyTimeoutMs?: number },
   drops = DropCounters.create(() => undefined),
 ): Promise<{ port: number; events: readonly Event[] }> => {
   const events: Event[] = [];
   const callers = CallerPort.create({
     post: (event) => events.push(event),
     readPage: () => undefined,
-    bounds: { maxHeldBytes: 1_000_000, maxConnectionCount: 10, bodyTimeoutMs: 10_000, ...bounds },
+    bounds: {
+      maxHeldBytes: 1_000_000,
+      maxConnectionCount: 10,
+      maxUnreadBytes: 1_000_000,
+      maxBacklogCount: 64,
+      ...bounds,
+    },
+    bodyTimeoutMs,
     onDropped: drops.recorderOf(Listener.Callers),
   });
   const port = await callers.listen(HOST, 0);
