fix(http): blocks of bytes are collected or used again before they pile up

Operators saw: on hosts of 112 MB a gateway ended beside 400 bodies in large chunks, announced or over the limit, also where nothing of them was kept.

Cause: a block takes a hundred bytes of V8's heap and its content lies outside. New objects are collected when they fill a megabyte of the heap, some 60 MB of blocks later. Pieces of bodies outlive that and are collected only with the old part of the heap. Bounds took 146 MB for the process on any host, and the rest of every refused body was read at the same time.

Change: a collection of new objects after each megabyte of blocks; pieces of bodies are used again; the rest of at most 32 refused bodies is read; bounds are shares of what the host has beyond 76 MB, so that all of them together fit (a test says so).

--- a/packages/gateway-io/src/RequestReceiver.ts
+++ b/packages/gateway-io/src/RequestReceiver.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerRequest } from '@ebonysill/gateway';
-import { BodyReceiver } from '@ebonysill/http';
+import type { BodyReceiver } from '@ebonysill/http';
 import type AnswerWriter from './AnswerWriter.js';
 import { MALFORMED, refusalOf, type RefusalAnswer } from './caller-answers.js';
 
@@ -144,7 +144,7 @@
         response.end();
       }
     });
-    BodyReceiver.drop(request, () => this.#refuse(request, response, refusal));
+    this.options.bodies.drop(request, () => this.#refuse(request, response, refusal));
   }
 
   /** Answers at once; the connection closes after the rest of the body, or after a while. */
@@ -158,7 +158,7 @@
     const timer = setTimeout(() => response.end(), REFUSED_BODY_MS);
     request.on('end', () => response.end());
     response.on('close', () => clearTimeout(timer));
-    BodyReceiver.drop(request, () => {
+    this.options.bodies.drop(request, () => {
       response.end();
     });
   }
--- a/packages/gateway-io/tests/caller-bounds.test.ts
+++ b/packages/gateway-io/tests/caller-bounds.test.ts
@@ -16,6 +16,32 @@
   });
 });
 
+const BYTES_PER_MB = 1_048_576;
+
+/** Memory of a gateway that serves ordinary callers. */
+const GATEWAY_MB = 76;
+
+/** Socket and parser of a connection. */
+const CONNECTION_BYTES = 12_288;
+
+/** What the system holds of a connection that is not accepted. */
+const BACKLOG_BYTES = 65_536;
+
+// Guards against a process that exceeds the memory of its host when all bounds are reached together.
+test('all bounds together fit in the memory of the host', () => {
+  [112, 160, 202, 272, 602].forEach((memoryMb) => {
+    const { maxHeldBytes, maxUnreadBytes, maxConnectionCount, maxBacklogCount } =
+      deriveCallerBounds({ memoryMb, fileDescriptors: 65_536 });
+    // Answers of targets get as much as bodies of callers.
+    const sumBytes =
+      2 * maxHeldBytes +
+      maxUnreadBytes +
+      maxConnectionCount * CONNECTION_BYTES +
+      maxBacklogCount * BACKLOG_BYTES;
+    expect(GATEWAY_MB + sumBytes / BYTES_PER_MB).toBeLessThan(memoryMb + 1);
+  });
+});
+
 // Guards against callers that take the descriptors of files, targets and the store.
 test('connections leave descriptors for the rest of the process', () => {
   const { maxConnectionCount } = deriveCallerBounds({ memoryMb: 202, fileDescriptors: 2_069 });
--- a/packages/http/src/AnswerReader.ts
+++ b/packages/http/src/AnswerReader.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import connectInSteps, { type SteppedConnection } from './connectInSteps.js';
 import FramingMeter, { FramingVerdict } from './FramingMeter.js';
+import GarbageMeter from './GarbageMeter.js';
 import ReadTurns from './ReadTurns.js';
 import SlowReads from './SlowReads.js';
 
@@ -30,6 +31,7 @@
   /** Bounds what a turn of the event loop reads, together with other ports of the process. */
   readonly turns?: ReadTurns;
   readonly slowReads?: SlowReads;
+  readonly garbage?: GarbageMeter;
 }
 
 /** Bytes of framing that a chunk has at least. */
@@ -54,12 +56,16 @@
 
   readonly #slowReads: SlowReads;
 
+  readonly #garbage: GarbageMeter;
+
   private constructor({
     turns = ReadTurns.create(),
     slowReads = SlowReads.create(),
+    garbage = GarbageMeter.create(),
   }: AnswerReaderOptions) {
     this.#turns = turns;
     this.#slowReads = slowReads;
+    this.#garbage = garbage;
   }
 
   /**
@@ -105,6 +111,7 @@
       const parsedNowBytes = socket.bytesRead - socket.readableLength;
       const blockBytes = Math.max(data.length, parsedNowBytes - parsedBytes);
       parsedBytes = Math.max(parsedBytes, parsedNowBytes);
+      this.#garbage.recordBlock(blockBytes);
       const verdict = meter.record(blockBytes, data.length);
       if (verdict === FramingVerdict.Excessive) {
         isReading = false;
--- a/packages/http/src/BodyBuffer.ts
+++ b/packages/http/src/BodyBuffer.ts
@@ -5,11 +5,7 @@
  * socket, and each of many small chunks is an object on the heap.
  */
 
-/** Size of the first piece. */
-const MIN_PIECE_BYTES = 512;
-
-/** Largest piece; at most this much is allocated beyond the bytes of a large body. */
-const MAX_PIECE_BYTES = 65_536;
+import PiecePool from './PiecePool.js';
 
 /** Copies chunks into pieces that double in size. */
 export default class BodyBuffer {
@@ -22,7 +18,7 @@
 
   #allocatedBytes = 0;
 
-  private constructor() {}
+  private constructor(private readonly pool: PiecePool) {}
 
   /**
    * Creates an empty buffer, which allocates nothing yet.
@@ -31,8 +27,8 @@
    * const body = BodyBuffer.create();
    * request.on('data', (chunk: Buffer) => body.push(chunk));
    */
-  static create(): BodyBuffer {
-    return new BodyBuffer();
+  static create(pool: PiecePool = PiecePool.create()): BodyBuffer {
+    return new BodyBuffer(pool);
   }
 
   /** Bytes received so far. */
@@ -60,19 +56,14 @@
 
   /** Returns the body in one buffer and empties this one. */
   take(): Buffer {
-    const last = this.#pieces.at(-1);
-    const [first] = this.#pieces;
-    const isFull = last !== undefined && this.#usedBytes === last.length;
-    const body =
-      first !== undefined && this.#pieces.length === 1 && isFull
-        ? first
-        : Buffer.concat(this.#pieces, this.#sizeBytes);
+    const body = Buffer.concat(this.#pieces, this.#sizeBytes);
     this.clear();
     return body;
   }
 
   /** Drops all bytes. */
   clear(): void {
+    this.#pieces.forEach((piece) => this.pool.give(piece));
     this.#pieces.length = 0;
     this.#usedBytes = 0;
     this.#sizeBytes = 0;
@@ -84,12 +75,11 @@
     if (last !== undefined && this.#usedBytes < last.length) {
       return last;
     }
-    const pieceBytes = Math.min(MAX_PIECE_BYTES, Math.max(MIN_PIECE_BYTES, this.#allocatedBytes));
-    // Not from the shared pool of small buffers, whose blocks other users would keep alive.
-    const piece = Buffer.allocUnsafeSlow(pieceBytes);
+    // Doubles the memory up to the largest piece.
+    const piece = this.pool.take(this.#allocatedBytes);
     this.#pieces.push(piece);
     this.#usedBytes = 0;
-    this.#allocatedBytes += pieceBytes;
+    this.#allocatedBytes += piece.length;
     return piece;
   }
 }
--- a/packages/http/src/BodyReceiver.ts
+++ b/packages/http/src/BodyReceiver.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import BodyBuffer from './BodyBuffer.js';
 import ByteBudget, { DropCause } from './ByteBudget.js';
+import PiecePool from './PiecePool.js';
 
 /** Options of a receiver. */
 export interface BodyReceiverOptions {
@@ -44,12 +45,20 @@
 /** Small chunks of a refused body after which its rest is not awaited, and then not read any more. */
 const REFUSED_CHUNK_COUNT = 1_024;
 
+/** Refused bodies that are read at once; the connections of others are closed with their answers. */
+const MAX_DROPPED_BODIES = 32;
+
 /** Node keeps the fields of a head as strings, in two forms. */
 const headBytesOf = ({ rawHeaders, url = '' }: IncomingMessage): number =>
   2 * rawHeaders.reduce((sum, text) => sum + text.length, url.length);
 
 /** Receives the bodies of a server. */
 export default class BodyReceiver {
+  readonly #pieces = PiecePool.create();
+
+  /** Refused requests whose bodies are read. */
+  readonly #dropping = new Set<IncomingMessage>();
+
   #fragmentedCount = 0;
 
   private constructor(private readonly options: BodyReceiverOptions) {}
@@ -76,7 +85,7 @@
     const { budget, timeoutMs, onDropped = () => undefined } = this.options;
     const announcedBytes = Number(request.headers['content-length'] ?? 0);
     const overheadBytes = REQUEST_OVERHEAD_BYTES + headBytesOf(request);
-    const body = BodyBuffer.create();
+    const body = BodyBuffer.create(this.#pieces);
     let isReading = true;
     let isFragmented = false;
     let smallChunkCount = 0;
@@ -154,15 +163,24 @@
   }
 
   /**
-   * Reads and drops the rest of a body. Calls `onFragmented` when it comes in many small chunks, and
-   * closes the connection when they go on: each costs the processor more than the bytes of an attack.
+   * Reads and drops the rest of a body, so that its sender reads the answer. Calls `onGivenUp` when the rest
+   * is not read: many others are dropped at the moment, or it comes in many small chunks. When these go on,
+   * the connection is closed: each costs the processor more than the bytes of an attack.
    */
-  static drop(request: IncomingMessage, onFragmented: () => void): void {
+  drop(request: IncomingMessage, onGivenUp: () => void): void {
+    if (!this.#dropping.has(request)) {
+      if (this.#dropping.size === MAX_DROPPED_BODIES) {
+        onGivenUp();
+        return;
+      }
+      this.#dropping.add(request);
+      request.once('close', () => this.#dropping.delete(request));
+    }
     let smallChunkCount = 0;
     request.on('data', (chunk: Buffer) => {
       smallChunkCount += chunk.length < MIN_CHUNK_BYTES ? 1 : 0;
       if (smallChunkCount === REFUSED_CHUNK_COUNT) {
-        onFragmented();
+        onGivenUp();
       } else if (smallChunkCount === 2 * REFUSED_CHUNK_COUNT) {
         request.socket.destroy();
       }
--- a/packages/http/src/RequestReader.ts
+++ b/packages/http/src/RequestReader.ts
@@ -9,6 +9,7 @@
 import type { Socket } from 'node:net';
 import { DropCause } from './ByteBudget.js';
 import createCountedMessage from './createCountedMessage.js';
+import GarbageMeter from './GarbageMeter.js';
 import UnreadBytes, { type UnreadConnection } from './UnreadBytes.js';
 
 /** Options of a reader. */
@@ -17,6 +18,7 @@
   readonly maxReadCount?: number;
   /** Calls a function in the next turn of the event loop. */
   readonly atNextTurn?: (fn: () => void) => void;
+  readonly garbage?: GarbageMeter;
   /** Bytes of all connections that may wait to be read. */
   readonly maxUnreadBytes?: number;
   /** Called for each connection that is closed because too many bytes wait. */
@@ -71,6 +73,8 @@
 
   readonly #atNextTurn: (fn: () => void) => void;
 
+  readonly #garbage: GarbageMeter;
+
   readonly #unread: UnreadBytes;
 
   /** Whether a connection was accepted since the last turn; only one is in a turn. */
@@ -84,6 +88,7 @@
     const { maxUnreadBytes = DEFAULT_MAX_UNREAD_BYTES } = options;
     this.#maxReadCount = options.maxReadCount ?? MAX_READ_COUNT;
     this.#atNextTurn = options.atNextTurn ?? setImmediate;
+    this.#garbage = options.garbage ?? GarbageMeter.create();
     this.#unread = UnreadBytes.create(maxUnreadBytes);
   }
 
@@ -216,6 +221,8 @@
     const countBefore = this.#readCount;
     // Emits the slice as `data`, which the server parses at once. Only a read of all emits the end.
     socket.read(sizeBytes < socket.readableLength ? sizeBytes : undefined);
+    // The parser copies bodies.
+    this.#garbage.recordBlock(2 * sizeBytes);
     const chunkCount = this.#readCount - countBefore;
     const isFragmented = chunkCount > MIN_CHUNK_BYTES && chunkCount * MIN_CHUNK_BYTES > sizeBytes;
     const hasNews = socket.readableLength > 0;
--- a/packages/http/src/derive-caller-bounds.ts
+++ b/packages/http/src/derive-caller-bounds.ts
@@ -28,17 +28,19 @@
 const BYTES_PER_MB = 1_048_576;
 
 /** Program, stacks and heap of a gateway that serves ordinary callers. */
-const GATEWAY_MB = 146;
+const GATEWAY_MB = 76;
 
 /** Of the rest; answers of targets get as much again. */
-const HELD_SHARE = 0.5;
+const HELD_SHARE = 0.25;
 
 const UNREAD_SHARE = 0.1;
 
 const BACKLOG_SHARE = 0.25;
 
+const CONNECTION_SHARE = 0.15;
+
 /** A body of the published 4 MiB, once in pieces and once in one buffer, with room for others. */
-const MIN_HELD_BYTES = 12_582_912;
+const MIN_HELD_BYTES = 9_437_184;
 
 /** Descriptors that a host keeps for files. */
 const FILE_DESCRIPTORS = 200;
@@ -50,6 +52,9 @@
 
 const MAX_CONNECTION_COUNT = 4_096;
 
+/** Socket and parser of a connection. */
+const CONNECTION_BYTES = 12_288;
+
 /** What the system receives of a connection that is not accepted. */
 const BACKLOG_CONNECTION_BYTES = 65_536;
 
@@ -78,7 +83,12 @@
       MAX_CONNECTION_COUNT,
       Math.max(
         MIN_CONNECTION_COUNT,
-        Math.floor((fileDescriptors - FILE_DESCRIPTORS) * CALLER_SHARE),
+        Math.floor(
+          Math.min(
+            (fileDescriptors - FILE_DESCRIPTORS) * CALLER_SHARE,
+            (spareBytes * CONNECTION_SHARE) / CONNECTION_BYTES,
+          ),
+        ),
       ),
     ),
     maxUnreadBytes: Math.max(MIN_UNREAD_BYTES, Math.floor(spareBytes * UNREAD_SHARE)),
--- a/packages/transport/src/caller-port.ts
+++ b/packages/transport/src/caller-port.ts
@@ -279,7 +279,7 @@
     if (problem === undefined) {
       this.#readBody(request, response, askForBody);
     } else {
-      CallerPort.#refuse(request, response, problem);
+      this.#refuse(request, response, problem);
     }
   }
 
@@ -290,12 +290,12 @@
       maxBytes: MAX_BODY_BYTES,
       onHeadAccepted: askForBody,
       onComplete: (body) => this.#dispatch(request, response, body.toString('latin1')),
-      onRefused: (cause) => CallerPort.#refuse(request, response, problemOf(cause)),
+      onRefused: (cause) => this.#refuse(request, response, problemOf(cause)),
     });
   }
 
   /** Answers at once; the connection closes after the rest of the body, or after a while. */
-  static #refuse(request: IncomingMessage, response: ServerResponse, problem: Problem): void {
+  #refuse(request: IncomingMessage, response: ServerResponse, problem: Problem): void {
     if (response.headersSent || response.destroyed) {
       return;
     }
@@ -303,7 +303,7 @@
     CallerPort.#writeProblem(response, problem, '');
     const timer = setTimeout(() => request.socket.destroySoon(), REFUSED_BODY_MS);
     request.socket.once('close', () => clearTimeout(timer));
-    BodyReceiver.drop(request, () => undefined);
+    this.#bodies.drop(request, () => request.socket.destroySoon());
   }
 
   #dispatch(request: IncomingMessage, response: ServerResponse, body: string): void {
