fix: listeners whose requests take no body refuse bodies unread

Cause: health checks and metrics ignore bodies, which Node then reads to the end, chunk by chunk; the library behind the operators' port keeps each chunk as an object until the body ends.

Change: these listeners answer a request with a body by 413 and close the connection without reading it; no call of operators has one, its input is in the path. Their queues are 32 connections.

--- a/packages/gateway-io/src/RequestReceiver.ts
+++ b/packages/gateway-io/src/RequestReceiver.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerRequest } from '@ebonysill/gateway';
-import type { BodyReceiver } from '@ebonysill/http';
+import { hasBody, type BodyReceiver } from '@ebonysill/http';
 import type AnswerWriter from './AnswerWriter.js';
 import { MALFORMED, refusalOf, type RefusalAnswer } from './caller-answers.js';
 
@@ -54,9 +54,6 @@
 
 const EMPTY_BODY = new Uint8Array(0);
 
-const hasBody = ({ headers }: IncomingMessage): boolean =>
-  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-
 /** Receives the requests of a server; answers those that are refused before they are complete. */
 export default class RequestReceiver {
   /** Connections on which a request was answered before it was complete. */
--- a/packages/gateway-io/src/StatusServer.ts
+++ b/packages/gateway-io/src/StatusServer.ts
@@ -5,6 +5,7 @@
   CHECK_INTERVAL_MS,
   RequestReader,
   guardServer,
+  refuseBodies,
   type DropCause,
   type ServerBounds,
 } from '@ebonysill/http';
@@ -26,7 +27,7 @@
   readonly bounds?: ServerBounds;
   /** Reads the connections; by default shared with no other server. */
   readonly reader?: RequestReader;
-  /** Called for each connection that is closed. */
+  /** Called for each connection that is closed and each body that is refused. */
   readonly onDropped?: (cause: DropCause) => void;
 }
 
@@ -36,7 +37,7 @@
 /** Connections that wait in the system to be accepted; each may hold bytes there. */
 const BACKLOG_COUNT = 32;
 
-/** Answers every request from its path alone; method and body are ignored. */
+/** Answers every request without a body from its path alone, whatever its method. */
 export default class StatusServer {
   private constructor(private readonly server: Server) {}
 
@@ -62,7 +63,7 @@
       });
       response.end(body);
     };
-    const server = createServer(limits, respond);
+    const server = createServer(limits, refuseBodies(respond, onDropped));
     reader.watch(server);
     guardServer(server, bounds, onDropped);
     server.listen({ ...listen, backlog: BACKLOG_COUNT });
--- a/packages/gateway-io/tests/status-server.test.ts
+++ b/packages/gateway-io/tests/status-server.test.ts
@@ -80,6 +80,23 @@
   await waitUntilClosed(unfinished);
 });
 
+// Guards against bodies that nobody reads as requests, each chunk of which takes processor time.
+test('a request with a body is refused and its connection closed', async (context) => {
+  const after: After = (fn) => context.after(fn);
+  const port = await listen(after, {});
+  const framings = ['Transfer-Encoding: chunked', 'Content-Length: 100'];
+  const answers = await Promise.all(
+    framings.map(async (framing) => {
+      const client = await open(port, after);
+      client.write(`POST / HTTP/1.1\r\nHost: a\r\n${framing}\r\n\r\n`);
+      const [data] = (await once(client, 'data')) as [Buffer];
+      await waitUntilClosed(client);
+      return data.toString().split('\r\n', 1);
+    }),
+  );
+  expect(answers.flat()).toEqual(framings.map(() => 'HTTP/1.1 413 Payload Too Large'));
+});
+
 // Guards against heads that take the memory of the process.
 test('a head over the limit is refused', async (context) => {
   const after: After = (fn) => context.after(fn);
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -29,4 +29,5 @@
 export { default as ReadTurns, type ReadTurnsOptions } from './ReadTurns.js';
 export { default as RequestReader, type RequestReaderOptions } from './RequestReader.js';
 export { default as SlowReads, type SlowRead } from './SlowReads.js';
+export { hasBody, refuseBodies } from './refuse-bodies.js';
 export { MAX_STATUS_CONNECTIONS, guardServer, type ServerBounds } from './guard-server.js';
--- a/packages/transport/src/AdminServer.ts
+++ b/packages/transport/src/AdminServer.ts
@@ -1,7 +1,7 @@
 /** @module HTTP server for operators: calls to the process and its metrics page. */
 import type { AddressInfo } from 'node:net';
 import { createServer, type RequestListener, type Server } from 'node:http';
-import { RequestReader, guardServer, type ServerBounds } from '@ebonysill/http';
+import { RequestReader, guardServer, refuseBodies, type ServerBounds } from '@ebonysill/http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { adminRouter, type AdminFunctions } from './admin-router.js';
 import type { RecordDrop } from './DropCounters.js';
@@ -11,13 +11,10 @@
 
 const METRICS_TYPE = 'text/plain; version=0.0.4';
 
-/** Calls of operators carry an id and a few fields. */
-const MAX_BODY_BYTES = 65_536;
-
 /** Connections that wait in the system to be accepted; each may hold bytes there. */
 const BACKLOG_COUNT = 32;
 
-/** Serves metrics at `/metrics`, and tRPC calls at every other path. */
+/** Serves metrics at `/metrics`, and tRPC calls, whose input is in the path, at every other path. */
 export default class AdminServer {
   private constructor(private readonly server: Server) {}
 
@@ -32,10 +29,7 @@
     bounds?: ServerBounds,
     onDropped: RecordDrop = () => undefined,
   ): AdminServer {
-    const handleCall = createHTTPHandler({
-      router: adminRouter(functions),
-      maxBodySize: MAX_BODY_BYTES,
-    });
+    const handleCall = createHTTPHandler({ router: adminRouter(functions) });
     const reader = RequestReader.create({ onDropped });
     const limits = { IncomingMessage: reader.createMessageClass() };
     const answer: RequestListener = (request, response) => {
@@ -48,7 +42,7 @@
         handleCall(request, response);
       }
     };
-    const server = createServer(limits, answer);
+    const server = createServer(limits, refuseBodies(answer, onDropped));
     reader.watch(server);
     guardServer(server, bounds, onDropped);
     return new AdminServer(server);
