fix(entry): what callers make an entry process keep follows from its host

Operators saw: an entry process reached 194 to 211 MB beside 400 bodies in large chunks, on hosts of any size, since its bounds were constants: 32 MiB of bodies, 4,096 connections, no bound on what waits to be read.

Change: settings memoryMb and fileDescriptors, 256 MB and 8,192 by default, from which the bounds follow as in a gateway. The default has room for the default of maxInProgress.

--- a/demo/src/demo-fleet.ts
+++ b/demo/src/demo-fleet.ts
@@ -93,7 +93,7 @@
     ]);
     const entries = await Promise.all(
       plan.zones.map((zone) =>
-        DemoFleet.#startEntry(folder, zone, urlOf(portOf(configurationService))),
+        DemoFleet.#startEntry(folder, zone, urlOf(portOf(configurationService)), plan),
       ),
     );
     await Promise.all(entries.map(({ url }) => waitUntilReady(url)));
@@ -174,6 +174,7 @@
     folder: string,
     availabilityZone: string,
     configurationUrl: string,
+    { entryMemoryMb }: FleetPlan,
   ): Promise<RunningEntry> {
     const entryId = `entry-${availabilityZone}`;
     const file = join(folder, `${entryId}.jsonc`);
@@ -186,6 +187,7 @@
       configurationUrl,
       linkSecret: LINK_SECRET,
       logLevel: 'info',
+      memoryMb: entryMemoryMb,
     };
     await writeFile(file, JSON.stringify(settings));
     const program = await spawnProgram(programPath('binaries', 'entry'), [file]);
--- a/demo/src/fleet-plan.ts
+++ b/demo/src/fleet-plan.ts
@@ -17,6 +17,8 @@
   readonly plainTargetsPerZone: number;
   readonly organisations: readonly string[];
   readonly tokenIntervalMs: number;
+  /** Memory of the host of an entry process; that of its settings by default. */
+  readonly entryMemoryMb?: number;
   /** Time that a plain target holds a call before it runs; 0 by default. */
   readonly holdMs?: number;
 }
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -9,6 +9,11 @@
 
 const seedField = z.strictObject({ targetId: nameField, host: ipField, port: portField });
 
+/** Room for the default number of requests in progress. */
+const DEFAULT_MEMORY_MB = 256;
+
+const DEFAULT_DESCRIPTOR_COUNT = 8_192;
+
 /** Settings of an entry process. */
 export const entrySettingsSchema = z.strictObject({
   processId: nameField,
@@ -19,6 +24,10 @@
   configurationUrl: urlField,
   readsConfiguration: z.boolean().default(true),
   maxInProgress: z.int().min(1).default(4_000),
+  /** Memory of the host, which bounds what callers make the process keep. */
+  memoryMb: z.number().positive().default(DEFAULT_MEMORY_MB),
+  /** Descriptors that the host lets the process open. */
+  fileDescriptors: z.int().positive().default(DEFAULT_DESCRIPTOR_COUNT),
   seedSidecars: z.array(seedField).default([]),
   linkSecret: linkSecretField,
   logLevel: logLevelField,
