fix(http): an answer without a valid status fails the call

Other operators saw a status of 000 reach a client as an answer. An agent took status 000 of an engine for an accepted order, since it is under 300, and a report beside it for sound.

Cause: the parser of Node passes on any number, and each port compared it with limits of its own.

Change: one check of the status of what is called, in the client for text answers (store, configuration, engines, health) and at the sidecar's port to its target.

--- a/packages/http/src/HttpClient.ts
+++ b/packages/http/src/HttpClient.ts
@@ -7,6 +7,7 @@
 import { Agent, request, type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import ModernError from 'modern-errors';
 import AnswerReader from './AnswerReader.js';
+import hasFinalStatus from './hasFinalStatus.js';
 import limitInformation from './limitInformation.js';
 
 /** Options of an HTTP client. */
@@ -76,6 +77,10 @@
   async call(call: HttpCall): Promise<HttpAnswer> {
     try {
       const begun = await this.#send(call);
+      if (!hasFinalStatus(begun.answer)) {
+        begun.answer.destroy();
+        throw new UnsoundAnswerError('the answer has no valid status');
+      }
       const { statusCode: status = 0, headers } = begun.answer;
       return { status, headers, text: await this.#readText(begun) };
     } catch (error) {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -23,6 +23,7 @@
 export { default as ConnectionLimit } from './ConnectionLimit.js';
 export { deriveCallerBounds, type CallerBounds, type HostLimits } from './derive-caller-bounds.js';
 export { default as FramingMeter, FramingVerdict } from './FramingMeter.js';
+export { default as hasFinalStatus } from './hasFinalStatus.js';
 export { default as HttpClient, type HttpAnswer } from './HttpClient.js';
 export { default as GarbageMeter, type CollectGarbage } from './GarbageMeter.js';
 export { default as limitInformation } from './limitInformation.js';
--- a/packages/transport/src/TargetPort.ts
+++ b/packages/transport/src/TargetPort.ts
@@ -18,6 +18,7 @@
   detectReset,
   limitInformation,
   type AnswerControl,
+  hasFinalStatus,
 } from '@ebonysill/http';
 import { z } from 'zod';
 import addResume from './addResume.js';
@@ -189,6 +190,11 @@
       answer.destroy();
       return;
     }
+    if (!hasFinalStatus(answer)) {
+      answer.destroy();
+      this.#onError(callId, new Error('the answer has no valid status'));
+      return;
+    }
     const contentType = answer.headers['content-type'] ?? '';
     const splitter = createSplitter(contentType);
     this.post({
--- a/packages/transport/tests/target-port.test.ts
+++ b/packages/transport/tests/target-port.test.ts
@@ -205,3 +205,31 @@
   expect(await healthOf('200 OK')).toEqual({ kind, isUp: true, isCold: false });
   expect(await healthOf('503 Failing')).toEqual({ kind, isUp: false, isCold: true });
 });
+
+/** Status lines after the version that have no valid status. */
+const INVALID_STATUSES = [
+  ...['000 None', '0', '001 Low', '099 Low', '100 Continue', '199 Last', '600 First', '999 High'],
+  ...['20 OK', '2000 OK', '-200 OK', 'OK'],
+];
+
+const FRAMINGS = [
+  'Content-Length: 4\r\n\r\npart',
+  'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n',
+  'Connection: close\r\n\r\npart',
+];
+
+// Guards against bytes without a status that a caller gets as an answer.
+test('an answer without a valid status fails the call', async () => {
+  const answers = INVALID_STATUSES.flatMap((status) =>
+    FRAMINGS.map((framing) => `HTTP/1.1 ${status}\r\nContent-Type: text/plain\r\n${framing}`),
+  );
+  let index = -1;
+  const results = await call(
+    (socket) => {
+      index += 1;
+      socket.end(answers[index] ?? '');
+    },
+    answers.map((_, number) => `call ${number}`),
+  );
+  expect(results.map(kindOf)).toEqual(answers.map(() => ERROR));
+});
