fix(gateway): gateways take turns at a cold target that takes few requests

Cause: each gateway sent at least one request a second, whatever its share of what the target takes. Retry budgets and limits that targets name were read for the same cause; they have no least share.

Change: where the share is under one a second, gateways own slots in turn, counted down to the time at which the target is warm. config check says what a limit under 1 now means.

--- a/packages/cli/src/config-check/engine-rules.ts
+++ b/packages/cli/src/config-check/engine-rules.ts
@@ -137,10 +137,10 @@
 
 const coldFaultOf = ({ coldPerSecond, engine }: PublishedService): string | undefined => {
   if (coldPerSecond < 0) {
-    return `${coldPerSecond} requests per second is negative; each gateway sends one per second`;
+    return `${coldPerSecond} requests per second is negative; a target gets none until it is warm`;
   }
   if (coldPerSecond > 0 && coldPerSecond < 1) {
-    return `${coldPerSecond} requests per second is under 1; each gateway sends one per second all the same`;
+    return `${coldPerSecond} requests per second is under 1; a cold target gets one every ${1 / coldPerSecond} s`;
   }
   const answerMs = engine === undefined ? 0 : leastAnswerMs(engine);
   const warmPerSecond =
--- a/packages/gateway/src/cold-starts-service.ts
+++ b/packages/gateway/src/cold-starts-service.ts
@@ -1,11 +1,13 @@
 /**
  * @module Limits the requests that a cold target gets.
  *
- * The limit applies to all gateways together, so each uses only its share of it. A gateway that starts
+ * The limit applies to all gateways together, so each uses only its share of it; where that is less than a
+ * request a second, gateways take turns. A gateway that starts
  * sends nothing to cold targets in its first second before a peer has answered; then what all
  * gateways sent, the process that ran here before among them, counts against its share.
  */
 import { createInstance } from '@ebonysill/kernel';
+import { coldSlotOf, ownsColdSlot } from '@ebonysill/scheduling';
 import {
   ServiceName,
   type CatalogueApi,
@@ -42,6 +44,9 @@
   /** By instance identifier: requests before the start of this process, as peers reported them. */
   readonly #reported = RecentMap.create<SlidingCounter>(MAX_COUNTERS);
 
+  /** By instance identifier: slot in which this gateway sent its last request. */
+  readonly #usedSlots = RecentMap.create<number>(MAX_COUNTERS);
+
   readonly #startedAtMs: number;
 
   #hasAnswer = false;
@@ -76,11 +81,28 @@
     }
     const count = ColdStartsService.#countOf(this.#sent, instanceId);
     const reportedCount = ColdStartsService.#countOf(this.#reported, instanceId);
-    return count + reportedCount + 1 <= Math.max(1, this.#share.of(perSecond));
+    const share = this.#share.of(perSecond);
+    return share < 1
+      ? reportedCount + 1 <= Math.max(1, perSecond) && this.#mayUseSlot(instanceId, perSecond)
+      : count + reportedCount + 1 <= share;
   };
 
-  readonly recordStart = ({ instanceId }: PublishedTarget): void =>
+  /** Whether this gateway's turn has come and no request of it was sent in this turn. */
+  #mayUseSlot(instanceId: string, perSecond: number): boolean {
+    const coldMsLeft = this.#targets.coldMsLeft(instanceId);
+    const { index, count } = this.#share.place();
+    return (
+      ownsColdSlot({ coldMsLeft, perSecond, gatewayIndex: index, gatewayCount: count }) &&
+      this.#usedSlots.get(instanceId) !== coldSlotOf({ coldMsLeft, perSecond })
+    );
+  }
+
+  readonly recordStart = ({ instanceId, service }: PublishedTarget): void => {
     this.#add(this.#sent, instanceId, 1);
+    const perSecond = this.#catalogue.serviceOf(service)?.coldPerSecond ?? 0;
+    const coldMsLeft = this.#targets.coldMsLeft(instanceId);
+    this.#usedSlots.set(instanceId, coldSlotOf({ coldMsLeft, perSecond }));
+  };
 
   readonly recentStarts = (): readonly TargetCount[] =>
     [...new Set([...this.#sent.keys(), ...this.#announced.keys()])]
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,6 +8,7 @@
 export * from './decide-yield.js';
 export * from './demand.js';
 export * from './order-demands.js';
+export * from './owns-cold-slot.js';
 export * from './queue-decisions.js';
 export * from './request-work.js';
 export * from './shed-by-urgency.js';
