fix(rank-agent): a driver that starts again uses no version of its predecessor

Cause: a new process takes the next version above those that ranks show, and ranks show none whose order is under way or whose copy is not complete.

Change: the first version of a process skips a random number of blocks.

--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -77,9 +77,15 @@
 /** Maximum time that a rank copies weights for one change; short changes take effect sooner. */
 const MAX_COPY_MS = 450;
 
-/** Versions are multiples of this plus the driver's rank, so that no two drivers use the same. */
+/** Versions are multiples of this, a block, plus the driver's rank, so that no two drivers use the same. */
 const VERSION_STRIDE = 1_024;
 
+/**
+ * Blocks of versions that a driver may skip before its first one. A version that its place gave out before
+ * may be unknown: ranks show it only when they have copied its experts.
+ */
+const MAX_SKIPPED_BLOCKS = 2 ** 20;
+
 /** Phases in which no pass is held, so that the driver may stop. */
 const PHASES_WITHOUT_HOLD: readonly ChangePhase[] = [ChangePhase.Preparing, ChangePhase.Checking];
 
@@ -111,6 +117,7 @@
 
   #abandonedSinceMs: number | undefined;
 
+  /** Highest version that this process has given out; 0 before the first. */
   #highestVersion = 0;
 
   #limits: EngineLimitsMessage | undefined;
@@ -379,10 +386,13 @@
       report.mapVersion,
       report.preparedVersion,
     ]);
+    const { nowMs, random } = this.options.runtime;
     const highest = Math.max(this.#highestVersion, ...knownVersions);
-    const version = (Math.floor(highest / VERSION_STRIDE) + 1) * VERSION_STRIDE + ownReport.rank;
+    const skippedBlocks =
+      this.#highestVersion === 0 ? Math.floor(random() * MAX_SKIPPED_BLOCKS) : 0;
+    const block = Math.floor(highest / VERSION_STRIDE) + 1 + skippedBlocks;
+    const version = block * VERSION_STRIDE + ownReport.rank;
     this.#highestVersion = version;
-    const { nowMs } = this.options.runtime;
     this.#change = MapChange.create({
       epoch: ownReport.epoch,
       version,
--- a/packages/rank-agent/tests/fake-group.ts
+++ b/packages/rank-agent/tests/fake-group.ts
@@ -26,14 +26,10 @@
 
 const PASS_MS = 60;
 
-const PREPARE_MS = 400;
-
 const MESSAGE_DELAY_MS = 2;
 
 const MAX_EXTRA_ORDER_DELAY_MS = 10_000;
 
-const AGENT_RESTART_MS = 2_500;
-
 const MAX_PAUSE_MS = 3_000;
 
 /** Faults to inject; ratios are probabilities. */
@@ -54,6 +50,16 @@
   readonly crashesPerSecond: number;
 }
 
+/** Times of a group. */
+export interface GroupTimes {
+  /** Time in which a rank copies the experts of a map. */
+  readonly prepareMs: number;
+  /** Time after which a killed agent is started again. */
+  readonly restartMs: number;
+}
+
+const USUAL_TIMES: GroupTimes = { prepareMs: 400, restartMs: 2_500 };
+
 export const NO_FAULTS: GroupFaults = {
   lostAnswerRatio: 0,
   lostMessageRatio: 0,
@@ -141,7 +147,10 @@
 
   readonly #random: () => number;
 
-  private constructor(seed: number) {
+  private constructor(
+    seed: number,
+    private readonly times: GroupTimes,
+  ) {
     this.#random = createRandom(seed);
     this.#agents.forEach((_, rank) => this.#startAgent(rank));
     this.#schedule(PASS_MS, () => this.#pass());
@@ -155,8 +164,8 @@
    * @example
    * FakeGroup.create(7).run(20_000);
    */
-  static create(seed: number): FakeGroup {
-    return new FakeGroup(seed);
+  static create(seed: number, times = USUAL_TIMES): FakeGroup {
+    return new FakeGroup(seed, times);
   }
 
   /** Advances virtual time and runs the tasks that fall due. */
@@ -171,7 +180,7 @@
     this.nowMs = endMs;
   }
 
-  /** Kills the agent beside a rank; it restarts after `RESTART_MS`. */
+  /** Kills the agent beside a rank; it restarts after `restartMs`. */
   kill(rank: number): void {
     const agent = this.#agents[rank];
     if (agent?.kernel === undefined) {
@@ -181,7 +190,7 @@
     agent.kernel = undefined;
     agent.incarnation += 1;
     this.faultCount += 1;
-    this.#schedule(AGENT_RESTART_MS, () => this.#startAgent(rank));
+    this.#schedule(this.times.restartMs, () => this.#startAgent(rank));
   }
 
   /** Whether some pass is held. */
@@ -433,7 +442,7 @@
     if (version <= highest || engine.armed !== undefined) {
       return OrderOutcome.Refused;
     }
-    engine.prepare({ version, placement, readyAtMs: this.nowMs + PREPARE_MS });
+    engine.prepare({ version, placement, readyAtMs: this.nowMs + this.times.prepareMs });
     return OrderOutcome.Accepted;
   }
 
--- a/packages/rank-agent/tests/maps.test.ts
+++ b/packages/rank-agent/tests/maps.test.ts
@@ -165,3 +165,16 @@
   );
   expect(Math.max(...added)).toEqual(1);
 });
+
+// Guards against a driver that starts again and gives another map the version of its last one, which some
+// ranks still copy and others get late.
+test('a driver that starts again while ranks copy leaves no mixed maps', () => {
+  const times = { prepareMs: 3_500, restartMs: 300 };
+  const violations = Array.from({ length: SEED_COUNT }, (_, index) => {
+    const group = FakeGroup.create(index + 1, times);
+    group.faults = { ...NO_FAULTS, lostAnswerRatio: 0.35, killsPerSecond: 0.1 };
+    group.run(60_000);
+    return group.violations;
+  });
+  expect(violations.flat()).toEqual([]);
+});
