fix(rank-agent): versions stay small after restarts of drivers

Versions that skip up to 2^20 blocks exceed 32 bits after a few restarts, and nothing says how many bits an engine has for them. 2^16 blocks are below 2^32 for some hundred restarts; two processes take the same version once in 65,536 restarts in the middle of a change.

--- a/packages/rank-agent/src/group-driver-service.ts
+++ b/packages/rank-agent/src/group-driver-service.ts
@@ -84,7 +84,7 @@
  * Blocks of versions that a driver may skip before its first one. A version that its place gave out before
  * may be unknown: ranks show it only when they have copied its experts.
  */
-const MAX_SKIPPED_BLOCKS = 2 ** 20;
+const MAX_SKIPPED_BLOCKS = 2 ** 16;
 
 /** Phases in which no pass is held, so that the driver may stop. */
 const PHASES_WITHOUT_HOLD: readonly ChangePhase[] = [ChangePhase.Preparing, ChangePhase.Checking];
