--- a/packages/http/src/ReadTurns.ts
+++ b/packages/http/src/ReadTurns.ts
@@ -1,5 +1,7 @@
 /**
- * @module Bounds what one turn of the event loop reads from callers and from servers that are called.
+ * @module Bounds what one turn of the event loop reads from peers and from servers that are called.
+ *
+ * Callers are read by `RequestReader`, with a bound of its own: neither can keep the other from being read.
  *
  * Load pattern: many open connections each send a block of very small chunks at once. The parser takes
  * some 25 ms for a block of 64 KiB and cannot stop within it, and a turn reads every connection that has
